Hand over, abandon and end grants without holes

Cause: a run with kills, freezes and a store outage (six VMs, six keyed servers, 32 keys, one request per key each 100 ms) showed four faults: a frozen server held its shards until its requests' deadlines (4.01 s), a stopping daemon let its lease run out (1.47 s), a returning daemon polled for its rows each heartbeat (1.27 s), and one slow sample made queues shed (116 requests refused). Change: requests at a lost server end at once; a stopping home hands over to its standby; reclaiming asks every 20 ms; lapsed grants end by a timer; service times are clipped; plans without need keep a second between them; a cancelled call closes its connection; the stand-in checks its grant at the commit.

--- a/libs/coordination/src/oriolefold_coordination/home.py
+++ b/libs/coordination/src/oriolefold_coordination/home.py
@@ -16,6 +16,7 @@
     RESUMING = 'resuming'
     RECLAIMING = 'reclaiming'
     ACTIVE = 'active'
+    ENDED = 'ended'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,10 +95,20 @@
             self.guard.witness_id,
             established=self.phase is not Phase.RESUMING,
             active=self.phase is not Phase.RECLAIMING,
+            ended=False,
             sequence=self._sequence,
             knowledge=self._wanted,
         )
 
+    def step_down(self) -> None:
+        """Gives the right up for good."""
+        self.phase = Phase.ENDED
+        self.valid_until_s = float('-inf')
+
+    def last_beat(self) -> messages.Heartbeat:
+        """Returns the heartbeat that tells the guards of the end."""
+        return dataclasses.replace(self.beat(), ended=True)
+
     def acknowledge(
         self,
         guard_id: str,
@@ -108,6 +119,8 @@
         """Takes the reply of a guard to a heartbeat."""
         if beat.guard_epoch != self.guard.epoch:
             return
+        if self.phase is Phase.ENDED:
+            return
         if reply.verdict is messages.Verdict.OUTDATED:
             if beat.sequence < self._sequence:
                 # A later heartbeat has overtaken this one.
--- a/libs/coordination/src/oriolefold_coordination/messages.py
+++ b/libs/coordination/src/oriolefold_coordination/messages.py
@@ -71,6 +71,7 @@
         established: Whether the home already holds the lease, or has itself
             begun this epoch, so that a guard without memory may believe it.
         active: Whether it sends, so that a takeover would make sense.
+        ended: Whether it has stopped for good, so a takeover need not wait.
         sequence: Rises with each heartbeat of the incarnation.
         knowledge: What the guards have to keep.
     """
@@ -82,6 +83,7 @@
     witness_id: str
     established: bool
     active: bool
+    ended: bool
     sequence: int
     knowledge: Knowledge = Knowledge()
 
--- a/libs/coordination/src/oriolefold_coordination/wards.py
+++ b/libs/coordination/src/oriolefold_coordination/wards.py
@@ -69,7 +69,9 @@
         return self._reply(verdict, kept)
 
     def _accepted(self, ward, beat, now_s) -> Ward:
-        promised_until_s = now_s + self._terms.promise_s
+        promised_until_s = now_s
+        if not beat.ended:
+            promised_until_s += self._terms.promise_s
         if ward is None or ward.heartbeat.guard_epoch != beat.guard_epoch:
             return Ward(beat, promised_until_s)
         former = ward.former_incarnations
--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -20,6 +20,7 @@
     recorder,
     watcher,
 )
+from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import codec, link, server
 from oriolefold_peer import messages as peer_messages
 from oriolefold_routing import balance
@@ -163,8 +164,11 @@
     async def stop(self) -> None:
         """Finishes the requests under way and ends the tasks."""
         logs.event('daemon.stopping', vm=self._values.vm_id)
-        finished = await self._frontend.drain(self._values.stop_limit_s)
-        if not finished:
+        try:
+            async with asyncio.timeout(self._values.stop_limit_s):
+                await self._frontend.drain()
+                await self._guardian.ask(ownership_messages.StepDown())
+        except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
         await self._frontend.stop()
         await self._admin.stop()
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -39,6 +39,7 @@
         self._dispatcher = dispatcher
         self._max_body_bytes = max_body_bytes
         self._server: httpserver.HTTPServer | None = None
+        self.draining = False
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -74,19 +75,15 @@
         )
         self._server.add_sockets(sockets)
 
-    async def drain(self, limit_s: float) -> bool:
+    async def drain(self) -> None:
         """Takes no new connections and waits for the requests under way.
 
-        Returns:
-            Whether all of them ended within the limit.
+        Requests on open connections are still served; each answer tells the
+        caller to close the connection.
         """
+        self.draining = True
         self._server.stop()
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
-        return True
+        await self._idle.wait()
 
     async def stop(self) -> None:
         """Closes all connections."""
@@ -234,6 +231,8 @@
         )
         if status in _NO_BODY_STATUS or head:
             body = b''
+        if self._frontend.draining:
+            outgoing['Connection'] = 'close'
         if status not in _NO_BODY_STATUS and not head:
             outgoing['Content-Length'] = str(len(body))
         reason = httputil.responses.get(status, 'Unknown')
--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -1,5 +1,6 @@
 """HTTP client by tornado and curl with one treatment of failures."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 
 import pycurl
@@ -16,6 +17,15 @@
 )
 
 
+class _CurlClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Curl client that takes a timer after its end in silence."""
+
+    def _handle_timeout(self) -> None:
+        # Curl sets a last timer while it closes, which would find no handle.
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
 class HttpClient:
     """Calls HTTP servers by their IP numbers.
 
@@ -29,9 +39,7 @@
         Args:
             max_clients: Calls that may be under way; more of them wait.
         """
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=max_clients
-        )
+        self._client = _CurlClient(force_instance=True, max_clients=max_clients)
 
     async def call(
         self,
@@ -46,6 +54,9 @@
     ) -> httpclient.HTTPResponse:
         """Sends a request and returns the whole answer, whatever its status.
 
+        Cancelling the call closes the connection within a second, so that the
+        server learns of it.
+
         Args:
             method: HTTP method.
             url: URL with an IP number as its host.
@@ -69,9 +80,16 @@
             allowed = may_send()
             return pycurl.PREREQFUNC_OK if allowed else pycurl.PREREQFUNC_ABORT
 
+        abandoned = False
+
+        def watch(*_) -> int:
+            return 1 if abandoned else 0
+
         def prepare(curl: pycurl.Curl) -> None:
             curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.PATH_AS_IS, 1)
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, watch)
             curl.setopt(pycurl.FRESH_CONNECT, 1 if once else 0)
             if may_send is not None:
                 curl.setopt(pycurl.PREREQFUNCTION, check)
@@ -88,8 +106,13 @@
             decompress_response=False,
             prepare_curl_callback=prepare,
         )
+        fetching = self._client.fetch(request, raise_error=False)
         try:
-            return await self._client.fetch(request, raise_error=False)
+            return await asyncio.shield(fetching)
+        except asyncio.CancelledError:
+            abandoned = True
+            fetching.add_done_callback(_take_result)
+            raise
         except curl_httpclient.CurlError as error:
             if error.errno in _NOTHING_SENT:
                 raise errors.UnreachableError(str(error)) from error
@@ -98,3 +121,9 @@
     def close(self) -> None:
         """Releases the connections."""
         self._client.close()
+
+
+def _take_result(fetching: asyncio.Future) -> None:
+    # Nobody waits for the result of an abandoned call.
+    if not fetching.cancelled():
+        fetching.exception()
--- a/libs/ownership/src/oriolefold_ownership/granter.py
+++ b/libs/ownership/src/oriolefold_ownership/granter.py
@@ -9,7 +9,7 @@
 
 GRANT_TTL_S = 1.2  # Lease of a server, counted from the issue of its nonce.
 RENEW_INTERVAL_S = 0.3
-QUIET_LIMIT_S = 0.8  # Without an accepted grant a server counts as quiet.
+QUIET_LIMIT_S = 0.75  # Without an accepted grant a server counts as quiet.
 CLOCK_DRIFT = 0.02
 
 
@@ -20,6 +20,13 @@
         self.instance_id = instance_id
 
 
+class _Lapsed:
+    """Message: the leases of a server may have lapsed by now."""
+
+    def __init__(self, instance_id: str):
+        self.instance_id = instance_id
+
+
 class _Replied:
     """Message: a server has answered a batch of grants, or has not."""
 
@@ -101,6 +108,8 @@
                 self._drop(message)
             case _Renew():
                 self._renew(message.instance_id)
+            case _Lapsed():
+                self._check_lapsed(message.instance_id)
             case _Replied():
                 self._take(message)
             case notices.ConfigurationInForce():
@@ -138,6 +147,20 @@
         server.ending_by_shard[shard] = server.tokens_by_shard.pop(shard)
         server.urgent = True
         self._call(server)
+        self._check_lapsed(dropped.instance_id)
+
+    def _check_lapsed(self, instance_id: str) -> None:
+        """Ends grants without the server, at the latest when they lapse."""
+        server = self._servers_by_id.get(instance_id)
+        if server is None or not server.ending_by_shard:
+            return
+        left_s = server.lease_ends_s - self._clock.now_s()
+        if left_s > 0:
+            self.post_later(left_s, _Lapsed(instance_id))
+            return
+        ending, server.ending_by_shard = server.ending_by_shard, {}
+        for shard in ending:
+            self._end(instance_id, shard)
 
     def _end(self, instance_id: str, shard: tuple[str, int]) -> None:
         service_id, number = shard
@@ -159,7 +182,10 @@
             return
         server.calling = True
         server.urgent = False
-        self.spawn(self._grant(server, self._batch(server)))
+        batch = self._batch(server)
+        if batch.nonce and batch.fences:
+            self._extend(server)
+        self.spawn(self._grant(server, batch))
 
     def _batch(self, server: _Server) -> ports.GrantBatch:
         service_id = server.instance.service_id
@@ -174,8 +200,6 @@
 
     async def _grant(self, server: _Server, batch: ports.GrantBatch) -> None:
         reply = None
-        if batch.nonce and batch.fences:
-            self._extend(server)
         try:
             reply = await self._backend.grant(server.instance, batch)
         except errors.OriolefoldError:
@@ -199,7 +223,6 @@
         reply = replied.reply
         if reply is None:
             self._check_quiet(server, now_s)
-            self._end_lapsed(server, now_s)
             self._later(server)
             return
         server.nonce = reply.next_nonce
@@ -235,13 +258,6 @@
                 del server.ending_by_shard[shard]
                 self._end(instance_id, shard)
 
-    def _end_lapsed(self, server: _Server, now_s: float) -> None:
-        if now_s < server.lease_ends_s:
-            return
-        ending, server.ending_by_shard = server.ending_by_shard, {}
-        for shard in ending:
-            self._end(server.instance.instance_id, shard)
-
     def _check_quiet(self, server: _Server, now_s: float) -> None:
         if not server.tokens_by_shard:
             return
--- a/libs/ownership/src/oriolefold_ownership/guardian.py
+++ b/libs/ownership/src/oriolefold_ownership/guardian.py
@@ -13,6 +13,8 @@
 
 CALL_TIMEOUT_S = 0.5
 RECORD_RETRY_S = 0.5
+RECLAIM_INTERVAL_S = 0.02
+DRAIN_INTERVAL_S = 0.01
 
 
 class _Tick:
@@ -113,6 +115,8 @@
                 self._act_on_map(message)
             case coordination_notices.GuardsKnown():
                 self._guards_by_vm_id = message.guards_by_vm_id
+            case messages.StepDown():
+                self._step_down(message)
             case messages.DescribeRight():
                 message.answer(self._describe())
 
@@ -139,7 +143,7 @@
 
     def _tick(self) -> None:
         self.post_later(self._terms.heartbeat_interval_s, _Tick())
-        if self._right is None:
+        if self._right is None or self._right.phase is home.Phase.ENDED:
             return
         self._beat()
         if self._right.needs_new_epoch(self._clock.now_s()):
@@ -150,6 +154,8 @@
             self._take_over_due()
 
     def _beat(self) -> None:
+        if self._right.phase is home.Phase.ENDED:
+            return
         self._right.stand_alone(self._clock.now_s())
         if not self._right.guard.vm_ids:
             self._publish()
@@ -218,11 +224,14 @@
 
     async def _ask_holders(self, guard: shardmap.Guard) -> None:
         try:
-            knowledge = await reclaiming.reclaim(
-                self._vm_id, guard, self._guards_by_vm_id, self._call
-            )
-            if knowledge is not None:
-                self.post(_Reclaimed(guard.epoch, knowledge))
+            knowledge = None
+            while knowledge is None:
+                knowledge = await reclaiming.reclaim(
+                    self._vm_id, guard, self._guards_by_vm_id, self._call
+                )
+                if knowledge is None:
+                    await asyncio.sleep(RECLAIM_INTERVAL_S)
+            self.post(_Reclaimed(guard.epoch, knowledge))
         finally:
             self._reclaiming = False
 
@@ -269,11 +278,33 @@
         self._right.want_acted(taken)
         self._beat()
 
+    def _step_down(self, ask: messages.StepDown) -> None:
+        if self._right is None or not self._right.holds(self._clock.now_s()):
+            ask.answer(None)
+            return
+        logs.event('right.stepping_down')
+        self._right.step_down()
+        self._publish()
+        self.spawn(self._finish_step_down(ask))
+
+    async def _finish_step_down(self, ask: messages.StepDown) -> None:
+        while not await self._keeper.ask(messages.DrainAll()):
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+        # The witness has to know first, or it would not agree to the takeover
+        # that the standby begins at once.
+        guard = self._right.guard
+        for guard_id in (guard.witness_id, guard.standby_id):
+            if guard_id:
+                await self._call(guard_id, self._right.last_beat())
+        ask.answer(None)
+
     def _answer_peer(self, call: messages.PeerCall) -> None:
         now_s = self._clock.now_s()
         match call.body:
             case lease_messages.Heartbeat():
                 call.answer(self._book.heartbeat(call.body, now_s))
+                if call.body.ended and self._right is not None:
+                    self._take_over_due()
             case lease_messages.VoteRequest():
                 call.answer(self._book.vote(call.body, now_s))
             case lease_messages.RetireRequest():
--- a/libs/ownership/src/oriolefold_ownership/keeper.py
+++ b/libs/ownership/src/oriolefold_ownership/keeper.py
@@ -89,6 +89,8 @@
                 message.answer(self._release(message.request))
             case messages.DrainHome():
                 message.answer(self._drained(message.home_id))
+            case messages.DrainAll():
+                message.answer(self._all_drained())
             case messages.ShardsAcquired():
                 self._take_acquired(message)
             case coordination_notices.MapInForce():
@@ -271,6 +273,8 @@
 
     def _give_up(self, instance_id: str) -> None:
         """Gives a silent server up for all rows that are known now."""
+        # Its requests would hold up the next owner until their deadlines.
+        self._sender.post(sending_messages.AbandonInstance(instance_id))
         for service_id, shard_map in self._maps_by_service_id.items():
             mine = any(
                 instance_id in (row.owner_id, row.standby_id)
@@ -311,6 +315,11 @@
         slot = self._slots_by_shard.get(key)
         return slot is None or (slot.target is None and slot.released)
 
+    def _all_drained(self) -> bool:
+        if self._right.holdings_by_home_id:
+            return False
+        return all(slot.released for slot in self._slots_by_shard.values())
+
     def _drained(self, home_id: str) -> bool:
         if home_id in self._right.holdings_by_home_id:
             return False
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -113,6 +113,19 @@
     home_id: str
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class DrainAll(tasks.Ask):
+    """Asks the keeper to end all sends.
+
+    The reply is whether nothing is under way any more.
+    """
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepDown(tasks.Ask):
+    """Asks the guardian to hand over what this VM holds, before a stop."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShardsAcquired:
     """All prior homes of some shards have released them."""
--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -14,6 +14,7 @@
 RANK_DELAY_S = (
     0.5  # Wait per rank, so that one daemon plans and others need not.
 )
+PLAN_INTERVAL_S = 1.0  # Least time between two plans without need.
 URGENT_DELAY_S = 0.05  # Gathers events that come together into one write.
 RETRY_INTERVAL_S = 0.5
 PROBE_INTERVAL_S = 1.0
@@ -157,7 +158,7 @@
             return
         self._stored_by_service_id[service_id] = stored
         if self._configuration is not None:
-            self._consider(service_id, self._rank_delay_s())
+            self._consider(service_id, PLAN_INTERVAL_S + self._rank_delay_s())
 
     def _take_lost(self, lost: messages.InstanceLost) -> None:
         known = self._lost_epochs_by_id.get(lost.instance_id, 0)
--- a/libs/routing/src/oriolefold_routing/admission.py
+++ b/libs/routing/src/oriolefold_routing/admission.py
@@ -8,6 +8,8 @@
 MAX_WAIT_S = 0.5  # Longest expected wait in a queue.
 MAX_WAITING = 4096
 SMOOTHING = 0.1  # Weight of a new service time in the moving mean.
+OUTLIER_FACTOR = 4.0  # A service time counts for at most so many means.
+SHORTEST_S = 0.0005  # Least service time that is taken into account.
 FIRST_GUESS_S = 0.01  # Service time before the first was seen.
 
 
@@ -95,7 +97,12 @@
         """
         self.in_flight -= 1
         if took_s is not None:
-            self._service_time_s += SMOOTHING * (took_s - self._service_time_s)
+            # One request to an instance that froze says nothing of the next.
+            sample_s = min(took_s, OUTLIER_FACTOR * self._service_time_s)
+            sample_s = max(sample_s, SHORTEST_S)
+            self._service_time_s += SMOOTHING * (
+                sample_s - self._service_time_s
+            )
         expired = [t for t in self._waiting if t.expires_at_s <= now_s]
         if expired:
             self._waiting = [t for t in self._waiting if t not in expired]
@@ -106,6 +113,11 @@
         self.in_flight += 1
         return chosen, expired
 
+    def empty(self) -> list[Ticket]:
+        """Removes and returns all requests that wait."""
+        waiting, self._waiting = self._waiting, []
+        return waiting
+
     def withdraw(self, ticket: Ticket) -> None:
         """Removes a request whose caller has gone."""
         if ticket in self._waiting:
--- a/libs/sending/src/oriolefold_sending/messages.py
+++ b/libs/sending/src/oriolefold_sending/messages.py
@@ -15,6 +15,13 @@
     permit: ports.Permit
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonInstance:
+    """Ends all requests at an instance that was given up."""
+
+    instance_id: str
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class SendBalanced(tasks.Ask):
     """Asks the sender to choose an instance; the reply is an `Answer`.
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -12,8 +12,8 @@
 class _Finished:
     """Message: a send has ended."""
 
-    def __init__(self, instance_id: str, failed: bool, took_s: float | None):
-        self.instance_id = instance_id
+    def __init__(self, job: '_Job', failed: bool, took_s: float | None):
+        self.job = job
         self.failed = failed
         self.took_s = took_s
 
@@ -55,6 +55,7 @@
         self._loads_by_id: dict[str, balance.InstanceLoad] = {}
         self._gates_by_id: dict[str, admission.Gate] = {}
         self._ids_by_service_id: dict[str, tuple[str, ...]] = {}
+        self._jobs_by_instance_id: dict[str, set[_Job]] = {}
         self._leaving_ids: frozenset[str] = frozenset()
 
     async def on_stop(self) -> None:
@@ -68,6 +69,8 @@
                 self._take(message, message.instance_id, message.permit)
             case messages.SendBalanced():
                 self._take_balanced(message)
+            case messages.AbandonInstance():
+                self._abandon(message.instance_id)
             case _Finished():
                 self._finish(message)
             case _Withdrawn():
@@ -148,6 +151,7 @@
 
     def _start(self, job: _Job) -> None:
         self._loads_by_id[job.instance_id].in_flight += 1
+        self._jobs_by_instance_id.setdefault(job.instance_id, set()).add(job)
         child = self.spawn(self._send(job))
         job.ask.reply.add_done_callback(lambda _: child.cancel())
 
@@ -170,11 +174,22 @@
         except errors.OriolefoldError as error:
             job.ask.fail(error)
         finally:
-            self.post(_Finished(job.instance_id, failed, took_s))
+            self.post(_Finished(job, failed, took_s))
+
+    def _abandon(self, instance_id: str) -> None:
+        gate = self._gates_by_id.get(instance_id)
+        for ticket in gate.empty() if gate else ():
+            text = f'{instance_id} was given up'
+            ticket.owner.ask.fail(errors.NoOwnerError(text))
+        for job in self._jobs_by_instance_id.get(instance_id, ()):
+            text = f'{instance_id} was given up while it had the request'
+            job.ask.fail(errors.OutcomeUnknownError(text))
 
     def _finish(self, done: _Finished) -> None:
-        load = self._loads_by_id.get(done.instance_id)
-        gate = self._gates_by_id.get(done.instance_id)
+        instance_id = done.job.instance_id
+        self._jobs_by_instance_id[instance_id].discard(done.job)
+        load = self._loads_by_id.get(instance_id)
+        gate = self._gates_by_id.get(instance_id)
         if load is None or gate is None:
             return
         load.in_flight -= 1
--- a/testbed/src/oriolefold_testbed/servers.py
+++ b/testbed/src/oriolefold_testbed/servers.py
@@ -295,7 +295,7 @@
     async def _run(self, started_s: float) -> None:
         headers = self.request.headers
         deadline_ms = headers.get(results.DEADLINE_HEADER)
-        if self._gone:
+        if self._gone or self.request.connection.stream.closed():
             return
         if deadline_ms and now_s() > started_s + int(deadline_ms) / 1000:
             self._refuse(504, 'deadline passed')
@@ -313,20 +313,36 @@
             await asyncio.sleep(stand_in.service_time_s())
         finally:
             stand_in.in_flight -= 1
-            stand_in.record(
-                {
-                    'request': headers.get(results.REQUEST_ID_HEADER, ''),
-                    'instance': stand_in.instance.instance_id,
-                    'method': self.request.method,
-                    'target': self.request.uri,
-                    'shard': shard,
-                    'token': token,
-                    'begun_s': begun_s,
-                    'ended_s': now_s(),
-                }
-            )
+        if self._must_abort(started_s, shard, token):
+            self._refuse(409, 'aborted before the commit')
+            return
+        # What follows stands for the commit; nothing waits in between.
+        stand_in.record(
+            {
+                'request': headers.get(results.REQUEST_ID_HEADER, ''),
+                'instance': stand_in.instance.instance_id,
+                'method': self.request.method,
+                'target': self.request.uri,
+                'shard': shard,
+                'token': token,
+                'begun_s': begun_s,
+                'ended_s': now_s(),
+            }
+        )
         self._answer()
 
+    def _must_abort(self, started_s: float, shard: int, token: int) -> bool:
+        """Whether the request was cancelled, is late or lost its grant."""
+        if self._gone or self.request.connection.stream.closed():
+            return True
+        deadline_ms = self.request.headers.get(results.DEADLINE_HEADER)
+        if deadline_ms and now_s() > started_s + int(deadline_ms) / 1000:
+            return True
+        stand_in = self._stand_in
+        if stand_in.keyed and stand_in.instance.checks_tokens:
+            return not stand_in.table.holds(shard, token)
+        return False
+
     def _answer(self) -> None:
         if self._behaviour.die_after_run > 0:
             self._behaviour.die_after_run -= 1
