Make the lease protocol a state machine without sockets

Cause: the decisions of the guardian stood among its calls, so no property test could drive them. Conclusion: behaviour kept; the machine can now be tested step by step.

--- a/libs/coordination/src/oriolefold_coordination/messages.py
+++ b/libs/coordination/src/oriolefold_coordination/messages.py
@@ -133,25 +133,6 @@
     knowledge: Knowledge = Knowledge()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetireRequest:
-    """A home asks an old guard to have no part in an old epoch any more."""
-
-    home_id: str
-    guard_epoch: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetireReply:
-    """Answer of an old guard.
-
-    Attributes:
-        retired: Whether it will neither vote nor take over in that epoch.
-    """
-
-    retired: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandBackRequest:
     """A home that has begun a new epoch asks who holds its rows of an old one.
@@ -223,8 +204,6 @@
     HeartbeatReply,
     VoteRequest,
     VoteReply,
-    RetireRequest,
-    RetireReply,
     HandBackRequest,
     HandBackReply,
     ReleaseRequest,
--- a/libs/coordination/src/oriolefold_coordination/wards.py
+++ b/libs/coordination/src/oriolefold_coordination/wards.py
@@ -132,20 +132,6 @@
             and now_s >= ward.promised_until_s
         )
 
-    def retire(self, request: messages.RetireRequest) -> messages.RetireReply:
-        """Answers a home that leaves an epoch."""
-        ward = self.wards_by_home_id.get(request.home_id)
-        if ward is None:
-            return messages.RetireReply(False)
-        if ward.heartbeat.guard_epoch > request.guard_epoch:
-            return messages.RetireReply(True)
-        if ward.heartbeat.guard_epoch < request.guard_epoch:
-            return messages.RetireReply(False)
-        if ward.voted or ward.taken_over:
-            return messages.RetireReply(False)
-        ward.retired = True
-        return messages.RetireReply(True)
-
     def due_takeovers(self, now_s: float) -> list[messages.VoteRequest]:
         """Returns the votes to ask for, as standby of homes that are silent."""
         return [
--- a/libs/ownership/src/oriolefold_ownership/guardian.py
+++ b/libs/ownership/src/oriolefold_ownership/guardian.py
@@ -1,19 +1,19 @@
-"""Task that holds the right of this VM to send, and guards that of others."""
+"""Task that drives the lease protocol of this VM."""
 
 import asyncio
 from typing import Any
 
-from oriolefold_coordination import home, lease, shardmap, wards
+from oriolefold_coordination import lease, protocol
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_coordination import notices as coordination_notices
 from oriolefold_core import clock, errors, tasks
-from oriolefold_ownership import messages, reclaiming
+from oriolefold_ownership import messages
 from oriolefold_peer import messages as peer_messages
 from oriolefold_telemetry import logs
 
 CALL_TIMEOUT_S = 0.5
 RECORD_RETRY_S = 0.5
-RECLAIM_INTERVAL_S = 0.02
+ASK_AGAIN_S = 0.02
 DRAIN_INTERVAL_S = 0.01
 
 
@@ -21,41 +21,27 @@
     """Message: time for a heartbeat."""
 
 
-class _BeatReplied:
-    """Message: a guard has answered a heartbeat."""
-
-    def __init__(self, guard_id, beat, sent_s, reply):
-        self.guard_id = guard_id
-        self.beat = beat
-        self.sent_s = sent_s
-        self.reply = reply
+class _AskAgain:
+    """Message: time to ask the holders again."""
 
 
-class _Voted:
-    """Message: the witness has answered a vote."""
+class _Replied:
+    """Message: a call has ended; the reply is None if there was none."""
 
-    def __init__(self, request, reply):
-        self.request = request
+    def __init__(self, call: protocol.Call, reply: Any):
+        self.call = call
         self.reply = reply
 
 
-class _EpochRecorded:
-    """Message: a new epoch of the own guard is in the store."""
+class _Recorded:
+    """Message: the writing of a guard record has ended."""
 
-    def __init__(self, guard: shardmap.Guard):
+    def __init__(self, guard):
         self.guard = guard
 
 
-class _Reclaimed:
-    """Message: nobody else holds the rows of this home any more."""
-
-    def __init__(self, epoch: int, knowledge: lease_messages.Knowledge):
-        self.epoch = epoch
-        self.knowledge = knowledge
-
-
 class Guardian(tasks.Task):
-    """Owns the lease of this home and the promises to other homes."""
+    """Owns the lease protocol and carries out its commands."""
 
     def __init__(
         self,
@@ -68,19 +54,12 @@
     ):
         super().__init__('guardian')
         self._vm_id = vm_id
-        self._incarnation = incarnation
-        self._terms = terms
+        self._interval_s = terms.heartbeat_interval_s
         self._clock = time
         self._peers = peers
         self._keeper = keeper
         self._recorder: tasks.Task | None = None
-        self._book = wards.WardBook(vm_id, terms)
-        self._right: home.HomeRight | None = None
-        self._guards_by_vm_id: dict[str, shardmap.Guard] = {}
-        self._voting: set[str] = set()
-        self._beating: set[str] = set()
-        self._recording = False
-        self._reclaiming = False
+        self._protocol = protocol.LeaseProtocol(vm_id, incarnation, terms)
 
     def connect(self, recorder: tasks.Task) -> None:
         """Sets the task that writes the guard record."""
@@ -92,225 +71,105 @@
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
+        now_s = self._clock.now_s()
         match message:
             case messages.PeerCall():
-                self._answer_peer(message)
+                self._answer_peer(message, now_s)
             case _Tick():
-                self._tick()
-            case _BeatReplied():
-                self._take_beat_reply(message)
-            case _Voted():
-                self._take_vote(message)
+                self.post_later(self._interval_s, _Tick())
+                self._execute(self._protocol.tick(now_s))
+            case _AskAgain():
+                self._execute(self._protocol.ask_holders(now_s))
+            case _Replied():
+                self._execute(
+                    self._protocol.replied(message.call, message.reply, now_s)
+                )
             case messages.GuardRecorded():
-                self._start_right(message)
-            case _EpochRecorded():
-                self._begin_epoch(message.guard)
-            case _Reclaimed():
-                self._finish_reclaiming(message)
+                self._execute(
+                    self._protocol.begin(
+                        message.guard, message.begun_here, now_s
+                    )
+                )
+            case _Recorded():
+                self._execute(self._protocol.recorded(message.guard, now_s))
             case messages.InstanceLost():
-                if self._right is not None:
-                    self._right.want_lost(message.instance_id, message.epoch)
-                    self._beat()
+                self._execute(
+                    self._protocol.give_up(
+                        message.instance_id, message.epoch, now_s
+                    )
+                )
             case messages.MapActedOn():
-                self._act_on_map(message)
+                self._act_on_map(message, now_s)
             case coordination_notices.GuardsKnown():
-                self._guards_by_vm_id = message.guards_by_vm_id
+                self._protocol.know_guards(message.guards_by_vm_id)
             case messages.StepDown():
-                self._step_down(message)
+                self._step_down(message, now_s)
             case messages.DescribeRight():
-                message.answer(self._describe())
-
-    def _start_right(self, recorded: messages.GuardRecorded) -> None:
-        if self._right is not None:
-            return
-        self._right = home.HomeRight(
-            self._vm_id,
-            self._incarnation,
-            recorded.guard,
-            self._terms,
-            recorded.begun_here,
-            self._clock.now_s(),
-        )
-        self._beat()
-
-    def _act_on_map(self, acted_on: messages.MapActedOn) -> None:
-        if self._right is None:
-            # The keeper must learn later that its map is known to the guards.
-            self.post_later(RECORD_RETRY_S, acted_on)
-            return
-        self._right.want_map(acted_on.service_id, acted_on.epoch)
-        self._beat()
-
-    def _tick(self) -> None:
-        self.post_later(self._terms.heartbeat_interval_s, _Tick())
-        if self._right is None or self._right.phase is home.Phase.ENDED:
-            return
-        self._beat()
-        if self._right.needs_new_epoch(self._clock.now_s()):
-            self._record_epoch()
-        if self._right.phase is home.Phase.RECLAIMING:
-            self._reclaim()
-        if self._right.holds(self._clock.now_s()):
-            self._take_over_due()
+                message.answer(self._describe(now_s))
+
+    def _execute(self, commands: list[protocol.Command]) -> None:
+        for command in commands:
+            match command:
+                case protocol.Call():
+                    self.spawn(self._call_and_post(command))
+                case protocol.RecordEpoch():
+                    self.spawn(self._record(command.epoch_before))
+                case protocol.AskAgain():
+                    self.post_later(ASK_AGAIN_S, _AskAgain())
+                case protocol.Happened():
+                    logs.event(
+                        command.name, home=command.home_id, epoch=command.epoch
+                    )
+        self._publish()
 
-    def _beat(self) -> None:
-        if self._right.phase is home.Phase.ENDED:
-            return
-        self._right.stand_alone(self._clock.now_s())
-        if not self._right.guard.vm_ids:
-            self._publish()
-        for guard_id in self._right.guard.vm_ids:
-            self.spawn(self._send_beat(guard_id, self._right.beat()))
+    def _publish(self) -> None:
+        right = self._protocol.right()
+        self._keeper.post(messages.RightRenewed(right))
 
-    async def _send_beat(self, guard_id: str, beat) -> None:
-        sent_s = self._clock.now_s()
-        reply = await self._call(guard_id, beat)
-        if reply is not None:
-            self.post(_BeatReplied(guard_id, beat, sent_s, reply))
+    async def _call_and_post(self, call: protocol.Call) -> None:
+        self.post(_Replied(call, await self._call(call)))
 
-    async def _call(self, vm_id: str, body: Any) -> Any:
+    async def _call(self, call: protocol.Call) -> Any:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await self._peers.ask(
-                    peer_messages.CallPeer(vm_id, body)
+                    peer_messages.CallPeer(call.vm_id, call.body)
                 )
         except (errors.OriolefoldError, TimeoutError):
             return None
 
-    def _take_beat_reply(self, replied: _BeatReplied) -> None:
-        before = self._right.phase
-        self._right.acknowledge(
-            replied.guard_id, replied.beat, replied.sent_s, replied.reply
-        )
-        if self._right.phase is not before:
-            logs.event('right.phase', phase=self._right.phase.value)
-        self._publish()
-
-    def _publish(self) -> None:
-        self._keeper.post(
-            messages.RightRenewed(
-                self._right.valid_until_s,
-                self._right.holdings(),
-                self._right.in_force,
-            )
-        )
-
-    def _record_epoch(self) -> None:
-        if not self._recording:
-            self._recording = True
-            self.spawn(self._write_epoch(self._right.guard.epoch))
-
-    async def _write_epoch(self, epoch_before: int) -> None:
+    async def _record(self, epoch_before: int) -> None:
+        guard = None
         try:
             guard = await self._recorder.ask(messages.RecordGuard(epoch_before))
-            self.post(_EpochRecorded(guard))
         except errors.OriolefoldError as error:
             logs.event('guard.record_failed', error=str(error))
             await asyncio.sleep(RECORD_RETRY_S)
         finally:
-            self._recording = False
-
-    def _begin_epoch(self, guard: shardmap.Guard) -> None:
-        logs.event('right.new_epoch', epoch=guard.epoch)
-        self._right.begin_epoch(guard)
-        self._publish()
-        self._beat()
-        self._reclaim()
+            self.post(_Recorded(guard))
 
-    def _reclaim(self) -> None:
-        if not self._reclaiming:
-            self._reclaiming = True
-            self.spawn(self._ask_holders(self._right.guard))
-
-    async def _ask_holders(self, guard: shardmap.Guard) -> None:
-        try:
-            knowledge = None
-            while knowledge is None:
-                knowledge = await reclaiming.reclaim(
-                    self._vm_id, guard, self._guards_by_vm_id, self._call
-                )
-                if knowledge is None:
-                    await asyncio.sleep(RECLAIM_INTERVAL_S)
-            self.post(_Reclaimed(guard.epoch, knowledge))
-        finally:
-            self._reclaiming = False
-
-    def _finish_reclaiming(self, reclaimed: _Reclaimed) -> None:
-        right = self._right
-        if right.phase is not home.Phase.RECLAIMING:
-            return
-        if right.guard.epoch == reclaimed.epoch:
-            logs.event('right.reclaimed', epoch=reclaimed.epoch)
-            right.activate(reclaimed.knowledge)
-            self._beat()
-
-    def _take_over_due(self) -> None:
-        for request in self._book.due_takeovers(self._clock.now_s()):
-            if request.home_id in self._voting:
-                continue
-            ward = self._book.wards_by_home_id[request.home_id]
-            witness_id = ward.heartbeat.witness_id
-            self._voting.add(request.home_id)
-            self.spawn(self._ask_vote(witness_id, request))
-
-    async def _ask_vote(self, witness_id: str, request) -> None:
-        try:
-            if witness_id:
-                reply = await self._call(witness_id, request)
-            else:
-                # Without a witness the home had no other guard than this VM.
-                reply = lease_messages.VoteReply(True)
-            if reply is not None:
-                self.post(_Voted(request, reply))
-        finally:
-            self._voting.discard(request.home_id)
-
-    def _take_vote(self, voted: _Voted) -> None:
-        now_s = self._clock.now_s()
-        if not self._right.holds(now_s):
-            return
-        taken = self._book.take_over(voted.request, voted.reply, now_s)
-        if taken is None:
+    def _act_on_map(self, acted_on: messages.MapActedOn, now_s: float) -> None:
+        if self._protocol.own is None:
+            # The guards have to learn it as soon as there are any.
+            self.post_later(RECORD_RETRY_S, acted_on)
             return
-        logs.event(
-            'home.taken_over', home=taken.home_id, epoch=taken.guard_epoch
+        self._execute(
+            self._protocol.act_on_map(
+                acted_on.service_id, acted_on.epoch, now_s
+            )
         )
-        self._right.want_acted(taken)
-        self._beat()
-
-    def _step_down(self, ask: messages.StepDown) -> None:
-        if self._right is None or not self._right.holds(self._clock.now_s()):
-            ask.answer(None)
-            return
-        logs.event('right.stepping_down')
-        self._right.step_down()
-        self._publish()
-        self.spawn(self._finish_step_down(ask))
-
-    async def _finish_step_down(self, ask: messages.StepDown) -> None:
-        while not await self._keeper.ask(messages.DrainAll()):
-            await asyncio.sleep(DRAIN_INTERVAL_S)
-        # The witness has to know first, or it would not agree to the takeover
-        # that the standby begins at once.
-        guard = self._right.guard
-        for guard_id in (guard.witness_id, guard.standby_id):
-            if guard_id:
-                await self._call(guard_id, self._right.last_beat())
-        ask.answer(None)
 
-    def _answer_peer(self, call: messages.PeerCall) -> None:
-        now_s = self._clock.now_s()
+    def _answer_peer(self, call: messages.PeerCall, now_s: float) -> None:
         match call.body:
             case lease_messages.Heartbeat():
-                call.answer(self._book.heartbeat(call.body, now_s))
-                if call.body.ended and self._right is not None:
-                    self._take_over_due()
+                reply, commands = self._protocol.answer_beat(call.body, now_s)
+                call.answer(reply)
+                if commands:
+                    self._execute(commands)
             case lease_messages.VoteRequest():
-                call.answer(self._book.vote(call.body, now_s))
-            case lease_messages.RetireRequest():
-                call.answer(self._book.retire(call.body))
+                call.answer(self._protocol.answer_vote(call.body, now_s))
             case lease_messages.HandBackRequest():
-                self._hand_back(call)
+                self._hand_back(call, now_s)
             case lease_messages.ReleaseRequest():
                 release = messages.ReleaseShards(call.body, reply=call.reply)
                 self._keeper.post(release)
@@ -318,56 +177,50 @@
                 text = f'{type(call.body).__name__} is not for the guardian'
                 call.fail(errors.ProtocolError(text))
 
-    def _hand_back(self, call: messages.PeerCall) -> None:
-        custody = lease_messages.Custody
-        right = self._right
-        if right is None or right.phase is home.Phase.RESUMING:
-            call.answer(lease_messages.HandBackReply(custody.DRAINING))
-            return
-        request = call.body
-        self._book.close_epoch(request.home_id, request.guard_epoch)
-        if right.acts_for(request.home_id, request.guard_epoch):
-            right.drop_acted(request.home_id)
-            self._publish()
-            self._beat()
-        if right.keeps_acting_for(request.home_id) or right.has_handed_back(
-            request.home_id
-        ):
-            self.spawn(self._finish_drain(call))
-        elif right.reclaimed:
-            call.answer(lease_messages.HandBackReply(custody.NO_MEMORY))
+    def _hand_back(self, call: messages.PeerCall, now_s: float) -> None:
+        reply, commands = self._protocol.answer_hand_back(call.body, now_s)
+        if commands:
+            self._execute(commands)
+        if reply is not None:
+            call.answer(reply)
         else:
-            known = self._book.knowledge_of(request.home_id)
-            call.answer(lease_messages.HandBackReply(custody.NOT_HELD, known))
+            self.spawn(self._drain_and_answer(call))
 
-    async def _finish_drain(self, call: messages.PeerCall) -> None:
-        custody = lease_messages.Custody
+    async def _drain_and_answer(self, call: messages.PeerCall) -> None:
         drained = await self._keeper.ask(messages.DrainHome(call.body.home_id))
-        if drained and not self._right.keeps_acting_for(call.body.home_id):
-            call.answer(
-                lease_messages.HandBackReply(
-                    custody.HANDED_BACK, self._right.in_force
-                )
-            )
-        else:
-            call.answer(lease_messages.HandBackReply(custody.DRAINING))
+        call.answer(self._protocol.finish_hand_back(call.body, drained))
+
+    def _step_down(self, ask: messages.StepDown, now_s: float) -> None:
+        own = self._protocol.own
+        if own is None or not own.holds(now_s):
+            ask.answer(None)
+            return
+        logs.event('right.stepping_down', home=self._vm_id)
+        self._protocol.step_down()
+        self._publish()
+        self.spawn(self._finish_step_down(ask))
 
-    def _describe(self) -> dict:
-        if self._right is None:
+    async def _finish_step_down(self, ask: messages.StepDown) -> None:
+        while not await self._keeper.ask(messages.DrainAll()):
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+        for call in self._protocol.farewells(self._clock.now_s()):
+            await self._call(call)
+        ask.answer(None)
+
+    def _describe(self, now_s: float) -> dict:
+        own = self._protocol.own
+        if own is None:
             return {'phase': 'waiting for the store'}
-        now_s = self._clock.now_s()
         return {
-            'phase': self._right.phase.value,
-            'holds': self._right.holds(now_s),
+            'phase': own.phase.value,
+            'holds': own.holds(now_s),
             'guard': {
-                'epoch': self._right.guard.epoch,
-                'standby': self._right.guard.standby_id,
-                'witness': self._right.guard.witness_id,
+                'epoch': own.guard.epoch,
+                'standby': own.guard.standby_id,
+                'witness': own.guard.witness_id,
             },
             'acts_for': sorted(
-                home_id
-                for home_id in self._right.holdings()
-                if home_id != self._vm_id
+                home_id for home_id in own.holdings() if home_id != self._vm_id
             ),
-            'lost': dict(self._right.in_force.lost_epochs_by_id),
+            'lost': dict(own.in_force.lost_epochs_by_id),
         }
--- a/libs/ownership/src/oriolefold_ownership/keeper.py
+++ b/libs/ownership/src/oriolefold_ownership/keeper.py
@@ -7,7 +7,7 @@
 from oriolefold_backend import ports
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_coordination import notices as coordination_notices
-from oriolefold_coordination import shardmap, slots
+from oriolefold_coordination import protocol, shardmap, slots
 from oriolefold_core import clock, errors, notices, tasks
 from oriolefold_ownership import acquisition, messages
 from oriolefold_sending import messages as sending_messages
@@ -39,9 +39,7 @@
         self._clock = time
         self._maps_by_service_id: dict[str, shardmap.ShardMap] = {}
         self._keyed_ids: frozenset[str] = frozenset()
-        self._right = messages.RightRenewed(
-            float('-inf'), {}, lease_messages.Knowledge()
-        )
+        self._right = protocol.NO_RIGHT
         self._slots_by_shard: dict[ShardKey, slots.Slot] = {}
         self._waiting_by_shard: dict[ShardKey, list[messages.SendKeyed]] = {}
         self._acquired_by_shard: dict[ShardKey, int] = {}
@@ -75,7 +73,7 @@
             case _SendDone():
                 self._finish(message)
             case messages.RightRenewed():
-                self._take_right(message)
+                self._take_right(message.right)
             case messages.Granted():
                 self._take_granted(message)
             case messages.GrantEnded():
@@ -118,7 +116,7 @@
             messages.MapActedOn(shard_map.service_id, shard_map.epoch)
         )
 
-    def _take_right(self, right: messages.RightRenewed) -> None:
+    def _take_right(self, right: protocol.Right) -> None:
         before, self._right = self._right, right
         same = (
             before.holdings_by_home_id == right.holdings_by_home_id
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from oriolefold_backend import ports
-from oriolefold_coordination import home, messages, shardmap
+from oriolefold_coordination import messages, protocol, shardmap
 from oriolefold_core import data, tasks
 from oriolefold_store import updates
 
@@ -21,17 +21,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RightRenewed:
-    """The right to send was renewed or changed.
+    """The right to send was renewed or changed."""
 
-    Attributes:
-        valid_until_s: Time from which nothing may be sent any more.
-        holdings_by_home_id: What may be sent for.
-        knowledge: What is in force.
-    """
-
-    valid_until_s: float
-    holdings_by_home_id: dict[str, home.Holding]
-    knowledge: messages.Knowledge
+    right: protocol.Right
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
