Close four holes in the lease protocol that random histories found

Cause: random histories of the protocol (delays, losses, freezes, restarts, four VMs) showed two holders of one home: a guard that had restarted believed a stale claim to hold the lease; a late heartbeat of before its start taught it a home anew; a VM without a valid lease answered for rows that its standby had taken over; a process that restarted while reclaiming resumed as active. Also an error that a task passes on no longer carries the frames of its loop.

--- /dev/null
+++ b/libs/config/tests/test_settings.py
@@ -0,0 +1,43 @@
+"""Tests of oriolefold_config.settings."""
+
+import pydantic
+
+from oriolefold_config import settings
+from oriolefold_core import errors
+from oriolefold_testbed import basecase
+
+
+class _Values(settings.Settings):
+    """Settings of a test."""
+
+    port: int = pydantic.Field(ge=1, le=9, description='a port')
+    name: str = pydantic.Field('n', description='a name')
+
+
+class LoadTest(basecase.BaseCase):
+    """Flags go before variables, and all findings come together."""
+
+    def load(self, arguments, environment):
+        return settings.load(_Values, 'p', 'p 1', arguments, environment)
+
+    def test_flag_goes_before_variable_before_default(self):
+        environment = {'ORIOLEFOLD_PORT': '3', 'ORIOLEFOLD_NAME': 'v'}
+        self.assertEqual(self.load([], environment).port, 3)
+        values = self.load(['--port=4'], environment)
+        self.assertEqual((values.port, values.name), (4, 'v'))
+        self.assertEqual(self.load(['--port', '5'], {}).name, 'n')
+
+    def test_all_findings_come_with_their_place(self):
+        environment = {'ORIOLEFOLD_PORT': 'many'}
+        with self.assertRaises(errors.ConfigurationError) as caught:
+            self.load(['--colour=red'], environment)
+        texts = [str(finding) for finding in caught.exception.findings]
+        self.assertEqual(len(texts), 2)
+        self.assertIn('--colour=red: unknown flag', texts)
+        self.assertTrue(any('ORIOLEFOLD_PORT' in text for text in texts))
+
+    def test_missing_setting_names_flag_and_variable(self):
+        with self.assertRaises(errors.ConfigurationError) as caught:
+            self.load([], {})
+        text = str(caught.exception.findings[0])
+        self.assertIn('--port or ORIOLEFOLD_PORT', text)
--- a/libs/coordination/src/oriolefold_coordination/baselines.py
+++ b/libs/coordination/src/oriolefold_coordination/baselines.py
@@ -94,4 +94,4 @@
 
 
 def _hash(text: str) -> int:
-    return xxhash.xxh3_64_intdigest(text)
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/libs/coordination/src/oriolefold_coordination/home.py
+++ b/libs/coordination/src/oriolefold_coordination/home.py
@@ -45,8 +45,8 @@
         phase: How far it has come since the process started.
         valid_until_s: Time from which nothing may be sent any more.
         in_force: Knowledge that a guard keeps.
-        reclaimed: Whether the guards had no memory at the start, so that this
-            process cannot speak for the one before it.
+        reclaimed: Whether an epoch of this home has ended without it, so that
+            it cannot say what it held before.
     """
 
     def __init__(
@@ -73,19 +73,28 @@
         self._incarnation = incarnation
         self._terms = terms
         self._started_s = now_s
+        self._claim_until_s = float('-inf')
+        if begun_here:
+            self._claim_until_s = now_s + terms.claim_s
         self._sequence = 0
         self._wanted = messages.Knowledge()
         self._accepted_sequence = 0
+        self._resumed_sequence = 0
         self._dropped: set[str] = set()
+        self._nonces_by_guard_id: dict[str, str] = {}
         self._replies_by_guard_id: dict[str, messages.HeartbeatReply] = {}
         self.guard = guard
         self.phase = Phase.ACTIVE if begun_here else Phase.RESUMING
         self.valid_until_s = float('-inf')
         self.in_force = messages.Knowledge()
-        self.reclaimed = False
+        self.reclaimed = bool(guard.former_standby_ids)
 
-    def beat(self) -> messages.Heartbeat:
-        """Returns the next heartbeat to send to the guards."""
+    def beat(self, guard_id: str, now_s: float) -> messages.Heartbeat:
+        """Returns the next heartbeat to send to a guard.
+
+        A guard without memory believes the home only for a short time after
+        its last accepted heartbeat or the beginning of the epoch.
+        """
         self._sequence += 1
         return messages.Heartbeat(
             self._vm_id,
@@ -93,10 +102,13 @@
             self.guard.epoch,
             self.guard.standby_id,
             self.guard.witness_id,
-            established=self.phase is not Phase.RESUMING,
-            active=self.phase is not Phase.RECLAIMING,
+            established=(
+                self.phase is not Phase.RESUMING and now_s < self._claim_until_s
+            ),
+            active=self.phase is Phase.ACTIVE or self.phase is Phase.ENDED,
             ended=False,
             sequence=self._sequence,
+            nonce=self._nonces_by_guard_id.get(guard_id, ''),
             knowledge=self._wanted,
         )
 
@@ -105,9 +117,23 @@
         self.phase = Phase.ENDED
         self.valid_until_s = float('-inf')
 
-    def last_beat(self) -> messages.Heartbeat:
+    def last_beat(self, guard_id: str, now_s: float) -> messages.Heartbeat:
         """Returns the heartbeat that tells the guards of the end."""
-        return dataclasses.replace(self.beat(), ended=True)
+        return dataclasses.replace(self.beat(guard_id, now_s), ended=True)
+
+    def learn_nonce(
+        self, guard_id: str, reply: messages.HeartbeatReply
+    ) -> bool:
+        """Takes the nonce of a guard without memory.
+
+        Returns:
+            Whether it is new, so that another heartbeat may change the verdict.
+        """
+        known = self._nonces_by_guard_id.get(guard_id, '')
+        if not reply.nonce or reply.nonce == known:
+            return False
+        self._nonces_by_guard_id[guard_id] = reply.nonce
+        return True
 
     def acknowledge(
         self,
@@ -130,7 +156,11 @@
             return
         if self.phase is Phase.RESUMING:
             self._resume()
-        elif beat.established and beat.active:
+            return
+        self._claim_until_s = max(
+            self._claim_until_s, sent_s + self._terms.claim_s
+        )
+        if beat.active and beat.sequence > self._resumed_sequence:
             self._renew(beat, sent_s)
 
     def _resume(self) -> None:
@@ -150,7 +180,10 @@
         for reply in replies:
             if reply.verdict is messages.Verdict.ACCEPTED:
                 self._wanted = self._wanted.latest(reply.knowledge)
-        self.phase = Phase.ACTIVE
+        self._resumed_sequence = self._sequence
+        # The process before may have ended while it still reclaimed its rows.
+        was_active = any(reply.active for reply in replies)
+        self.phase = Phase.ACTIVE if was_active else Phase.RECLAIMING
 
     def _renew(self, beat: messages.Heartbeat, sent_s: float) -> None:
         self.valid_until_s = max(
@@ -173,7 +206,7 @@
         That is so if a guard took part in a takeover, if no guard remembers
         the epoch, or if a guard stays silent while the process resumes.
         """
-        if not self.guard.vm_ids or self.phase is Phase.RECLAIMING:
+        if not self.guard.vm_ids or self.phase is Phase.ENDED:
             return False
         verdicts = {
             guard_id: reply.verdict
@@ -190,7 +223,7 @@
             for guard_id in self.guard.vm_ids
         )
 
-    def begin_epoch(self, guard: shardmap.Guard) -> None:
+    def begin_epoch(self, guard: shardmap.Guard, now_s: float) -> None:
         """Goes on under a new epoch that the store has accepted.
 
         The right is inactive until the rows of the old epoch are handed back.
@@ -198,8 +231,10 @@
         self.guard = guard
         self.phase = Phase.RECLAIMING
         self.valid_until_s = float('-inf')
+        self._claim_until_s = now_s + self._terms.claim_s
         self.in_force = messages.Knowledge()
         self.reclaimed = True
+        self._dropped = set()
         self._replies_by_guard_id = {}
         self._change(
             dataclasses.replace(self._wanted, acted_epochs_by_home_id={})
--- a/libs/coordination/src/oriolefold_coordination/messages.py
+++ b/libs/coordination/src/oriolefold_coordination/messages.py
@@ -73,6 +73,7 @@
         active: Whether it sends, so that a takeover would make sense.
         ended: Whether it has stopped for good, so a takeover need not wait.
         sequence: Rises with each heartbeat of the incarnation.
+        nonce: What the guard gave out last, or empty.
         knowledge: What the guards have to keep.
     """
 
@@ -85,6 +86,7 @@
     active: bool
     ended: bool
     sequence: int
+    nonce: str
     knowledge: Knowledge = Knowledge()
 
 
@@ -104,10 +106,14 @@
 
     Attributes:
         verdict: Whether the lease is prolonged, and if not, why.
+        nonce: What a guard without memory wants to see quoted, or empty.
+        active: Whether the home was active in this epoch, as the guard knows.
         knowledge: What the guard keeps of the home.
     """
 
     verdict: Verdict
+    nonce: str = ''
+    active: bool = False
     knowledge: Knowledge = Knowledge()
 
 
--- a/libs/coordination/src/oriolefold_coordination/protocol.py
+++ b/libs/coordination/src/oriolefold_coordination/protocol.py
@@ -93,7 +93,13 @@
         book: What is promised to other homes.
     """
 
-    def __init__(self, vm_id: str, incarnation: str, terms: lease.Terms):
+    def __init__(
+        self,
+        vm_id: str,
+        incarnation: str,
+        terms: lease.Terms,
+        now_s: float,
+    ):
         self._vm_id = vm_id
         self._incarnation = incarnation
         self._terms = terms
@@ -102,7 +108,7 @@
         self._recording = False
         self._reclaim: reclaiming.Reclaim | None = None
         self.own: home.HomeRight | None = None
-        self.book = wards.WardBook(vm_id, terms)
+        self.book = wards.WardBook(vm_id, incarnation, terms, now_s)
 
     def know_guards(self, guards_by_vm_id: dict[str, shardmap.Guard]) -> None:
         """Takes the guards that are recorded in the store."""
@@ -148,7 +154,7 @@
             return []
         self.own.stand_alone(now_s)
         return [
-            Call(guard_id, self.own.beat(), now_s)
+            Call(guard_id, self.own.beat(guard_id, now_s), now_s)
             for guard_id in self.own.guard.vm_ids
         ]
 
@@ -181,7 +187,7 @@
         self._recording = False
         if guard is None:
             return []
-        self.own.begin_epoch(guard)
+        self.own.begin_epoch(guard, now_s)
         self._reclaim = reclaiming.Reclaim(self._vm_id, guard)
         happened = Happened('right.new_epoch', self._vm_id, guard.epoch)
         return [happened, *self.beat(now_s), *self.ask_holders(now_s)]
@@ -211,32 +217,44 @@
         """
         guard = self.own.guard
         return [
-            Call(guard_id, self.own.last_beat(), now_s)
+            Call(guard_id, self.own.last_beat(guard_id, now_s), now_s)
             for guard_id in (guard.witness_id, guard.standby_id)
             if guard_id
         ]
 
     def replied(self, call: Call, reply: Any, now_s: float) -> list[Command]:
         """Takes the reply to a call, None if there was none."""
+        if now_s - call.sent_s > self._terms.call_limit_s:
+            # A vote that comes later could be one that its giver has forgotten.
+            reply = None
         match call.body:
             case messages.Heartbeat():
-                return self._take_beat_reply(call, reply)
+                return self._take_beat_reply(call, reply, now_s)
             case messages.VoteRequest():
                 return self._take_vote(call.body, reply, now_s)
             case messages.HandBackRequest():
                 return self._take_custody(call.body, reply, now_s)
         return []
 
-    def _take_beat_reply(self, call: Call, reply) -> list[Command]:
+    def _take_beat_reply(
+        self, call: Call, reply, now_s: float
+    ) -> list[Command]:
         if reply is None:
             return []
+        if self.own.learn_nonce(call.vm_id, reply):
+            beat = self.own.beat(call.vm_id, now_s)
+            return [Call(call.vm_id, beat, now_s)]
         before = self.own.phase
         self.own.acknowledge(call.vm_id, call.body, call.sent_s, reply)
         if self.own.phase is before:
             return []
         epoch = self.own.guard.epoch
         name = f'right.{self.own.phase.value}'
-        return [Happened(name, self._vm_id, epoch)]
+        commands: list[Command] = [Happened(name, self._vm_id, epoch)]
+        if self.own.phase is home.Phase.RECLAIMING:
+            self._reclaim = reclaiming.Reclaim(self._vm_id, self.own.guard)
+            commands += self.ask_holders(now_s)
+        return commands
 
     def _take_custody(self, request, reply, now_s: float) -> list[Command]:
         if self._reclaim is None or request != self._reclaim.request:
@@ -297,7 +315,7 @@
             `finish_hand_back` gives it; and commands.
         """
         custody = messages.Custody
-        if self.own is None or self.own.phase is home.Phase.RESUMING:
+        if not self._can_speak(now_s):
             return messages.HandBackReply(custody.DRAINING), []
         self.book.close_epoch(request.home_id, request.guard_epoch)
         commands: list[Command] = []
@@ -312,11 +330,24 @@
         known = self.book.knowledge_of(request.home_id)
         return messages.HandBackReply(custody.NOT_HELD, known), commands
 
+    def _can_speak(self, now_s: float) -> bool:
+        """Whether the VM can say what it holds.
+
+        Without a valid lease it may have been taken over, and then another VM
+        holds what this one remembers to hold.
+        """
+        if self.own is None:
+            return False
+        if self.own.phase is home.Phase.RECLAIMING:
+            return True
+        return self.own.holds(now_s)
+
     def finish_hand_back(
-        self, request: messages.HandBackRequest, drained: bool
+        self, request: messages.HandBackRequest, drained: bool, now_s: float
     ) -> messages.HandBackReply:
         """Returns the reply once it is known whether the rows are drained."""
         custody = messages.Custody
+        drained = drained and self.own.holds(now_s)
         if drained and not self.own.keeps_acting_for(request.home_id):
             return messages.HandBackReply(
                 custody.HANDED_BACK, self.own.in_force
--- a/libs/coordination/src/oriolefold_coordination/reclaiming.py
+++ b/libs/coordination/src/oriolefold_coordination/reclaiming.py
@@ -20,12 +20,11 @@
     def __init__(self, home_id: str, guard: shardmap.Guard):
         """Starts with the former standbys of the new guard."""
         self._open_ids = list(guard.former_standby_ids)
-        self._home_id = home_id
-        self._asked: set[str] = set()
+        self._asked = {home_id}
         self.request = messages.HandBackRequest(home_id, guard.epoch - 1)
         self.knowledge = messages.Knowledge()
         self.vm_id = ''
-        self._next_chain()
+        self._next()
 
     def next_request(self) -> messages.HandBackRequest | None:
         """Returns the question for `vm_id`, or None if all are answered."""
@@ -52,25 +51,23 @@
             self._follow(guards_by_vm_id)
         else:
             self.knowledge = self.knowledge.with_facts_of(reply.knowledge)
-            self._next_chain()
+            self._next()
         return True
 
     def _follow(self, guards_by_vm_id) -> None:
         guard = guards_by_vm_id.get(self.vm_id)
-        following = guard.standby_id if guard else ''
-        if not following or following in self._asked:
-            self._next_chain()
-        else:
-            self._ask(following)
+        if guard is not None:
+            self._open_ids = [
+                guard.standby_id,
+                *guard.former_standby_ids,
+                *self._open_ids,
+            ]
+        self._next()
 
-    def _next_chain(self) -> None:
-        self._asked = {self._home_id}
+    def _next(self) -> None:
         self.vm_id = ''
         while self._open_ids and not self.vm_id:
-            first = self._open_ids.pop(0)
-            if first not in self._asked:
-                self._ask(first)
-
-    def _ask(self, vm_id: str) -> None:
-        self._asked.add(vm_id)
-        self.vm_id = vm_id
+            candidate = self._open_ids.pop(0)
+            if candidate and candidate not in self._asked:
+                self._asked.add(candidate)
+                self.vm_id = candidate
--- a/libs/coordination/src/oriolefold_coordination/wards.py
+++ b/libs/coordination/src/oriolefold_coordination/wards.py
@@ -6,8 +6,9 @@
 the home. So at most one of home and standby can hold the right.
 
 A guard that has lost its memory does not know what it promised. It therefore
-takes no part in an epoch until the home shows that it holds the lease already
-or has begun the epoch itself.
+keeps silent for the length of a promise, and then takes no part in an epoch
+until the home shows that it holds the lease at that moment or has just begun
+the epoch itself.
 """
 
 import dataclasses
@@ -50,9 +51,22 @@
         wards_by_home_id: What is kept of each home.
     """
 
-    def __init__(self, vm_id: str, terms: lease.Terms):
+    def __init__(
+        self, vm_id: str, nonce: str, terms: lease.Terms, now_s: float
+    ):
+        """Makes an empty book.
+
+        Args:
+            vm_id: This VM.
+            nonce: Identity of this process; no home learns it before the
+                silence at the start is over.
+            terms: Lengths of time.
+            now_s: Present time.
+        """
         self._vm_id = vm_id
+        self._nonce = nonce
         self._terms = terms
+        self._silent_until_s = now_s + terms.promise_s
         self.wards_by_home_id: dict[str, Ward] = {}
 
     def heartbeat(
@@ -76,6 +90,8 @@
             return Ward(beat, promised_until_s)
         former = ward.former_incarnations
         known = ward.heartbeat
+        if not beat.established:
+            beat = dataclasses.replace(beat, active=known.active)
         if known.incarnation != beat.incarnation:
             former = (known.incarnation, *former)[:MAX_FORMER_INCARNATIONS]
             knowledge = known.knowledge.latest(beat.knowledge)
@@ -84,16 +100,12 @@
 
     def _verdict(self, ward, beat, now_s) -> messages.Verdict:
         if ward is None:
-            if beat.established:
-                return messages.Verdict.ACCEPTED
-            return messages.Verdict.NO_MEMORY
+            return self._first_verdict(beat, now_s)
         known = ward.heartbeat
         if beat.guard_epoch < known.guard_epoch:
             return messages.Verdict.OUTDATED
         if beat.guard_epoch > known.guard_epoch:
-            if beat.established:
-                return messages.Verdict.ACCEPTED
-            return messages.Verdict.NO_MEMORY
+            return self._first_verdict(beat, now_s)
         if ward.closed:
             return messages.Verdict.TAKEN_OVER
         if beat.incarnation in ward.former_incarnations:
@@ -107,10 +119,23 @@
             return messages.Verdict.WAIT
         return messages.Verdict.ACCEPTED
 
+    def _first_verdict(self, beat, now_s) -> messages.Verdict:
+        # The process before this one may have voted against the home shortly
+        # before its end, when the home could still believe that it holds.
+        if now_s < self._silent_until_s:
+            return messages.Verdict.WAIT
+        # A heartbeat that was sent before that may come late; one that quotes
+        # the nonce was sent after the silence.
+        if beat.established and beat.nonce == self._nonce:
+            return messages.Verdict.ACCEPTED
+        return messages.Verdict.NO_MEMORY
+
     def _reply(self, verdict, known) -> messages.HeartbeatReply:
-        if known is None:
-            return messages.HeartbeatReply(verdict)
-        return messages.HeartbeatReply(verdict, known.knowledge)
+        forgot = verdict is messages.Verdict.NO_MEMORY
+        nonce = self._nonce if forgot else ''
+        knowledge = known.knowledge if known else messages.Knowledge()
+        active = known is not None and known.active
+        return messages.HeartbeatReply(verdict, nonce, active, knowledge)
 
     def vote(
         self, request: messages.VoteRequest, now_s: float
--- /dev/null
+++ b/libs/coordination/tests/test_protocol.py
@@ -0,0 +1,482 @@
+"""Tests of oriolefold_coordination.protocol by histories."""
+
+import dataclasses
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from oriolefold_coordination import (
+    home,
+    lease,
+    messages,
+    protocol,
+    shardmap,
+    wards,
+)
+from oriolefold_testbed import basecase
+
+VM_IDS = ('a', 'b', 'c', 'd')
+GUARDS = {
+    'a': ('b', 'c'),
+    'b': ('c', 'd'),
+    'c': ('d', 'a'),
+    'd': ('a', 'b'),
+}
+# The clocks run apart by less than the drift that the terms allow.
+CLOCK_RATES = {'a': 0.992, 'b': 1.0, 'c': 1.008, 'd': 1.0}
+EXAMPLES = int(os.environ.get('ORIOLEFOLD_EXAMPLES', '60'))
+STEPS = 80
+
+
+@dataclasses.dataclass(eq=False)
+class Process:
+    """A process of a VM.
+
+    Attributes:
+        vm_id: The VM.
+        machine: Its protocol.
+    """
+
+    vm_id: str
+    machine: protocol.LeaseProtocol
+
+
+@dataclasses.dataclass(eq=False)
+class Packet:
+    """A call or a reply on its way.
+
+    Attributes:
+        sender: Process that made the call.
+        call: The call.
+        reply: The reply, or None on the way there.
+        abandoned: Whether the caller no longer waits.
+    """
+
+    sender: Process
+    call: protocol.Call
+    reply: object = None
+    abandoned: bool = False
+
+
+class Fakes:
+    """Fakes of clock, network and store around some protocols."""
+
+    def __init__(self, protocol_class=protocol.LeaseProtocol):
+        self.time_s = 100.0
+        self.protocol_class = protocol_class
+        self.guards = {}
+        self.processes = {}
+        self.packets = []
+        self.epochs_to_record = []
+        self.asking_again = []
+        self.marks_by_home = {}
+        self.starts = 0
+        for vm_id in VM_IDS:
+            standby, witness = GUARDS[vm_id]
+            self.guards[vm_id] = shardmap.Guard(standby, witness, 1)
+            self.start(vm_id, begun_here=True)
+
+    def now(self, vm_id):
+        return self.time_s * CLOCK_RATES[vm_id]
+
+    def start(self, vm_id, begun_here=False):
+        self.starts += 1
+        machine = self.protocol_class(
+            vm_id,
+            f'process-{self.starts}',
+            lease.DEFAULT_TERMS,
+            self.now(vm_id),
+        )
+        process = Process(vm_id, machine)
+        self.processes[vm_id] = process
+        machine.know_guards(dict(self.guards))
+        commands = machine.begin(
+            self.guards[vm_id], begun_here, self.now(vm_id)
+        )
+        self.execute(process, commands)
+
+    def execute(self, process, commands):
+        for command in commands:
+            if isinstance(command, protocol.Call):
+                self.packets.append(Packet(process, command))
+            elif isinstance(command, protocol.RecordEpoch):
+                self.epochs_to_record.append((process, command))
+            elif isinstance(command, protocol.AskAgain):
+                self.asking_again.append(process)
+
+    def tick(self, vm_id):
+        process = self.processes[vm_id]
+        self.execute(process, process.machine.tick(self.now(vm_id)))
+
+    def ask_again(self):
+        waiting, self.asking_again = self.asking_again, []
+        for process in waiting:
+            if self.processes.get(process.vm_id) is process:
+                now_s = self.now(process.vm_id)
+                self.execute(process, process.machine.ask_holders(now_s))
+
+    def record(self, index, works=True):
+        process, command = self.epochs_to_record.pop(index)
+        guard = None
+        if works:
+            before = self.guards[process.vm_id]
+            former = (before.standby_id, *before.former_standby_ids)
+            guard = shardmap.Guard(
+                before.standby_id,
+                before.witness_id,
+                max(before.epoch, command.epoch_before) + 1,
+                tuple(dict.fromkeys(former)),
+            )
+            self.guards[process.vm_id] = guard
+            for other in self.processes.values():
+                other.machine.know_guards(dict(self.guards))
+        if self.processes[process.vm_id] is process:
+            now_s = self.now(process.vm_id)
+            self.execute(process, process.machine.recorded(guard, now_s))
+
+    def deliver(self, index):
+        packet = self.packets.pop(index)
+        if packet.reply is not None:
+            self._finish(packet, packet.reply)
+            return
+        process = self.processes.get(packet.call.vm_id)
+        if process is None:
+            return
+        reply = self._answer(process, packet.call.body)
+        self.packets.append(
+            dataclasses.replace(packet, reply=reply, abandoned=packet.abandoned)
+        )
+
+    def _answer(self, process, body):
+        machine, now_s = process.machine, self.now(process.vm_id)
+        if isinstance(body, messages.Heartbeat):
+            reply, commands = machine.answer_beat(body, now_s)
+        elif isinstance(body, messages.VoteRequest):
+            reply, commands = machine.answer_vote(body, now_s), []
+        else:
+            reply, commands = machine.answer_hand_back(body, now_s)
+            if reply is None:
+                reply = machine.finish_hand_back(body, True, now_s)
+        self.execute(process, commands)
+        return reply
+
+    def _finish(self, packet, reply):
+        alive = self.processes.get(packet.sender.vm_id) is packet.sender
+        if alive and not packet.abandoned:
+            now_s = self.now(packet.sender.vm_id)
+            self.execute(
+                packet.sender,
+                packet.sender.machine.replied(packet.call, reply, now_s),
+            )
+
+    def time_out(self, index):
+        """Gives up waiting; the message itself may still arrive."""
+        packet = self.packets[index]
+        if not packet.abandoned:
+            self._finish(packet, None)
+            packet.abandoned = True
+
+    def settle(self, seconds, without=()):
+        """Lets time pass with a network that delivers at once.
+
+        VMs named in `without` are cut off and stand still.
+        """
+        for _ in range(int(seconds / 0.05)):
+            self.time_s += 0.05
+            self.ask_again()
+            for vm_id in VM_IDS:
+                if vm_id in self.processes and vm_id not in without:
+                    self.tick(vm_id)
+            while self.epochs_to_record:
+                self.record(0)
+            self._flush(without)
+
+    def _flush(self, without):
+        held = []
+        while self.packets:
+            packet = self.packets[0]
+            ends = (packet.sender.vm_id, packet.call.vm_id)
+            if any(vm_id in without for vm_id in ends):
+                held.append(self.packets.pop(0))
+            else:
+                self.deliver(0)
+        self.packets = held
+        for index in range(len(held)):
+            if held[index].sender.vm_id not in without:
+                self.time_out(index)
+
+    def holders(self, home_id):
+        """Returns the VMs that would send now for a home."""
+        return [
+            vm_id
+            for vm_id, process in self.processes.items()
+            if process.machine.own is not None
+            and process.machine.own.holds(self.now(vm_id))
+            and home_id in process.machine.right().holdings_by_home_id
+        ]
+
+    def check(self):
+        for home_id in VM_IDS:
+            holders = self.holders(home_id)
+            assert len(holders) <= 1, f'{home_id} is held by {holders}'
+
+    def check_marks(self):
+        """Checks that what was in force for a home is known to its holder."""
+        for home_id in VM_IDS:
+            for vm_id in self.holders(home_id):
+                right = self.processes[vm_id].machine.right()
+                lost = set(right.knowledge.lost_epochs_by_id)
+                missing = self.marks_by_home.get(home_id, set()) - lost
+                assert not missing, f'{vm_id} for {home_id} lacks {missing}'
+                self.marks_by_home[home_id] = lost
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Delays, losses, reordering, freezes, crashes and store trouble."""
+
+    protocol_class = protocol.LeaseProtocol
+
+    def __init__(self):
+        super().__init__()
+        self.fakes = Fakes(self.protocol_class)
+
+    @stateful.rule(ticks=st.integers(1, 12))
+    def pass_time(self, ticks):
+        self.fakes.time_s += ticks * 0.1
+        self.fakes.ask_again()
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def tick(self, vm_id):
+        self.fakes.tick(vm_id)
+
+    @stateful.rule(
+        seconds=st.sampled_from([0.2, 0.6, 1.2, 2.4]),
+        without=st.sets(st.sampled_from(VM_IDS), max_size=2),
+    )
+    def settle(self, seconds, without):
+        self.fakes.settle(seconds, without)
+
+    @stateful.precondition(lambda self: self.fakes.packets)
+    @stateful.rule(data=st.data())
+    def deliver(self, data):
+        last = len(self.fakes.packets) - 1
+        self.fakes.deliver(data.draw(st.integers(0, last)))
+
+    @stateful.precondition(lambda self: self.fakes.packets)
+    @stateful.rule(data=st.data())
+    def time_out(self, data):
+        last = len(self.fakes.packets) - 1
+        self.fakes.time_out(data.draw(st.integers(0, last)))
+
+    @stateful.precondition(lambda self: self.fakes.epochs_to_record)
+    @stateful.rule(works=st.booleans())
+    def record(self, works):
+        self.fakes.record(0, works)
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def restart(self, vm_id):
+        self.fakes.start(vm_id)
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS), number=st.integers(1, 3))
+    def give_up_instance(self, vm_id, number):
+        process = self.fakes.processes[vm_id]
+        commands = process.machine.give_up(
+            f'server-{number}', 1, self.fakes.now(vm_id)
+        )
+        self.fakes.execute(process, commands)
+
+    @stateful.invariant()
+    def one_holder(self):
+        self.fakes.check()
+
+
+class MemoryMachine(LeaseMachine):
+    """The same without crashes; what was in force must never be forgotten."""
+
+    restart = None
+
+    @stateful.invariant()
+    def marks_survive(self):
+        self.fakes.check_marks()
+
+
+def run(machine_class, examples=EXAMPLES, shrink=True):
+    """Runs a state machine with a fixed seed."""
+    phases = [hypothesis.Phase.generate]
+    if shrink:
+        phases.append(hypothesis.Phase.shrink)
+    seeded = hypothesis.seed(basecase.SEED)(machine_class)
+    stateful.run_state_machine_as_test(
+        seeded,
+        settings=hypothesis.settings(
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            phases=phases,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
+
+
+class RandomHistoryTest(basecase.BaseCase):
+    """At most one VM holds the right of a home, whatever happens."""
+
+    def test_one_holder(self):
+        run(LeaseMachine)
+
+    def test_knowledge_survives_without_crashes(self):
+        run(MemoryMachine)
+
+
+class PlantedFaultTest(basecase.BaseCase):
+    """The checks find a protocol that has lost one of its guards."""
+
+    def assert_found(self, book_class):
+        class Faulty(protocol.LeaseProtocol):
+            def __init__(self, *arguments):
+                super().__init__(*arguments)
+                self.book = book_class(*arguments)
+
+        class FaultyMachine(LeaseMachine):
+            protocol_class = Faulty
+
+        with self.assertRaisesRegex(AssertionError, 'is held by'):
+            run(FaultyMachine, examples=400, shrink=False)
+
+    def test_lease_margin_missing(self):
+        class Hasty(wards.WardBook):
+            def __init__(self, vm_id, nonce, terms, now_s):
+                short = dataclasses.replace(terms, duration_s=0.4)
+                super().__init__(vm_id, nonce, short, now_s)
+
+        self.assert_found(Hasty)
+
+    def test_witness_forgets_its_vote(self):
+        class Forgetful(wards.WardBook):
+            def vote(self, request, now_s):
+                reply = super().vote(request, now_s)
+                ward = self.wards_by_home_id.get(request.home_id)
+                if ward is not None:
+                    ward.voted = False
+                return reply
+
+        self.assert_found(Forgetful)
+
+    def test_guard_without_memory_takes_part(self):
+        class Trusting(wards.WardBook):
+            def heartbeat(self, beat, now_s):
+                beat = dataclasses.replace(
+                    beat, established=True, nonce=self._nonce
+                )
+                return super().heartbeat(beat, now_s)
+
+        self.assert_found(Trusting)
+
+
+class ScriptedHistoryTest(basecase.BaseCase):
+    """What must come true after a fault, with a network that works."""
+
+    def setUp(self):
+        super().setUp()
+        self.fakes = Fakes()
+        self.fakes.settle(1.5)
+
+    def test_every_home_holds_its_own_right(self):
+        for vm_id in VM_IDS:
+            self.assertEqual(self.fakes.holders(vm_id), [vm_id])
+
+    def test_standby_takes_over_within_two_seconds(self):
+        del self.fakes.processes['a']
+        self.fakes.settle(1.9, without=('a',))
+        self.assertEqual(self.fakes.holders('a'), ['b'])
+
+    def test_standby_of_the_standby_inherits(self):
+        del self.fakes.processes['a']
+        self.fakes.settle(2, without=('a',))
+        del self.fakes.processes['b']
+        self.fakes.settle(2, without=('a', 'b'))
+        self.assertEqual(self.fakes.holders('a'), ['c'])
+        self.assertEqual(self.fakes.holders('b'), ['c'])
+
+    def test_frozen_home_does_not_hold_when_it_returns(self):
+        self.fakes.settle(10, without=('a',))
+        self.assertEqual(self.fakes.holders('a'), ['b'])
+        self.fakes.settle(1)
+        self.fakes.check()
+        self.assertEqual(self.fakes.holders('a'), ['a'])
+
+    def test_one_guard_cut_off_changes_nothing(self):
+        for cut_off in ('b', 'c'):
+            self.fakes.settle(5, without=(cut_off,))
+            self.assertEqual(self.fakes.holders('a'), ['a'])
+
+    def test_home_without_both_guards_stops(self):
+        self.fakes.settle(1.5, without=('b', 'c'))
+        self.assertEqual(self.fakes.holders('a'), [])
+
+    def test_restart_before_a_takeover_resumes_the_epoch(self):
+        self.fakes.start('a')
+        self.fakes.settle(1.8)
+        self.assertEqual(self.fakes.holders('a'), ['a'])
+        self.assertEqual(self.fakes.guards['a'].epoch, 1)
+
+    def test_each_vm_restarted_in_turn_loses_nothing(self):
+        process = self.fakes.processes['a']
+        now_s = self.fakes.now('a')
+        self.fakes.execute(process, process.machine.give_up('s', 4, now_s))
+        self.fakes.settle(0.5)
+        for vm_id in VM_IDS:
+            self.fakes.start(vm_id)
+            self.fakes.settle(4)
+            self.fakes.check()
+        (holder,) = self.fakes.holders('a')
+        known = self.fakes.processes[holder].machine.right().knowledge
+        self.assertEqual(known.lost_epochs_by_id, {'s': 4})
+
+    def test_all_restarted_at_once_recover_by_the_store(self):
+        for vm_id in VM_IDS:
+            self.fakes.start(vm_id)
+        self.fakes.settle(6)
+        for vm_id in VM_IDS:
+            self.assertEqual(self.fakes.holders(vm_id), [vm_id])
+
+    def test_step_down_hands_over_without_waiting(self):
+        machine = self.fakes.processes['a'].machine
+        machine.step_down()
+        for call in machine.farewells(self.fakes.now('a')):
+            self.fakes.packets.append(Packet(self.fakes.processes['a'], call))
+            while self.fakes.packets:
+                self.fakes.deliver(0)
+        self.assertEqual(self.fakes.holders('a'), ['b'])
+
+    def test_vm_alone_holds_its_right(self):
+        alone = protocol.LeaseProtocol('x', 'p', lease.DEFAULT_TERMS, 5.0)
+        alone.begin(shardmap.Guard(epoch=1), True, 5.0)
+        self.assertTrue(alone.own.holds(5.5))
+        self.assertEqual(
+            alone.right().holdings_by_home_id['x'].role, shardmap.Role.FIRST
+        )
+
+    def test_late_heartbeat_brings_nothing_back(self):
+        book = wards.WardBook('b', 'n', lease.DEFAULT_TERMS, -9.0)
+        machine = home.HomeRight(
+            'a',
+            'p',
+            shardmap.Guard('b', 'c', 1),
+            lease.DEFAULT_TERMS,
+            True,
+            0.0,
+        )
+        machine.learn_nonce(
+            'b', messages.HeartbeatReply(messages.Verdict.NO_MEMORY, 'n')
+        )
+        early = machine.beat('b', 0.0)
+        machine.want_lost('s', 3)
+        book.heartbeat(machine.beat('b', 0.1), 0.1)
+        late = book.heartbeat(early, 0.2)
+        self.assertIs(late.verdict, messages.Verdict.OUTDATED)
+        known = book.knowledge_of('a')
+        self.assertEqual(known.lost_epochs_by_id, {'s': 3})
--- a/libs/core/src/oriolefold_core/tasks.py
+++ b/libs/core/src/oriolefold_core/tasks.py
@@ -113,4 +113,6 @@
                 # One bad message must not end the task for all others.
                 _LOGGER.exception('task %s failed on a message', self.name)
                 if isinstance(message, Ask):
-                    message.fail(error)
+                    # The frames of this loop must not leave it: whoever
+                    # clears the traceback would end the loop with them.
+                    message.fail(error.with_traceback(None))
--- a/libs/ownership/src/oriolefold_ownership/guardian.py
+++ b/libs/ownership/src/oriolefold_ownership/guardian.py
@@ -11,7 +11,6 @@
 from oriolefold_peer import messages as peer_messages
 from oriolefold_telemetry import logs
 
-CALL_TIMEOUT_S = 0.5
 RECORD_RETRY_S = 0.5
 ASK_AGAIN_S = 0.02
 DRAIN_INTERVAL_S = 0.01
@@ -54,12 +53,14 @@
     ):
         super().__init__('guardian')
         self._vm_id = vm_id
-        self._interval_s = terms.heartbeat_interval_s
+        self._terms = terms
         self._clock = time
         self._peers = peers
         self._keeper = keeper
         self._recorder: tasks.Task | None = None
-        self._protocol = protocol.LeaseProtocol(vm_id, incarnation, terms)
+        self._protocol = protocol.LeaseProtocol(
+            vm_id, incarnation, terms, time.now_s()
+        )
 
     def connect(self, recorder: tasks.Task) -> None:
         """Sets the task that writes the guard record."""
@@ -76,7 +77,7 @@
             case messages.PeerCall():
                 self._answer_peer(message, now_s)
             case _Tick():
-                self.post_later(self._interval_s, _Tick())
+                self.post_later(self._terms.heartbeat_interval_s, _Tick())
                 self._execute(self._protocol.tick(now_s))
             case _AskAgain():
                 self._execute(self._protocol.ask_holders(now_s))
@@ -131,7 +132,7 @@
 
     async def _call(self, call: protocol.Call) -> Any:
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(self._terms.call_limit_s):
                 return await self._peers.ask(
                     peer_messages.CallPeer(call.vm_id, call.body)
                 )
@@ -188,7 +189,8 @@
 
     async def _drain_and_answer(self, call: messages.PeerCall) -> None:
         drained = await self._keeper.ask(messages.DrainHome(call.body.home_id))
-        call.answer(self._protocol.finish_hand_back(call.body, drained))
+        now_s = self._clock.now_s()
+        call.answer(self._protocol.finish_hand_back(call.body, drained, now_s))
 
     def _step_down(self, ask: messages.StepDown, now_s: float) -> None:
         own = self._protocol.own
