Prove ownership under losses; close the last known hole of the protocol

Cause: one hole was left: a guard answered a home of a new epoch with what it kept of an older one, so a process that restarted while it reclaimed its rows resumed as active. Change: a guard answers with nothing of another epoch, and only accepting guards count.

--- a/libs/coordination/src/oriolefold_coordination/baselines.py
+++ b/libs/coordination/src/oriolefold_coordination/baselines.py
@@ -40,7 +40,7 @@
         return [
             max(
                 problem.instance_ids,
-                key=lambda instance_id, shard=shard: _hash(
+                key=lambda instance_id, shard=shard: hash_text(
                     f'{instance_id}/{shard}'
                 ),
             )
@@ -82,7 +82,7 @@
 
 def _ring(instance_ids: tuple[str, ...]) -> tuple[list[int], list[str]]:
     entries = sorted(
-        (_hash(f'{instance_id}#{node}'), instance_id)
+        (hash_text(f'{instance_id}#{node}'), instance_id)
         for instance_id in instance_ids
         for node in range(VIRTUAL_NODES)
     )
@@ -90,8 +90,9 @@
 
 
 def _position(points: list[int], shard: int) -> int:
-    return bisect.bisect(points, _hash(f'shard/{shard}')) % len(points)
+    return bisect.bisect(points, hash_text(f'shard/{shard}')) % len(points)
 
 
-def _hash(text: str) -> int:
+def hash_text(text: str) -> int:
+    """Returns a hash that is the same in every process."""
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/libs/coordination/src/oriolefold_coordination/home.py
+++ b/libs/coordination/src/oriolefold_coordination/home.py
@@ -177,12 +177,16 @@
             reply is None or reply.verdict not in known for reply in replies
         ):
             return
-        for reply in replies:
-            if reply.verdict is messages.Verdict.ACCEPTED:
-                self._wanted = self._wanted.latest(reply.knowledge)
+        accepted = [
+            reply
+            for reply in replies
+            if reply.verdict is messages.Verdict.ACCEPTED
+        ]
+        for reply in accepted:
+            self._wanted = self._wanted.latest(reply.knowledge)
         self._resumed_sequence = self._sequence
         # The process before may have ended while it still reclaimed its rows.
-        was_active = any(reply.active for reply in replies)
+        was_active = any(reply.active for reply in accepted)
         self.phase = Phase.ACTIVE if was_active else Phase.RECLAIMING
 
     def _renew(self, beat: messages.Heartbeat, sent_s: float) -> None:
--- a/libs/coordination/src/oriolefold_coordination/wards.py
+++ b/libs/coordination/src/oriolefold_coordination/wards.py
@@ -76,6 +76,9 @@
         ward = self.wards_by_home_id.get(beat.home_id)
         verdict = self._verdict(ward, beat, now_s)
         known = ward.heartbeat if ward is not None else None
+        if known is not None and known.guard_epoch != beat.guard_epoch:
+            # What belongs to another epoch would mislead the home.
+            known = None
         if verdict is not messages.Verdict.ACCEPTED:
             return self._reply(verdict, known)
         self.wards_by_home_id[beat.home_id] = self._accepted(ward, beat, now_s)
--- /dev/null
+++ b/libs/peer/tests/test_link.py
@@ -0,0 +1,137 @@
+"""Tests of oriolefold_peer: codec, link and server."""
+
+import asyncio
+import dataclasses
+
+from oriolefold_core import errors
+from oriolefold_peer import codec, connection, link, messages, server
+from oriolefold_testbed import basecase
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Echo:
+    """Message of the tests."""
+
+    text: str
+    delay_s: float = 0.0
+
+
+CODEC = codec.Codec((*messages.CONNECTION_MESSAGES, Echo, errors.Failure))
+
+
+class _Handler(server.PeerHandler):
+    def __init__(self):
+        self.cancelled = 0
+
+    async def answer(self, caller, body):
+        if body.text == 'refuse':
+            raise errors.NotHomeError('not here')
+        try:
+            await asyncio.sleep(body.delay_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return Echo(f'{caller.vm_id} said {body.text}')
+
+
+class LinkTest(basecase.AsyncCase):
+    """Calls reach the peer; lost ones are told apart from unsent ones."""
+
+    async def asyncSetUp(self):
+        self.handler = _Handler()
+        self.address = basecase.free_address()
+        hello = messages.Hello('vm1', 'i1')
+        self.server = server.PeerServer(
+            self.address, hello, CODEC, self.handler
+        )
+        await self.start(self.server)
+        self.link = await self.connect('vm1', self.address)
+
+    async def connect(self, vm_id, address):
+        hello = messages.Hello('vm0', 'i0')
+        made = link.PeerLink(vm_id, address, hello, CODEC)
+        await self.start(made)
+        return made
+
+    def call(self, text, delay_s=0.0, over=None):
+        body = Echo(text, delay_s)
+        return (over or self.link).ask(messages.CallPeer('vm1', body))
+
+    async def test_answers_come_to_their_own_calls(self):
+        slow = asyncio.create_task(self.call('slow', 0.1))
+        quick = await asyncio.gather(*(self.call(str(i)) for i in range(20)))
+        self.assertEqual(
+            [reply.text for reply in quick],
+            [f'vm0 said {i}' for i in range(20)],
+        )
+        self.assertEqual((await slow).text, 'vm0 said slow')
+
+    async def test_category_survives_the_hop(self):
+        with self.assertRaises(errors.NotHomeError):
+            await self.call('refuse')
+
+    async def test_cancel_reaches_the_peer(self):
+        calling = asyncio.create_task(self.call('x', 30))
+        await asyncio.sleep(0.1)
+        calling.cancel()
+        await self.wait_for(lambda: self.handler.cancelled)
+
+    async def test_lost_connection_leaves_the_outcome_unknown(self):
+        calling = asyncio.create_task(self.call('x', 30))
+        await asyncio.sleep(0.1)
+        await self.server.stop()
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await calling
+
+    async def test_absent_peer_is_proof_of_not_run(self):
+        absent = await self.connect('vm1', basecase.free_address())
+        with self.assertRaises(errors.UnreachableError):
+            await self.call('x', over=absent)
+
+    async def test_another_vm_at_the_address_is_refused(self):
+        wrong = await self.connect('vm7', self.address)
+        with self.assertRaises(errors.UnreachableError):
+            await self.call('x', over=wrong)
+
+    async def test_silent_peer_is_unknown_when_busy_and_unreachable_after(self):
+        silent = basecase.free_address()
+        greeting = CODEC.encode(0, messages.Hello('vm1', 'i1'))
+        greet = True
+
+        async def accept(reader, writer):
+            if greet:
+                writer.write(greeting)
+            await reader.read()
+            writer.close()
+
+        listening = await asyncio.start_server(accept, silent.host, silent.port)
+        self.addCleanup(listening.close)
+        over = await self.connect('vm1', silent)
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.call('x', over=over)
+        greet = False
+        with self.assertRaises(errors.UnreachableError):
+            await self.call('x', over=over)
+
+
+class CodecTest(basecase.BaseCase):
+    """Frames round-trip; broken ones are refused."""
+
+    def test_round_trip(self):
+        frame = CODEC.encode(7, Echo('x'))[codec.LENGTH.size :]
+        self.assertEqual(CODEC.decode(frame), (7, Echo('x')))
+
+    def test_broken_frames(self):
+        good = CODEC.encode(7, Echo('x'))[codec.LENGTH.size :]
+        for frame in (b'', b'\xc1', good[:-1], good.replace(b'Echo', b'Ecko')):
+            with self.assertRaises(errors.ProtocolError):
+                CODEC.decode(frame)
+
+    def test_unregistered_message(self):
+        with self.assertRaises(errors.ProtocolError):
+            CODEC.encode(1, object())
+
+    def test_silence_limit_is_longer_than_the_ping_interval(self):
+        self.assertGreater(
+            connection.SILENCE_LIMIT_S, 2 * connection.PING_INTERVAL_S
+        )
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -5,10 +5,15 @@
 
 import fire
 
-from measure import requests_suite
+from measure import footprint_suite, ownership_suite, requests_suite
 
 SUITES_BY_NAME = {
-    suite.name: suite for suite in (requests_suite.RequestsSuite,)
+    suite.name: suite
+    for suite in (
+        requests_suite.RequestsSuite,
+        ownership_suite.OwnershipSuite,
+        footprint_suite.FootprintSuite,
+    )
 }
 
 
--- /dev/null
+++ b/measure/footprint_suite.py
@@ -0,0 +1,130 @@
+"""Memory, processor time and bytes of a daemon, idle or with many maps."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+
+import psutil
+import yaml
+
+from measure import processes, suites
+from oriolefold_coordination import shardmap
+from oriolefold_store import http, updates
+from oriolefold_testbed import scenarios
+
+IDLE_S = 15.0
+MEMORY_TARGET_MB = 64
+CORE_TARGET = 0.032
+BYTES_TARGET = 28_000
+SERVICES = 13
+SHARDS = 8192  # 13 services of 8,192 shards hold 106,496 assignments.
+
+
+class FootprintSuite(suites.Suite):
+    """One daemon among others, first idle, then with 100,000 assignments."""
+
+    name = 'footprint'
+
+    async def run(self) -> None:
+        """Measures by number of VMs, then with many assignments."""
+        for vm_count in (3, 6, 12):
+            await self._measure_idle(vm_count)
+        await self._measure_assignments()
+
+    async def _measure_idle(self, vm_count: int) -> None:
+        with tempfile.TemporaryDirectory() as scratch:
+            deployment = scenarios.make(
+                pathlib.Path(scratch), vm_count=vm_count
+            )
+            try:
+                await deployment.start()
+                await asyncio.sleep(2)
+                process_id = deployment.processes_by_name['vm0'].pid
+                cpu_s = processes.cpu_s(process_id)
+                sent = _loopback_bytes()
+                await asyncio.sleep(IDLE_S)
+                share = (processes.cpu_s(process_id) - cpu_s) / IDLE_S
+                traffic = (_loopback_bytes() - sent) / IDLE_S / vm_count
+                memory = processes.memory_mb(process_id)
+            finally:
+                await deployment.stop()
+        suffix = f'_{vm_count}_vms'
+        self.add(f'idle_core_share{suffix}', share, 'core', CORE_TARGET)
+        self.add(f'control_bytes_per_s{suffix}', traffic, 'B/s', BYTES_TARGET)
+        self.add(f'memory_idle_mb{suffix}', memory, 'MB', MEMORY_TARGET_MB)
+        if vm_count == 6:
+            self.add('idle_core_share', share, 'core', CORE_TARGET)
+            self.add('memory_idle_mb', memory, 'MB', MEMORY_TARGET_MB)
+
+    async def _measure_assignments(self) -> None:
+        """Gives a daemon maps of which it is the home of none."""
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            deployment = scenarios.make(folder, vm_count=2)
+            _add_services(folder / 'documents' / 'register.yaml')
+            _add_rules(folder / 'documents' / 'rules.yaml')
+            store = http.HttpStore(deployment.store_address)
+            try:
+                await deployment.start_platform()
+                await deployment.apply()
+                for number in range(SERVICES):
+                    await _store_map(store, f'big{number}')
+                await deployment.start_daemon('vm0')
+                await self._wait_maps(deployment)
+                await asyncio.sleep(3)
+                process_id = deployment.processes_by_name['vm0'].pid
+                memory = processes.memory_mb(process_id)
+            finally:
+                await store.close()
+                await deployment.stop()
+        self.add('memory_100k_assignments_mb', memory, 'MB', MEMORY_TARGET_MB)
+
+    async def _wait_maps(self, deployment) -> None:
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            status = await deployment.status('vm0')
+            if status and len(status['map_epochs']) > SERVICES:
+                return
+        raise TimeoutError('the maps never came into force')
+
+
+def _loopback_bytes() -> int:
+    return psutil.net_io_counters(pernic=True)['lo'].bytes_sent
+
+
+def _add_services(path: pathlib.Path) -> None:
+    register = yaml.safe_load(path.read_text())
+    first = register['services'][0]
+    for number in range(SERVICES):
+        instances = [
+            instance | {'id': f'big{number}-{i}', 'port': 9200 + number}
+            for i, instance in enumerate(first['instances'])
+        ]
+        register['services'].append(
+            first | {'id': f'big{number}', 'instances': instances}
+        )
+    path.write_text(yaml.safe_dump(register))
+
+
+def _add_rules(path: pathlib.Path) -> None:
+    rules = yaml.safe_load(path.read_text())
+    first = rules['rules'][0]
+    for number in range(SERVICES):
+        rules['rules'].append(
+            first | {'service': f'big{number}', 'shards': SHARDS}
+        )
+    path.write_text(yaml.safe_dump(rules))
+
+
+async def _store_map(store, service_id: str) -> None:
+    rows = tuple(
+        shardmap.Row(
+            f'{service_id}-{i % 6}', f'{service_id}-{(i + 1) % 6}', 'vm1', 1
+        )
+        for i in range(SHARDS)
+    )
+    shard_map = shardmap.ShardMap(service_id, 1, rows)
+    body = json.dumps(shardmap.to_record(shard_map)).encode()
+    before = await updates.read(store, f'maps/{service_id}')
+    await updates.replace(store, before, body)
