--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -90,7 +90,12 @@
             values.peer_address,
             hello,
             frame_codec,
-            peering.Reception(time, self._keeper, self._guardian),
+            peering.Reception(
+                time,
+                self._keeper,
+                self._guardian,
+                values.access_log == 'all',
+            ),
         )
         self._frontend = frontend.Frontend(
             values.caller_address, self._dispatcher, values.max_body_bytes
--- a/libs/gateway/src/oriolefold_gateway/peering.py
+++ b/libs/gateway/src/oriolefold_gateway/peering.py
@@ -2,31 +2,60 @@
 
 from typing import Any
 
-from oriolefold_core import clock, data, tasks
+from oriolefold_core import clock, data, errors, tasks
 from oriolefold_gateway import messages
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import messages as peer_messages
 from oriolefold_peer import server
+from oriolefold_telemetry import logs
 
 
 class Reception(server.PeerHandler):
     """Passes forwarded requests to the keeper and the rest to the guardian."""
 
     def __init__(
-        self, time: clock.Clock, keeper: tasks.Task, guardian: tasks.Task
+        self,
+        time: clock.Clock,
+        keeper: tasks.Task,
+        guardian: tasks.Task,
+        log_answers: bool,
     ):
         self._clock = time
         self._keeper = keeper
         self._guardian = guardian
+        self._log_answers = log_answers
 
     async def answer(self, caller: peer_messages.Hello, body: Any) -> Any:
         """Returns the message that answers a call."""
         if isinstance(body, messages.ForwardRequest):
-            return await self._keeper.ask(
-                ownership_messages.SendKeyed(self._request(body), body.shard)
-            )
+            return await self._send(caller, body)
         return await self._guardian.ask(ownership_messages.PeerCall(body))
 
+    async def _send(
+        self, caller: peer_messages.Hello, forward: messages.ForwardRequest
+    ) -> data.Answer:
+        ask = ownership_messages.SendKeyed(
+            self._request(forward), forward.shard
+        )
+        try:
+            answer = await self._keeper.ask(ask)
+        except errors.OriolefoldError as error:
+            self._log(caller, forward, 'forward.failed', str(error))
+            raise
+        if self._log_answers:
+            self._log(caller, forward, 'forward.answered', '')
+        return answer
+
+    def _log(self, caller, forward, name: str, error: str) -> None:
+        logs.event(
+            name,
+            request=forward.request_id,
+            service=forward.service_id,
+            shard=forward.shard,
+            entry=caller.vm_id,
+            error=error,
+        )
+
     def _request(self, forward: messages.ForwardRequest) -> data.Request:
         expires_at_s = self._clock.now_s() + forward.remaining_ms / 1000
         return data.Request(
--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -1,6 +1,9 @@
 """HTTP client by tornado and curl with one treatment of failures."""
 
 import asyncio
+import contextlib
+import os
+import socket
 from collections.abc import Callable, Mapping
 
 import pycurl
@@ -54,8 +57,8 @@
     ) -> httpclient.HTTPResponse:
         """Sends a request and returns the whole answer, whatever its status.
 
-        Cancelling the call closes the connection within a second, so that the
-        server learns of it.
+        Cancelling the call closes the connection, so that the server learns of
+        it.
 
         Args:
             method: HTTP method.
@@ -80,16 +83,13 @@
             allowed = may_send()
             return pycurl.PREREQFUNC_OK if allowed else pycurl.PREREQFUNC_ABORT
 
-        abandoned = False
-
-        def watch(*_) -> int:
-            return 1 if abandoned else 0
+        handle: pycurl.Curl | None = None
 
         def prepare(curl: pycurl.Curl) -> None:
+            nonlocal handle
+            handle = curl
             curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.PATH_AS_IS, 1)
-            curl.setopt(pycurl.NOPROGRESS, 0)
-            curl.setopt(pycurl.XFERINFOFUNCTION, watch)
             curl.setopt(pycurl.FRESH_CONNECT, 1 if once else 0)
             if may_send is not None:
                 curl.setopt(pycurl.PREREQFUNCTION, check)
@@ -110,7 +110,8 @@
         try:
             return await asyncio.shield(fetching)
         except asyncio.CancelledError:
-            abandoned = True
+            if not fetching.done() and handle is not None:
+                _shut_down(handle)
             fetching.add_done_callback(_take_result)
             raise
         except curl_httpclient.CurlError as error:
@@ -123,6 +124,15 @@
         self._client.close()
 
 
+def _shut_down(handle: pycurl.Curl) -> None:
+    """Closes the connection of a transfer; curl then ends the transfer."""
+    number = handle.getinfo(pycurl.ACTIVESOCKET)
+    if number >= 0:
+        with socket.socket(fileno=os.dup(number)) as duplicate:
+            with contextlib.suppress(OSError):
+                duplicate.shutdown(socket.SHUT_RDWR)
+
+
 def _take_result(fetching: asyncio.Future) -> None:
     # Nobody waits for the result of an abandoned call.
     if not fetching.cancelled():
