Free places of cancelled sends; shrink the daemon; share stand-in code

Cause: a send that was cancelled before its first step never freed its place at the instance; the curl clients made 2,048 handles at the start; each row of a map was an object of its own; stand-ins and chains of standbys stood twice. Change: the place is freed when the child ends, whatever it ran; 320 handles; equal rows are shared; one base of the stand-ins; standby_chain in one place.

--- a/libs/backend/src/oriolefold_backend/http.py
+++ b/libs/backend/src/oriolefold_backend/http.py
@@ -11,7 +11,9 @@
 CONNECT_TIMEOUT_S = 0.5
 CONTROL_TIMEOUT_S = 0.5
 HEALTH_TIMEOUT_S = 0.3
-MAX_CLIENTS = 1024
+# The client makes all of its handles at the start, about 5 KB each.
+MAX_SENDS = 256
+MAX_CONTROL_CALLS = 64
 
 _BODY_METHODS = frozenset({'POST', 'PUT', 'PATCH'})
 
@@ -20,9 +22,9 @@
     """Sends by tornado's curl client."""
 
     def __init__(self):
-        self._client = client.HttpClient(MAX_CLIENTS)
+        self._client = client.HttpClient(MAX_SENDS)
         # Grants and probes must not wait behind the requests of callers.
-        self._control_client = client.HttpClient(MAX_CLIENTS)
+        self._control_client = client.HttpClient(MAX_CONTROL_CALLS)
 
     async def send(
         self,
--- a/libs/backend/tests/test_contract.py
+++ b/libs/backend/tests/test_contract.py
@@ -109,7 +109,7 @@
             service.instances_by_id['s0'], **changes
         )
         self.stand_in = servers.ServerStandIn(self.instance, True)
-        self.stand_in.start()
+        self.stand_in.listen()
         self.addAsyncCleanup(self.stand_in.stop)
 
     def ran(self):
--- a/libs/coordination/src/oriolefold_coordination/shardmap.py
+++ b/libs/coordination/src/oriolefold_coordination/shardmap.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 from oriolefold_core import errors, findings
 
@@ -83,6 +84,29 @@
         return tuple(vm for vm in (self.standby_id, self.witness_id) if vm)
 
 
+def standby_chain(
+    home_id: str, guards_by_vm_id: Mapping[str, Guard], limit: int
+) -> list[str]:
+    """Returns a home, its standby, the standby of that one and so on.
+
+    Whoever holds the right of the home is among them.
+
+    Args:
+        home_id: The home.
+        guards_by_vm_id: Guards as recorded in the store.
+        limit: Most VMs to return.
+    """
+    chain = [home_id]
+    while len(chain) < limit:
+        guard = guards_by_vm_id.get(chain[-1])
+        if guard is None or not guard.standby_id:
+            break
+        if guard.standby_id in chain:
+            break
+        chain.append(guard.standby_id)
+    return chain
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShardMap:
     """All rows of a service.
@@ -147,11 +171,18 @@
     """
     try:
         names = [str(name) for name in record['names']]
-        rows = tuple(_row(item, names) for item in record['rows'])
+        # Most rows of a map are alike, so each is made once and shared.
+        rows_by_item: dict[tuple[int, ...], Row] = {}
+        rows = []
+        for item in map(tuple, record['rows']):
+            row = rows_by_item.get(item)
+            if row is None:
+                row = rows_by_item[item] = _row(item, names)
+            rows.append(row)
         return ShardMap(
             str(record['service']),
             int(record['epoch']),
-            rows,
+            tuple(rows),
             frozenset(str(name) for name in record['excluded']),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
@@ -162,7 +193,7 @@
         raise errors.ConfigurationError((finding,)) from error
 
 
-def _row(item: list[int], names: list[str]) -> Row:
+def _row(item: tuple[int, ...], names: list[str]) -> Row:
     if any(index < 0 for index in item):
         raise ValueError('negative index')
     owner, standby, home, epoch = item[:4]
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -248,14 +248,9 @@
         """Turns to the standby of a VM that does not send, or back home."""
         if self._holders_by_home_id.get(home_id, home_id) != failed_id:
             return
-        chain = [home_id]
-        while len(chain) < MAX_FORWARD_CHAIN:
-            guard = self._guards_by_vm_id.get(chain[-1])
-            if guard is None or not guard.standby_id:
-                break
-            if guard.standby_id in chain:
-                break
-            chain.append(guard.standby_id)
+        chain = shardmap.standby_chain(
+            home_id, self._guards_by_vm_id, MAX_FORWARD_CHAIN
+        )
         position = chain.index(failed_id) if failed_id in chain else -1
         following = chain[(position + 1) % len(chain)]
         self._holders_by_home_id[home_id] = following
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -207,7 +207,11 @@
     def _write_answer(self, answer: data.Answer) -> None:
         outgoing = httputil.HTTPHeaders()
         for name, value in answer.headers:
-            outgoing.add(name, value)
+            # Setting costs much less than adding, which most names need not.
+            if name in outgoing:
+                outgoing.add(name, value)
+            else:
+                outgoing[name] = value
         outgoing[results.REQUEST_ID_HEADER] = self._request_id
         outgoing[results.OUTCOME_HEADER] = results.Outcome.ANSWERED.value
         self._write(answer.status, outgoing, answer.body)
--- a/libs/ownership/src/oriolefold_ownership/acquisition.py
+++ b/libs/ownership/src/oriolefold_ownership/acquisition.py
@@ -69,7 +69,10 @@
         request = lease_messages.ReleaseRequest(
             shard_map.service_id, shard_map.epoch, prior_id, wanted
         )
-        for vm_id in self._chain(prior_id):
+        chain = shardmap.standby_chain(
+            prior_id, self._guards_by_vm_id, MAX_CHAIN
+        )
+        for vm_id in chain:
             with contextlib.suppress(errors.OriolefoldError, TimeoutError):
                 reply = await self._call(vm_id, request)
                 if reply.authoritative:
@@ -80,15 +83,3 @@
     async def _call(self, vm_id: str, request) -> lease_messages.ReleaseReply:
         async with asyncio.timeout(CALL_TIMEOUT_S):
             return await self._peers.ask(peer_messages.CallPeer(vm_id, request))
-
-    def _chain(self, home_id: str) -> list[str]:
-        """Returns the home, its standby, the standby of that one and so on."""
-        chain = [home_id]
-        while len(chain) < MAX_CHAIN:
-            guard = self._guards_by_vm_id.get(chain[-1])
-            if guard is None or not guard.standby_id:
-                break
-            if guard.standby_id in chain:
-                break
-            chain.append(guard.standby_id)
-        return chain
--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -181,10 +181,16 @@
     async def _write(self, service_id: str) -> None:
         retry = False
         try:
-            stored = await self._current(service_id)
-            planned = self._next_map(service_id, stored)
+            stored = self._stored_by_service_id.get(service_id)
+            if stored and self._next_map(service_id, stored.shard_map) is None:
+                return
+            # What is known may be old, so a change starts from what is stored.
+            document = await updates.read(
+                self._store, names.map_name(service_id)
+            )
+            planned = self._next_map(service_id, _map_of(document))
             if planned is not None:
-                await self._store_map(stored, planned)
+                await self._store_map(document, planned)
         except errors.VersionConflictError:
             retry = True
         except errors.StoreError as error:
@@ -195,24 +201,10 @@
         finally:
             self.post(_Written(service_id, retry))
 
-    async def _current(self, service_id: str) -> updates.Document:
-        known = self._stored_by_service_id.get(service_id)
-        if (
-            known is not None
-            and self._next_map(service_id, known.document) is None
-        ):
-            return known.document
-        return await updates.read(self._store, names.map_name(service_id))
-
     def _next_map(
-        self, service_id: str, document: updates.Document
+        self, service_id: str, current: shardmap.ShardMap | None
     ) -> shardmap.ShardMap | None:
-        """Returns the map to write, or None if the stored one is good."""
-        current = None
-        if document.version != ports.NEW_OBJECT:
-            current = shardmap.from_record(
-                json.loads(document.body), document.name
-            )
+        """Returns the map to write, or None if the present one is good."""
         acquired = self._acquired_by_service_id.get(service_id, {})
         base = planning.confirm(current, acquired) if current else None
         situation = planning.Situation(
@@ -280,6 +272,12 @@
             self._consider_all(URGENT_DELAY_S)
 
 
+def _map_of(document: updates.Document) -> shardmap.ShardMap | None:
+    if document.version == ports.NEW_OBJECT:
+        return None
+    return shardmap.from_record(json.loads(document.body), document.name)
+
+
 def _uses(shard_map: shardmap.ShardMap, lost: messages.InstanceLost) -> bool:
     """Whether a map still uses an instance in a row that its loss is about."""
     return any(
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -12,10 +12,8 @@
 class _Finished:
     """Message: a send has ended."""
 
-    def __init__(self, job: '_Job', failed: bool, took_s: float | None):
+    def __init__(self, job: '_Job'):
         self.job = job
-        self.failed = failed
-        self.took_s = took_s
 
 
 class _Withdrawn:
@@ -27,12 +25,19 @@
 
 
 class _Job:
-    """A request with the instance that was chosen for it."""
+    """A request with the instance that was chosen for it.
+
+    Attributes:
+        failed: Whether the send failed, as far as is known.
+        took_s: Time that the answer took, or None without one.
+    """
 
     def __init__(self, ask, instance_id: str, permit: ports.Permit):
         self.ask = ask
         self.instance_id = instance_id
         self.permit = permit
+        self.failed = True
+        self.took_s: float | None = None
 
 
 class Sender(tasks.Task):
@@ -153,12 +158,14 @@
         self._loads_by_id[job.instance_id].in_flight += 1
         self._jobs_by_instance_id.setdefault(job.instance_id, set()).add(job)
         child = self.spawn(self._send(job))
+        # A child that is cancelled before its first step runs none of its code,
+        # so the place must not be freed there.
+        child.add_done_callback(lambda _: self.post(_Finished(job)))
         job.ask.reply.add_done_callback(lambda _: child.cancel())
 
     async def _send(self, job: _Job) -> None:
         load = self._loads_by_id[job.instance_id]
         started_s = self._clock.now_s()
-        failed, took_s = True, None
         try:
             remaining_ms = deadlines.remaining_ms(
                 started_s, job.ask.request.expires_at_s
@@ -166,15 +173,13 @@
             answer = await self._backend.send(
                 load.instance, job.ask.request, remaining_ms, job.permit
             )
-            failed = answer.status >= 500
-            took_s = self._clock.now_s() - started_s
+            job.failed = answer.status >= 500
+            job.took_s = self._clock.now_s() - started_s
             size = len(job.ask.request.body) + len(answer.body)
             self._metrics.count_hop('server', load.distance, size)
             job.ask.answer(answer)
         except errors.OriolefoldError as error:
             job.ask.fail(error)
-        finally:
-            self.post(_Finished(job, failed, took_s))
 
     def _abandon(self, instance_id: str) -> None:
         gate = self._gates_by_id.get(instance_id)
@@ -193,8 +198,8 @@
         if load is None or gate is None:
             return
         load.in_flight -= 1
-        load.record(done.failed)
-        following, expired = gate.leave(self._clock.now_s(), done.took_s)
+        load.record(done.job.failed)
+        following, expired = gate.leave(self._clock.now_s(), done.job.took_s)
         for ticket in expired:
             text = 'the deadline passed in the queue'
             ticket.owner.ask.fail(errors.DeadlineExpiredError(text))
--- /dev/null
+++ b/libs/sending/tests/test_sender.py
@@ -0,0 +1,95 @@
+"""Tests of oriolefold_sending.sender."""
+
+import asyncio
+import random
+
+from oriolefold_backend import memory, ports
+from oriolefold_core import clock, errors, notices
+from oriolefold_routing import balance
+from oriolefold_sending import messages, sender
+from oriolefold_telemetry import metrics
+from oriolefold_testbed import basecase
+
+
+class SenderTest(basecase.AsyncCase):
+    """The limits of instances hold and places are always freed."""
+
+    async def asyncSetUp(self):
+        self.time = clock.BootClock()
+        self.backend = memory.MemoryBackend()
+        self.sender = sender.Sender(
+            'r1-a',
+            self.backend,
+            balance.NearestFirst(random.Random(basecase.SEED)),
+            self.time,
+            metrics.Metrics(),
+        )
+        await self.start(self.sender)
+        register = basecase.register(instance_count=3, keyed=False)
+        configuration = basecase.configuration(register)
+        self.sender.post(notices.ConfigurationInForce(configuration))
+
+    def request(self, name='r'):
+        expires_at_s = self.time.now_s() + 5
+        return basecase.request(request_id=name, expires_at_s=expires_at_s)
+
+    def to_instance(self, name='r'):
+        permit = ports.Permit(self.time, self.time.now_s() + 5)
+        return messages.SendTo('s0', self.request(name), permit)
+
+    async def test_no_more_than_the_slots_at_a_time(self):
+        state = self.backend.instance('s0')
+        state.delay_s = 0.05
+        asks = [self.to_instance(str(i)) for i in range(20)]
+        sending = [asyncio.create_task(self.sender.ask(ask)) for ask in asks]
+        await asyncio.sleep(0.02)
+        self.assertEqual(len(state.ran), 6)
+        answers = await asyncio.gather(*sending)
+        self.assertEqual(len(answers), 20)
+        self.assertEqual(sorted(state.ran), sorted(str(i) for i in range(20)))
+
+    async def test_cancelled_sends_free_their_places(self):
+        state = self.backend.instance('s0')
+        state.delay_s = 30
+        for moment in (None, 0, 0.001, 0.01):
+            asks = [self.to_instance() for _ in range(12)]
+            for ask in asks:
+                self.sender.post(ask)
+            if moment is not None:
+                await asyncio.sleep(moment)
+            for ask in asks:
+                ask.reply.cancel()
+            await asyncio.sleep(0.01)
+        state.delay_s = 0.0
+        answers = await asyncio.gather(
+            *(self.sender.ask(self.to_instance()) for _ in range(6))
+        )
+        self.assertEqual(len(answers), 6)
+
+    async def test_given_up_instance_ends_its_requests(self):
+        self.backend.instance('s0').delay_s = 30
+        asks = [self.to_instance(str(i)) for i in range(8)]
+        for ask in asks:
+            self.sender.post(ask)
+        await self.wait_for(lambda: len(self.backend.instance('s0').ran) == 6)
+        self.sender.post(messages.AbandonInstance('s0'))
+        outcomes = await asyncio.gather(
+            *(ask.reply for ask in asks), return_exceptions=True
+        )
+        kinds = [type(outcome) for outcome in outcomes]
+        self.assertEqual(kinds.count(errors.OutcomeUnknownError), 6)
+        self.assertEqual(kinds.count(errors.NoOwnerError), 2)
+
+    async def test_leaving_instances_get_no_new_work(self):
+        leaving = frozenset({'s0', 's1'})
+        self.sender.post(notices.InstancesLeaving(leaving))
+        for _ in range(5):
+            ask = messages.SendBalanced(self.request(), set())
+            answer = await self.sender.ask(ask)
+            self.assertEqual(answer.instance_id, 's2')
+
+    async def test_unknown_instance_is_refused_as_not_run(self):
+        permit = ports.Permit(self.time, self.time.now_s() + 5)
+        ask = messages.SendTo('absent', self.request(), permit)
+        with self.assertRaises(errors.NoOwnerError):
+            await self.sender.ask(ask)
--- a/measure/footprint_suite.py
+++ b/measure/footprint_suite.py
@@ -61,7 +61,7 @@
         """Gives a daemon maps of which it is the home of none."""
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(scratch)
-            deployment = scenarios.make(folder, vm_count=2)
+            deployment = scenarios.make(folder, vm_count=2, one_zone=True)
             _add_services(folder / 'documents' / 'register.yaml')
             _add_rules(folder / 'documents' / 'rules.yaml')
             store = http.HttpStore(deployment.store_address)
--- a/testbed/src/oriolefold_testbed/servers.py
+++ b/testbed/src/oriolefold_testbed/servers.py
@@ -17,8 +17,10 @@
 
 from oriolefold_config import documents
 from oriolefold_core import data, results
+from oriolefold_testbed import standins
 
 KEPT_NONCES = 8
+MAX_BODY_BYTES = 1024 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,7 +111,7 @@
         )
 
 
-class ServerStandIn:
+class ServerStandIn(standins.StandIn):
     """One instance.
 
     Attributes:
@@ -123,6 +125,16 @@
     """
 
     def __init__(self, instance: data.Instance, keyed: bool, journal_file=None):
+        super().__init__(
+            {
+                '/ownership/grants': _GrantHandler,
+                '/health': _HealthHandler,
+                '/load': _LoadHandler,
+                '/control': _ControlHandler,
+                '/journal': _JournalHandler,
+                '/.*': _WorkHandler,
+            }
+        )
         self.instance = instance
         self.keyed = keyed
         self.behaviour = Behaviour()
@@ -135,33 +147,16 @@
         self.started_s = now_s()
         self.slots = asyncio.Semaphore(instance.slots)
         self._journal_file = journal_file
-        self._server: httpserver.HTTPServer | None = None
-
-    def start(self) -> None:
-        """Opens the listening socket."""
-        shared = {'stand_in': self}
-        application = web.Application(
-            [
-                ('/ownership/grants', _GrantHandler, shared),
-                ('/health', _HealthHandler, shared),
-                ('/load', _LoadHandler, shared),
-                ('/control', _ControlHandler, shared),
-                ('/journal', _JournalHandler, shared),
-                ('/.*', _WorkHandler, shared),
-            ],
-            log_function=lambda handler: None,
-        )
-        self._server = _LimitedServer(
-            application, max_body_size=1024 * 1024 * 1024
-        )
-        self._server.stand_in = self
-        address = self.instance.address
-        self._server.listen(address.port, address.host, backlog=1024)
 
-    async def stop(self) -> None:
-        """Closes all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
+    def make_server(self) -> httpserver.HTTPServer:
+        """Returns a server that keeps the limit of connections."""
+        server = _LimitedServer(self.application, max_body_size=MAX_BODY_BYTES)
+        server.stand_in = self
+        return server
+
+    def listen(self) -> None:
+        """Opens the listening socket at the address of the instance."""
+        self.start(self.instance.address.host, self.instance.address.port)
 
     def record(self, entry: dict) -> None:
         """Adds an entry to the journal."""
@@ -383,7 +378,7 @@
     register = documents.validate(documents.read_folder(folder)).register
     names = {name for name in only.split(',') if name}
 
-    async def run() -> None:
+    def start() -> None:
         output = open(journal, 'a', encoding='utf-8') if journal else None
         for service in register.services_by_id.values():
             for instance in service.instances_by_id.values():
@@ -391,13 +386,9 @@
                     continue
                 if region and register.region_of(instance.zone_id) != region:
                     continue
-                ServerStandIn(instance, service.keyed, output).start()
-        await asyncio.Event().wait()
+                ServerStandIn(instance, service.keyed, output).listen()
 
-    try:
-        asyncio.run(run())
-    except KeyboardInterrupt:
-        pass
+    standins.run_until_interrupted(start)
 
 
 if __name__ == '__main__':
--- a/testbed/src/oriolefold_testbed/store.py
+++ b/testbed/src/oriolefold_testbed/store.py
@@ -12,10 +12,11 @@
 import time
 
 import fire
-from tornado import httpserver, web
+from tornado import web
 
 from oriolefold_core import errors
 from oriolefold_store import memory
+from oriolefold_testbed import standins
 
 READS_PER_S = 2000
 WRITES_PER_S = 300
@@ -53,31 +54,19 @@
         return count <= limit
 
 
-class StoreStandIn:
+class StoreStandIn(standins.StandIn):
     """A store in memory behind HTTP."""
 
     def __init__(self):
+        super().__init__(
+            {
+                '/objects/(.+)': _ObjectHandler,
+                '/watch': _WatchHandler,
+                '/control': _ControlHandler,
+            }
+        )
         self.objects = memory.MemoryStore()
         self.behaviour = Behaviour()
-        self._server: httpserver.HTTPServer | None = None
-
-    def start(self, host: str, port: int) -> None:
-        """Opens the listening socket."""
-        shared = {'stand_in': self}
-        application = web.Application(
-            [
-                ('/objects/(.+)', _ObjectHandler, shared),
-                ('/watch', _WatchHandler, shared),
-                ('/control', _ControlHandler, shared),
-            ],
-            log_function=lambda handler: None,
-        )
-        self._server = application.listen(port, host)
-
-    async def stop(self) -> None:
-        """Closes all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
 
 
 class _Handler(web.RequestHandler):
@@ -196,15 +185,7 @@
 
 def main(ip: str = '127.0.0.1', port: int = 9000) -> None:
     """Runs a store until it is interrupted."""
-
-    async def run() -> None:
-        StoreStandIn().start(ip, port)
-        await asyncio.Event().wait()
-
-    try:
-        asyncio.run(run())
-    except KeyboardInterrupt:
-        pass
+    standins.run_until_interrupted(lambda: StoreStandIn().start(ip, port))
 
 
 if __name__ == '__main__':
--- a/testbed/src/oriolefold_testbed/vmlist.py
+++ b/testbed/src/oriolefold_testbed/vmlist.py
@@ -8,12 +8,13 @@
 import json
 
 import fire
-from tornado import httpserver, web
+from tornado import web
 
 from oriolefold_config import documents
+from oriolefold_testbed import standins
 
 
-class VmListStandIn:
+class VmListStandIn(standins.StandIn):
     """A list that lags.
 
     Attributes:
@@ -22,26 +23,9 @@
     """
 
     def __init__(self, names, lag_s: float = 0.0):
+        super().__init__({'/vms': _ListHandler, '/control': _ControlHandler})
         self.states_by_id = dict.fromkeys(names, 'live')
         self.lag_s = lag_s
-        self._server: httpserver.HTTPServer | None = None
-
-    def start(self, host: str, port: int) -> None:
-        """Opens the listening socket."""
-        shared = {'stand_in': self}
-        application = web.Application(
-            [
-                ('/vms', _ListHandler, shared),
-                ('/control', _ControlHandler, shared),
-            ],
-            log_function=lambda handler: None,
-        )
-        self._server = application.listen(port, host)
-
-    async def stop(self) -> None:
-        """Closes all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
 
     def set_state(self, name: str, state: str) -> None:
         """Changes an entry after the lag."""
@@ -90,14 +74,9 @@
     for service in register.services_by_id.values():
         names.extend(service.instances_by_id)
 
-    async def run() -> None:
-        VmListStandIn(names, lag_s).start(ip, port)
-        await asyncio.Event().wait()
-
-    try:
-        asyncio.run(run())
-    except KeyboardInterrupt:
-        pass
+    standins.run_until_interrupted(
+        lambda: VmListStandIn(names, lag_s).start(ip, port)
+    )
 
 
 if __name__ == '__main__':
