Tell of a VM whose zone differs; measure hand-overs and the loss of a zone

Cause: a daemon with a zone that the register does not know failed on each configuration, and hand-overs were not measured. Change: an unknown zone counts as far away and is logged; tests of the daemon's border; suites for servers that leave and for the loss of a zone.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -112,7 +112,12 @@
     def _make_watcher(self) -> watcher.Watcher:
         # The planner tells the watcher of the maps that it has written.
         reader_subscribers = []
-        reader = configuration.InForceReader(reader_subscribers, self._peers)
+        reader = configuration.InForceReader(
+            self._values.vm_id,
+            self._values.zone,
+            reader_subscribers,
+            self._peers,
+        )
         made = watcher.Watcher(
             self._store, reader, [self._keeper, self._dispatcher]
         )
--- a/libs/daemon/src/oriolefold_daemon/configuration.py
+++ b/libs/daemon/src/oriolefold_daemon/configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from oriolefold_config import documents
-from oriolefold_core import notices, tasks
+from oriolefold_core import data, notices, tasks
 from oriolefold_ownership import watcher
 from oriolefold_peer import messages as peer_messages
 from oriolefold_store import updates
@@ -13,7 +13,15 @@
 class InForceReader(watcher.ConfigurationReader):
     """Validates a configuration and tells every task that acts on it."""
 
-    def __init__(self, subscribers: Sequence[tasks.Task], peers: tasks.Task):
+    def __init__(
+        self,
+        vm_id: str,
+        zone_id: str,
+        subscribers: Sequence[tasks.Task],
+        peers: tasks.Task,
+    ):
+        self._vm_id = vm_id
+        self._zone_id = zone_id
         self._subscribers = subscribers
         self._peers = peers
 
@@ -22,6 +30,7 @@
         configuration = documents.validate(
             documents.decode(document.body, document.name), document.version
         )
+        self._check_own_entry(configuration)
         addresses_by_vm_id = {
             vm_id: vm.peer_address
             for vm_id, vm in configuration.register.vms_by_id.items()
@@ -31,3 +40,15 @@
         for subscriber in self._subscribers:
             subscriber.post(notice)
         logs.event('configuration.in_force', version=configuration.version)
+
+    def _check_own_entry(self, configuration: data.Configuration) -> None:
+        vm = configuration.register.vms_by_id.get(self._vm_id)
+        if vm is None:
+            logs.event('vm.not_registered', vm=self._vm_id)
+        elif vm.zone_id != self._zone_id:
+            logs.event(
+                'vm.zone_differs',
+                vm=self._vm_id,
+                setting=self._zone_id,
+                register=vm.zone_id,
+            )
--- /dev/null
+++ b/libs/daemon/tests/test_configuration.py
@@ -0,0 +1,42 @@
+"""Tests of oriolefold_daemon.configuration."""
+
+import json
+import pathlib
+
+from oriolefold_config import documents
+from oriolefold_core import errors, notices
+from oriolefold_daemon import configuration
+from oriolefold_peer import messages as peer_messages
+from oriolefold_store import updates
+from oriolefold_testbed import basecase
+
+EXAMPLE = pathlib.Path(__file__).resolve().parents[3] / 'examples' / 'qurum'
+
+
+class InForceReaderTest(basecase.BaseCase):
+    """A valid configuration reaches every task; an invalid one reaches none."""
+
+    def setUp(self):
+        super().setUp()
+        self.task = basecase.RecordingTask()
+        self.peers = basecase.RecordingTask()
+        self.reader = configuration.InForceReader(
+            'entry-muscat-1', 'muscat-a', [self.task], self.peers
+        )
+
+    def read(self, body):
+        self.reader.read(updates.Document('configuration/current', 4, (), body))
+
+    def test_valid_configuration(self):
+        self.read(documents.encode(documents.read_folder(str(EXAMPLE))))
+        (notice,) = self.task.of(notices.ConfigurationInForce)
+        self.assertEqual(notice.configuration.version, 4)
+        (known,) = self.peers.of(peer_messages.PeersKnown)
+        self.assertEqual(len(known.addresses_by_vm_id), 9)
+
+    def test_invalid_configuration_changes_nothing(self):
+        body = json.dumps({'register': {}, 'rules': {}}).encode()
+        with self.assertRaises(errors.ConfigurationError):
+            self.read(body)
+        self.assertEqual(self.task.messages, [])
+        self.assertEqual(self.peers.messages, [])
--- a/libs/ownership/src/oriolefold_ownership/recorder.py
+++ b/libs/ownership/src/oriolefold_ownership/recorder.py
@@ -28,18 +28,15 @@
         match message:
             case notices.ConfigurationInForce():
                 self._configuration = message.configuration
-                if not self._starting and self._is_registered():
+                registered = self._vm_id in (
+                    message.configuration.register.vms_by_id
+                )
+                if registered and not self._starting:
                     self._starting = True
                     self.spawn(self._start())
             case messages.RecordGuard():
                 self.spawn(self._answer(message))
 
-    def _is_registered(self) -> bool:
-        if self._vm_id in self._configuration.register.vms_by_id:
-            return True
-        logs.event('vm.not_registered', vm=self._vm_id)
-        return False
-
     async def _start(self) -> None:
         while True:
             try:
--- a/libs/routing/src/oriolefold_routing/balance.py
+++ b/libs/routing/src/oriolefold_routing/balance.py
@@ -98,7 +98,12 @@
 
 
 def distance(register: data.Register, from_zone: str, to_zone: str) -> int:
-    """Returns 0 for the same zone, 1 for the same region, 2 otherwise."""
+    """Returns 0 for the same zone, 1 for the same region, 2 otherwise.
+
+    A zone that the register does not know counts as far away from all others.
+    """
+    if from_zone not in register.zones_by_id:
+        return FARTHEST
     if from_zone == to_zone:
         return 0
     if register.region_of(from_zone) == register.region_of(to_zone):
--- a/measure/ownership_suite.py
+++ b/measure/ownership_suite.py
@@ -16,6 +16,9 @@
 PROBE_INTERVAL_S = 0.1
 AFTER_LOSS_S = 3.0
 IDLE_S = 20.0  # The length of one waiting watch.
+LEAVING = ('stock-2', 'stock-3', 'stock-4')
+HANDOFF_INTERVAL_S = 0.1
+ZONE_LOSS_S = 5.0
 INSTANCES = 12
 SHARDS = 256
 LOADED_KEYS = 20_000
@@ -36,11 +39,13 @@
             try:
                 await deployment.start()
                 await self._measure_idle_store(deployment)
+                await self._measure_handoffs(deployment)
                 samples = await self._measure_losses(deployment, '')
                 await deployment.control_store(mode='down')
                 samples += await self._measure_losses(deployment, '_store_down')
                 await deployment.control_store(mode='up')
                 self._check(folder, samples)
+                await self._measure_zone_loss(deployment)
             finally:
                 await deployment.stop()
 
@@ -52,6 +57,44 @@
         calls = sum(after[n] - before[n] for n in ('reads', 'writes'))
         self.add('store_calls_per_s_idle', calls / IDLE_S, '1/s')
 
+    async def _measure_handoffs(self, deployment) -> None:
+        """Lets servers leave; requests wait while their shards are handed over.
+
+        The longest answer, less the median one, is the time of a hand-over.
+        """
+        vms = list(deployment.configuration.register.vms_by_id.values())
+        for name in LEAVING:
+            owned = set(await self._keys_of(deployment, name))
+            prober = probing.Prober(vms, KEYS, HANDOFF_INTERVAL_S, suites.SEED)
+            prober.start()
+            await asyncio.sleep(0.5)
+            await deployment.set_vm_state(name, 'leaving')
+            while set(await self._keys_of(deployment, name)):
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.5)
+            await prober.stop()
+            times = [
+                sample.done_s - sample.sent_s
+                for sample in prober.samples
+                if sample.key in owned
+            ]
+            longest = max(times) - statistics.median(times)
+            self.add('handoff_max_ms', longest * 1000, 'ms')
+            lost = [s for s in prober.samples if s.outcome != 'answered']
+            self.add('handoff_not_answered', len(lost), 'requests', 0)
+            await deployment.set_vm_state(name, 'live')
+            await self._wait_used(deployment, name)
+
+    async def _measure_zone_loss(self, deployment) -> None:
+        """Loses the VM and the server of one zone and counts store writes."""
+        url = f'http://{deployment.store_address}/control'
+        before = await deployment.get_json(url)
+        await asyncio.gather(deployment.kill('vm0'), deployment.kill('stock-0'))
+        await asyncio.sleep(ZONE_LOSS_S)
+        after = await deployment.get_json(url)
+        writes = after['writes'] - before['writes']
+        self.add('store_writes_zone_loss', writes, 'writes')
+
     async def _measure_losses(self, deployment, suffix: str) -> list:
         """Loses servers one after another and waits for each to return.
 
--- a/testbed/src/oriolefold_testbed/deployment.py
+++ b/testbed/src/oriolefold_testbed/deployment.py
@@ -182,6 +182,11 @@
         """Changes the behaviour of the store."""
         await self.put_json(f'http://{self.store_address}/control', change)
 
+    async def set_vm_state(self, name: str, state: str) -> None:
+        """Changes an entry of the list of VMs, after its lag."""
+        url = f'http://{self.vm_list_address}/control'
+        await self.put_json(url, {'id': name, 'state': state})
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process of the deployment."""
         process = self.processes_by_name[name]
