Move shards by measured load, from one place and with a pause

Cause: every daemon could move shards that need not move, counting all shards alike, and each stored map led to the next plan. Change: homes count requests by shard with a half-life of 10 s; the first of the live VMs asks for them every 2 s and moves only when a server has more than 1.2 times or less than half of the mean; all other plans move only what a loss forces; availability-first counts shards alike. Conclusion: losses and loads are handled apart; single hot keys still cannot be split from their shard.

--- a/libs/coordination/src/oriolefold_coordination/messages.py
+++ b/libs/coordination/src/oriolefold_coordination/messages.py
@@ -205,7 +205,27 @@
     released: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadRequest:
+    """A planner asks a home for the load of its shards."""
+
+    service_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReply:
+    """Answer to a request for loads.
+
+    Attributes:
+        rates_by_shard: Requests a second of the shards that the home sends for.
+    """
+
+    rates_by_shard: dict[int, float]
+
+
 WIRE_MESSAGES = (
+    LoadRequest,
+    LoadReply,
     Heartbeat,
     HeartbeatReply,
     VoteRequest,
--- a/libs/coordination/src/oriolefold_coordination/placement.py
+++ b/libs/coordination/src/oriolefold_coordination/placement.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Sequence
 
+ENOUGH_SHARE = 0.5  # Load over the mean at which an instance has enough to do.
 IMBALANCE_TOLERANCE = 0.05  # Load over the mean that is left alone.
 
 
@@ -51,15 +52,18 @@
     """Keeps every owner that lives and lets orphans fall to their heirs.
 
     A voluntary move costs a short unavailable time, so it makes none unless an
-    instance has no shards at all, as one that has just joined.
+    instance has little to do, as one that has just joined.
     """
 
     def place(self, problem: Problem) -> list[str]:
         """Keeps owners, gives orphans to heirs and fills idle instances."""
+        # Shards count alike here: load alone is no reason for a move.
+        alike = (1.0,) * len(problem.weights)
+        problem = dataclasses.replace(problem, weights=alike)
         table = _Table(problem)
         table.place_orphans(problem, use_heirs=True)
         for _ in range(problem.max_moves):
-            if not table.has_idle_instance():
+            if table.least_share() >= ENOUGH_SHARE:
                 break
             if not table.move_one(problem.weights):
                 break
@@ -99,9 +103,13 @@
             self.owner_ids[shard] = heir
             self._add(shard, heir, problem.weights[shard])
 
-    def has_idle_instance(self) -> bool:
-        """Whether some instance owns no shard."""
-        return any(not shards for shards in self._shards_by_id.values())
+    def least_share(self) -> float:
+        """Returns the least load of an instance over the mean."""
+        total = sum(self._loads_by_id.values())
+        if not total:
+            return 1.0
+        least = min(self._loads_by_id.values())
+        return least * len(self._loads_by_id) / total
 
     def move_one(self, weights: Sequence[float]) -> bool:
         """Moves the best shard from the fullest to the emptiest instance.
--- a/libs/coordination/src/oriolefold_coordination/planning.py
+++ b/libs/coordination/src/oriolefold_coordination/planning.py
@@ -17,12 +17,14 @@
         vm_ids: VMs that live and stay.
         excluded_ids: Instances that are lost or leaving.
         weights: Load of each shard, or empty to count all alike.
+        may_move: Whether shards may be moved that need not be.
     """
 
     configuration: data.Configuration
     vm_ids: tuple[str, ...]
     excluded_ids: frozenset[str] = frozenset()
     weights: tuple[float, ...] = ()
+    may_move: bool = False
 
 
 def plan(
@@ -91,11 +93,17 @@
             tuple(row.owner_id if row else '' for row in old_rows),
             weights,
             tuple(row.standby_id if row else '' for row in old_rows),
-            max(1, int(shard_count * DEFAULT_MOVE_SHARE)),
+            _max_moves(situation, shard_count),
         )
     )
 
 
+def _max_moves(situation: Situation, shard_count: int) -> int:
+    if not situation.may_move:
+        return 0
+    return max(1, int(shard_count * DEFAULT_MOVE_SHARE))
+
+
 def _standbys(
     register, service, instance_ids, owner_ids, old_rows
 ) -> list[str]:
--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -122,7 +122,7 @@
             self._store, reader, [self._keeper, self._dispatcher]
         )
         self._planner = planner.Planner(
-            self._values.vm_id, self._store, self._backend, made
+            self._values.vm_id, self._store, self._backend, made, self._peers
         )
         made.connect(
             self._planner, [self._keeper, self._dispatcher, self._guardian]
--- a/libs/ownership/src/oriolefold_ownership/guardian.py
+++ b/libs/ownership/src/oriolefold_ownership/guardian.py
@@ -174,6 +174,11 @@
             case lease_messages.ReleaseRequest():
                 release = messages.ReleaseShards(call.body, reply=call.reply)
                 self._keeper.post(release)
+            case lease_messages.LoadRequest():
+                loads = messages.DescribeLoads(
+                    call.body.service_id, reply=call.reply
+                )
+                self._keeper.post(loads)
             case _:
                 text = f'{type(call.body).__name__} is not for the guardian'
                 call.fail(errors.ProtocolError(text))
--- a/libs/ownership/src/oriolefold_ownership/keeper.py
+++ b/libs/ownership/src/oriolefold_ownership/keeper.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from oriolefold_backend import ports
+from oriolefold_coordination import loads, protocol, shardmap, slots
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_coordination import notices as coordination_notices
-from oriolefold_coordination import protocol, shardmap, slots
 from oriolefold_core import clock, errors, notices, tasks
 from oriolefold_ownership import acquisition, messages
 from oriolefold_sending import messages as sending_messages
@@ -43,6 +43,7 @@
         self._slots_by_shard: dict[ShardKey, slots.Slot] = {}
         self._waiting_by_shard: dict[ShardKey, list[messages.SendKeyed]] = {}
         self._acquired_by_shard: dict[ShardKey, int] = {}
+        self._loads_by_service_id: dict[str, loads.ShardLoads] = {}
         self._acquiring: set[tuple[str, int]] = set()
         self._sender: tasks.Task | None = None
         self._granter: tasks.Task | None = None
@@ -83,12 +84,13 @@
                     self._act(shard, slot.ended(message.instance_id))
             case messages.InstanceQuiet():
                 self._give_up(message.instance_id)
-            case messages.ReleaseShards():
-                message.answer(self._release(message.request))
-            case messages.DrainHome():
-                message.answer(self._drained(message.home_id))
-            case messages.DrainAll():
-                message.answer(self._all_drained())
+            case (
+                messages.ReleaseShards()
+                | messages.DrainHome()
+                | messages.DrainAll()
+                | messages.DescribeLoads()
+            ):
+                message.answer(self._answer_to(message))
             case messages.ShardsAcquired():
                 self._take_acquired(message)
             case coordination_notices.MapInForce():
@@ -98,6 +100,16 @@
             case notices.ConfigurationInForce():
                 self._configure(message.configuration)
 
+    def _answer_to(self, ask: tasks.Ask) -> Any:
+        match ask:
+            case messages.ReleaseShards():
+                return self._release(ask.request)
+            case messages.DrainHome():
+                return self._drained(ask.home_id)
+            case messages.DescribeLoads():
+                return self._describe_loads(ask.service_id)
+        return self._all_drained()
+
     def _configure(self, configuration) -> None:
         services = configuration.register.services_by_id.values()
         self._keyed_ids = frozenset(
@@ -231,9 +243,20 @@
         for ask in self._waiting_by_shard.pop(key, ()):
             ask.fail(errors.NotHomeError(f'{self._vm_id} is no longer home'))
 
+    def _describe_loads(self, service_id: str) -> lease_messages.LoadReply:
+        known = self._loads_by_service_id.get(service_id)
+        rates = known.rates(self._clock.now_s()) if known else {}
+        return lease_messages.LoadReply(rates)
+
     def _send(self, key, slot: slots.Slot, ask: messages.SendKeyed) -> None:
         target = slot.target
         slot.sent()
+        service_id, shard = key
+        shard_loads = self._loads_by_service_id.get(service_id)
+        if shard_loads is None:
+            shard_loads = loads.ShardLoads(self._clock.now_s())
+            self._loads_by_service_id[service_id] = shard_loads
+        shard_loads.record(shard)
         permit = ports.Permit(
             self._clock,
             self._right.valid_until_s,
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -157,6 +157,13 @@
     body: object
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class DescribeLoads(tasks.Ask):
+    """Asks the keeper for loads of shards; the reply is a `LoadReply`."""
+
+    service_id: str
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class DescribeRight(tasks.Ask):
     """Asks the guardian for its state; the reply is a dict for JSON."""
--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -5,9 +5,11 @@
 from typing import Any
 
 from oriolefold_backend import ports as backend_ports
-from oriolefold_coordination import planning, shardmap
+from oriolefold_coordination import loads, planning, shardmap
+from oriolefold_coordination import messages as lease_messages
 from oriolefold_core import data, errors, notices, tasks
 from oriolefold_ownership import messages, names
+from oriolefold_peer import messages as peer_messages
 from oriolefold_store import ports, updates
 from oriolefold_telemetry import logs
 
@@ -18,6 +20,8 @@
 URGENT_DELAY_S = 0.05  # Gathers events that come together into one write.
 RETRY_INTERVAL_S = 0.5
 PROBE_INTERVAL_S = 1.0
+BALANCE_INTERVAL_S = 2.0
+LOAD_TIMEOUT_S = 0.5
 PROBES_TO_RETURN = 3  # Good answers in a row before a lost instance is used.
 
 
@@ -28,6 +32,18 @@
         self.service_id = service_id
 
 
+class _Balance:
+    """Message: time to look whether shards should move."""
+
+
+class _Weighed:
+    """Message: the loads of the shards of a service are known."""
+
+    def __init__(self, service_id: str, weights: tuple[float, ...]):
+        self.service_id = service_id
+        self.weights = weights
+
+
 class _Written:
     """Message: a try to write a map has ended."""
 
@@ -57,6 +73,7 @@
         store: ports.Store,
         backend: backend_ports.Backend,
         observer: tasks.Task,
+        peers: tasks.Task,
     ):
         """Makes the task.
 
@@ -65,12 +82,14 @@
             store: Port to the store.
             backend: Port to the instances, for probes.
             observer: Task that gets each map that this one has written.
+            peers: Task that calls other VMs, for the loads of their shards.
         """
         super().__init__('planner')
         self._vm_id = vm_id
         self._store = store
         self._backend = backend
         self._observer = observer
+        self._peers = peers
         self._configuration: data.Configuration | None = None
         self._stored_by_service_id: dict[str, messages.MapStored] = {}
         self._lost_epochs_by_id: dict[str, int] = {}
@@ -82,8 +101,9 @@
         self._writing: set[str] = set()
 
     async def on_start(self) -> None:
-        """Starts the probes."""
+        """Starts the probes and the looks at the loads."""
         self.post_later(PROBE_INTERVAL_S, _Probe())
+        self.post_later(BALANCE_INTERVAL_S, _Balance())
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -111,6 +131,10 @@
                 self._writing.discard(message.service_id)
                 if message.retry:
                     self._consider(message.service_id, RETRY_INTERVAL_S)
+            case _Balance():
+                self._balance()
+            case _Weighed():
+                self._move(message)
             case _Probe():
                 self._probe()
             case _Probed():
@@ -178,17 +202,21 @@
         self._writing.add(service_id)
         self.spawn(self._write(service_id))
 
-    async def _write(self, service_id: str) -> None:
+    async def _write(
+        self, service_id: str, weights: tuple[float, ...] = ()
+    ) -> None:
         retry = False
         try:
             stored = self._stored_by_service_id.get(service_id)
-            if stored and self._next_map(service_id, stored.shard_map) is None:
-                return
+            if stored:
+                known = stored.shard_map
+                if self._next_map(service_id, known, weights) is None:
+                    return
             # What is known may be old, so a change starts from what is stored.
             document = await updates.read(
                 self._store, names.map_name(service_id)
             )
-            planned = self._next_map(service_id, _map_of(document))
+            planned = self._next_map(service_id, _map_of(document), weights)
             if planned is not None:
                 await self._store_map(document, planned)
         except errors.VersionConflictError:
@@ -202,15 +230,23 @@
             self.post(_Written(service_id, retry))
 
     def _next_map(
-        self, service_id: str, current: shardmap.ShardMap | None
+        self,
+        service_id: str,
+        current: shardmap.ShardMap | None,
+        weights: tuple[float, ...],
     ) -> shardmap.ShardMap | None:
-        """Returns the map to write, or None if the present one is good."""
+        """Returns the map to write, or None if the present one is good.
+
+        Shards that need not move do so only if their loads are given.
+        """
         acquired = self._acquired_by_service_id.get(service_id, {})
         base = planning.confirm(current, acquired) if current else None
         situation = planning.Situation(
             self._configuration,
             self._live_vm_ids(),
             self._excluded_ids(current),
+            weights,
+            may_move=bool(weights),
         )
         planned = planning.plan(service_id, base, situation)
         if current is not None and planned.rows == current.rows:
@@ -240,6 +276,50 @@
         )
         self._observer.post(messages.MapStored(document, written))
 
+    def _balance(self) -> None:
+        """Has the first of the live VMs look at the loads of the shards."""
+        self.post_later(BALANCE_INTERVAL_S, _Balance())
+        if self._configuration is None or self._rank_delay_s() > 0:
+            return
+        for service_id, stored in self._stored_by_service_id.items():
+            self.spawn(self._weigh(service_id, stored.shard_map.shard_count))
+
+    async def _weigh(self, service_id: str, shard_count: int) -> None:
+        request = lease_messages.LoadRequest(service_id)
+        replies = await asyncio.gather(
+            *(self._ask_load(vm_id, request) for vm_id in self._live_vm_ids())
+        )
+        rates_by_shard: dict[int, float] = {}
+        for reply in replies:
+            for shard, rate in reply.rates_by_shard.items():
+                known = rates_by_shard.get(shard, 0.0)
+                rates_by_shard[shard] = known + rate
+        weights = loads.weights_of(rates_by_shard, shard_count)
+        self.post(_Weighed(service_id, weights))
+
+    async def _ask_load(self, vm_id, request) -> lease_messages.LoadReply:
+        try:
+            async with asyncio.timeout(LOAD_TIMEOUT_S):
+                return await self._peers.ask(
+                    peer_messages.CallPeer(vm_id, request)
+                )
+        except (errors.OriolefoldError, TimeoutError):
+            return lease_messages.LoadReply({})
+
+    def _move(self, weighed: _Weighed) -> None:
+        service_id = weighed.service_id
+        service = self._configuration.register.services_by_id.get(service_id)
+        if service is None or service_id in self._writing:
+            return
+        shard_map = self._stored_by_service_id[service_id].shard_map
+        usable = set(service.instances_by_id) - self._excluded_ids(shard_map)
+        owner_ids = tuple(row.owner_id for row in shard_map.rows)
+        if not usable or not set(owner_ids) <= usable:
+            return
+        if loads.needs_moves(owner_ids, weighed.weights, tuple(usable)):
+            self._writing.add(service_id)
+            self.spawn(self._write(service_id, weighed.weights))
+
     def _probe(self) -> None:
         self.post_later(PROBE_INTERVAL_S, _Probe())
         if self._configuration is None or self._rank_delay_s() > 0:
--- /dev/null
+++ b/libs/ownership/tests/test_planner.py
@@ -0,0 +1,94 @@
+"""Tests of oriolefold_ownership.planner with a store in memory."""
+
+import collections
+
+from oriolefold_backend import memory as backend_memory
+from oriolefold_coordination import messages as lease_messages
+from oriolefold_core import errors, notices, tasks
+from oriolefold_ownership import messages, planner
+from oriolefold_store import memory as store_memory
+from oriolefold_testbed import basecase
+
+
+class _LoadedPeers(tasks.Task):
+    """Stands in for the peers; one of them has all the traffic."""
+
+    def __init__(self):
+        super().__init__('peers')
+        self.rates_by_shard = {}
+
+    async def handle(self, message):
+        if message.vm_id == 'vm0':
+            message.answer(lease_messages.LoadReply(self.rates_by_shard))
+        else:
+            message.fail(errors.UnreachableError('not there'))
+
+
+class PlannerTest(basecase.AsyncCase):
+    """Maps follow losses at once and loads after a while, in few writes."""
+
+    async def asyncSetUp(self):
+        self.store = store_memory.MemoryStore()
+        self.backend = backend_memory.MemoryBackend()
+        self.peers = _LoadedPeers()
+        self.observer = basecase.RecordingTask()
+        self.planner = planner.Planner(
+            'vm0', self.store, self.backend, self.observer, self.peers
+        )
+        # What the planner writes comes back to it, as by the watch.
+        self.observer.post = self.take
+        self.maps = []
+        await self.start(self.peers, self.planner)
+        configuration = basecase.configuration(basecase.register())
+        self.planner.post(notices.ConfigurationInForce(configuration))
+        await self.wait_for(lambda: self.maps)
+
+    def take(self, stored):
+        self.maps.append(stored.shard_map)
+        self.planner.post(stored)
+
+    def owners(self):
+        return collections.Counter(row.owner_id for row in self.maps[-1].rows)
+
+    async def test_lost_server_is_replaced_in_one_write(self):
+        writes = self.store.writes
+        epoch = self.maps[-1].epoch
+        for _ in range(3):
+            self.planner.post(messages.InstanceLost('s1', epoch))
+        await self.wait_for(lambda: 's1' not in self.owners())
+        self.assertEqual(self.store.writes, writes + 1)
+        self.assertEqual(self.maps[-1].excluded_ids, {'s1'})
+
+    async def test_old_news_of_a_loss_changes_nothing(self):
+        epoch = self.maps[-1].epoch
+        self.planner.post(messages.InstanceLost('s1', epoch - 1))
+        self.planner.post(messages.InstanceLost('s2', epoch))
+        await self.wait_for(lambda: 's2' not in self.owners())
+        self.assertIn('s1', self.owners())
+
+    async def test_lost_server_is_used_again_after_good_probes(self):
+        self.backend.instance('s1').up = False
+        epoch = self.maps[-1].epoch
+        self.planner.post(messages.InstanceLost('s1', epoch))
+        await self.wait_for(lambda: 's1' not in self.owners())
+        self.backend.instance('s1').up = True
+        await self.wait_for(lambda: self.owners()['s1'])
+
+    async def test_store_outage_delays_the_plan(self):
+        self.store.down = True
+        epoch = self.maps[-1].epoch
+        self.planner.post(messages.InstanceLost('s1', epoch))
+        await self.wait_for(lambda: self.store.reads > 3)
+        self.store.down = False
+        await self.wait_for(lambda: 's1' not in self.owners())
+
+    async def test_loads_move_shards_off_the_fullest(self):
+        rows = self.maps[-1].rows
+        busy = [i for i, row in enumerate(rows) if row.owner_id == 's0']
+        self.peers.rates_by_shard = dict.fromkeys(busy, 100.0)
+        await self.wait_for(
+            lambda: (
+                sum(self.maps[-1].rows[i].owner_id == 's0' for i in busy)
+                < len(busy)
+            )
+        )
