Keep stored bodies of maps and old objects out of the way

Cause: the planner kept the JSON of each map beside the map, and full garbage collections visited modules and models again and again while requests waited.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -8,7 +8,13 @@
 from oriolefold_coordination import lease
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_core import clock, data, errors
-from oriolefold_daemon import admin, configuration, settings, vmlist
+from oriolefold_daemon import (
+    admin,
+    configuration,
+    memory,
+    settings,
+    vmlist,
+)
 from oriolefold_gateway import dispatcher, frontend, peering
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_ownership import (
@@ -159,6 +165,8 @@
             await task.start()
         self._admin.start()
         self._frontend.start(reuse_port=False)
+        loop = asyncio.get_running_loop()
+        loop.call_later(memory.SETTLE_S, memory.settle)
         logs.event('daemon.started', vm=self._values.vm_id)
 
     async def run(self) -> None:
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -5,7 +5,6 @@
 from oriolefold_backend import ports
 from oriolefold_coordination import messages, protocol, shardmap
 from oriolefold_core import data, tasks
-from oriolefold_store import updates
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -174,11 +173,11 @@
     """A shard map was found in the store.
 
     Attributes:
-        document: The stored document, which a conditional update quotes.
+        version: Version of the stored object.
         shard_map: The map in it.
     """
 
-    document: updates.Document
+    version: int
     shard_map: shardmap.ShardMap
 
 
--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -178,7 +178,7 @@
     def _take_stored(self, stored: messages.MapStored) -> None:
         service_id = stored.shard_map.service_id
         known = self._stored_by_service_id.get(service_id)
-        if known and known.document.version >= stored.document.version:
+        if known and known.version >= stored.version:
             return
         self._stored_by_service_id[service_id] = stored
         if self._configuration is not None:
@@ -274,7 +274,7 @@
         logs.event(
             'map.written', service=written.service_id, epoch=written.epoch
         )
-        self._observer.post(messages.MapStored(document, written))
+        self._observer.post(messages.MapStored(document.version, written))
 
     def _balance(self) -> None:
         """Has the first of the live VMs look at the loads of the shards."""
--- a/libs/ownership/src/oriolefold_ownership/watcher.py
+++ b/libs/ownership/src/oriolefold_ownership/watcher.py
@@ -78,7 +78,9 @@
                 for stored in message.objects:
                     self._take(stored)
             case messages.MapStored():
-                self._take_map(message.document)
+                name = names.map_name(message.shard_map.service_id)
+                if self._is_newer(name, message.version):
+                    self._publish_map(message)
 
     async def _watch(self) -> None:
         revision = 0
@@ -99,29 +101,31 @@
             document = updates.opened(stored)
             if stored.name.startswith(names.MAP_PREFIX):
                 self._take_map(document)
-            elif self._is_newer(document):
+            elif self._is_newer(document.name, document.version):
                 self._take_other(document)
         except errors.ConfigurationError as error:
             # What is in force stays so; the object can be repaired and is then
             # read again in its next version.
             logs.event('object.invalid', name=stored.name, error=str(error))
 
-    def _is_newer(self, document: updates.Document) -> bool:
-        known = self._versions_by_name.get(document.name, 0)
-        if document.version <= known:
+    def _is_newer(self, name: str, version: int) -> bool:
+        if version <= self._versions_by_name.get(name, 0):
             return False
-        self._versions_by_name[document.name] = document.version
+        self._versions_by_name[name] = version
         return True
 
     def _take_map(self, document: updates.Document) -> None:
-        if not self._is_newer(document):
+        if not self._is_newer(document.name, document.version):
             return
         shard_map = shardmap.from_record(
             json.loads(document.body), document.name
         )
-        self._planner.post(messages.MapStored(document, shard_map))
+        self._publish_map(messages.MapStored(document.version, shard_map))
+
+    def _publish_map(self, stored: messages.MapStored) -> None:
+        self._planner.post(stored)
         for subscriber in self._map_subscribers:
-            subscriber.post(coordination_notices.MapInForce(shard_map))
+            subscriber.post(coordination_notices.MapInForce(stored.shard_map))
 
     def _take_other(self, document: updates.Document) -> None:
         if document.name == names.CONFIGURATION:
