Tell a lost request from one that was never sent

Cause: the failure test that kills all VMs at once found two requests told as not run that had run. Curl sends an idempotent request again by itself when a kept connection closes; if the second try cannot connect, its error looked like proof that nothing was sent. The prober saw it at the entry VM, and the path to servers had the same fault. Change: the hook that curl calls before each write notes it, and only without a write does a failed connection count as not sent. Ruled out: a wrong answer of the daemon, since the status was that of the client itself. Conclusion: a real false 'not run' is closed for every HTTP hop.

--- a/libs/backend/src/oriolefold_backend/http.py
+++ b/libs/backend/src/oriolefold_backend/http.py
@@ -54,7 +54,7 @@
                 may_send=may_send,
             )
         except errors.OriolefoldError as error:
-            if lapsed:
+            if lapsed and isinstance(error, errors.UnreachableError):
                 text = 'the right to send lapsed'
                 raise errors.NoOwnerError(text) from error
             error.message = f'{instance.instance_id}: {error.message}'
--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -78,10 +78,14 @@
             UnreachableError: If nothing was sent.
             OutcomeUnknownError: If no whole answer came back.
         """
+        written = False
 
         def check(*_) -> int:
-            allowed = may_send()
-            return pycurl.PREREQFUNC_OK if allowed else pycurl.PREREQFUNC_ABORT
+            nonlocal written
+            if may_send is not None and not may_send():
+                return pycurl.PREREQFUNC_ABORT
+            written = True
+            return pycurl.PREREQFUNC_OK
 
         handle: pycurl.Curl | None = None
 
@@ -91,8 +95,7 @@
             curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.PATH_AS_IS, 1)
             curl.setopt(pycurl.FRESH_CONNECT, 1 if once else 0)
-            if may_send is not None:
-                curl.setopt(pycurl.PREREQFUNCTION, check)
+            curl.setopt(pycurl.PREREQFUNCTION, check)
 
         request = httpclient.HTTPRequest(
             url,
@@ -115,7 +118,9 @@
             fetching.add_done_callback(_take_result)
             raise
         except curl_httpclient.CurlError as error:
-            if error.errno in _NOTHING_SENT:
+            # Curl may have sent the request on a kept connection and failed
+            # to connect for a second try, which then proves nothing.
+            if error.errno in _NOTHING_SENT and not written:
                 raise errors.UnreachableError(str(error)) from error
             raise errors.OutcomeUnknownError(str(error)) from error
 
