--- a/libs/coordination/tests/test_planning.py
+++ b/libs/coordination/tests/test_planning.py
@@ -127,8 +127,8 @@
 class SlotTest(basecase.BaseCase):
     """A slot never lets two owners overlap."""
 
-    @given(st.lists(st.integers(0, 6), max_size=40))
-    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(st.integers(0, 6), min_size=20, max_size=60))
+    @settings(max_examples=1000, deadline=None, derandomize=True)
     def test_requests_go_only_to_the_one_granted_owner(self, steps):
         slot = slots.Slot()
         granted, in_flight, pending = None, [], slots.Step.NOTHING
