--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import tempfile
-import xml.etree.ElementTree as element_tree
+import xml.etree.ElementTree
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
@@ -52,7 +52,7 @@
 
 def read_report(report: pathlib.Path) -> dict:
     """Reads a JUnit report."""
-    cases = list(element_tree.parse(report).getroot().iter('testcase'))
+    cases = list(xml.etree.ElementTree.parse(report).getroot().iter('testcase'))
     failed = []
     skipped = 0
     for case in cases:
