--- /dev/null
+++ b/libs/coordination/src/oriolefold_coordination/custody.py
@@ -0,0 +1,302 @@
+"""Grants of key ranges to instances that check fencing tokens.
+
+One VM, the coordinator of the service, decides at a time. The key map in the
+object store is written before any call to an instance, with a higher token for
+each range that moves and with everybody who may still hold the range. Those
+are asked to release it, or their holds have to run out, before the new owner
+is granted the range. Several coordinators that work on the same map make the
+same calls, which does no harm; one that lost its office stops after
+`AUTHORITY_S` at the latest, so that holds it renewed have a known end.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from oriolefold_coordination import allotment, ranges
+
+HOLD_S = 5.0  # Length of a hold; longer than a takeover of the office.
+RENEWAL_S = 0.8  # Pause between renewals of a hold.
+REPEAT_S = 0.25  # Pause before a call without an answer is repeated.
+CLOCK_DRIFT = 0.02  # An instance's clock may run this much too slow.
+ARRIVAL_MARGIN_S = 0.1  # Transit time of a call that was given up.
+AUTHORITY_S = 8.0  # Time that a coordinator acts on after its last heartbeat.
+UNREACHABLE_S = 1.6  # Time without answers after which keys are moved away.
+FORGIVEN_S = 4.0  # Time after which an instance may be granted keys again.
+BALANCE_S = 2.0  # Pause between voluntary moves.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Call to make: grant or renew a range.
+
+    Attributes:
+        key_range: The range with its owner and token.
+        handover: State that the last holder handed over, or an empty string.
+    """
+
+    key_range: ranges.KeyRange
+    handover: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Call to make: ask a former holder to give a range up.
+
+    Attributes:
+        key_range: The range with the token of its next owner, which makes the
+            former holder refuse late renewals.
+        holder: The former holder.
+    """
+
+    key_range: ranges.KeyRange
+    holder: ranges.Holder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publish:
+    """Write to make: store a new key map."""
+
+    key_map: ranges.KeyMap
+
+
+@dataclasses.dataclass(slots=True)
+class _Hold:
+    """Latest time at which a holder may hold a range."""
+
+    first: int
+    last: int
+    until_s: float
+
+
+def hold_end_s(call_ended_s: float) -> float:
+    """Returns when a hold has surely ended.
+
+    Args:
+        call_ended_s: When the call was answered or its connection closed.
+    """
+    return call_ended_s + HOLD_S / (1 - CLOCK_DRIFT) + ARRIVAL_MARGIN_S
+
+
+class Custodian:
+    """State of the coordinator of one service; makes no calls itself."""
+
+    def __init__(
+        self,
+        key_map: ranges.KeyMap,
+        inherited_until_s: float,
+    ):
+        """Takes the office.
+
+        Args:
+            key_map: The map as the store has it.
+            inherited_until_s: Until when holds may last that an earlier
+                coordinator granted.
+        """
+        self.key_map = key_map
+        self._inherited_until_s = inherited_until_s
+        self._candidates: tuple[allotment.Candidate, ...] = ()
+        self._ids_by_address: dict[str, str] = {}
+        self._born_by_id: dict[str, int] = {}
+        self._holds_by_life: dict[tuple, list[_Hold]] = {}
+        self._handovers: dict[tuple, dict[tuple, str]] = {}
+        self._granted: set[tuple] = set()
+        self._calls: set[tuple] = set()
+        self._next_call_s: dict[tuple, float] = {}
+        self._silent_since_s: dict[tuple, float] = {}
+        self._avoided_until_s: dict[tuple, float] = {}
+        self._publishing: ranges.KeyMap | None = None
+        self._balance_at_s = 0.0
+
+    def update(
+        self,
+        candidates: Sequence[allotment.Candidate],
+        registered: Sequence[ranges.Holder],
+    ) -> None:
+        """Takes who may own keys and who is registered at all."""
+        self._candidates = tuple(candidates)
+        self._ids_by_address = {h.address: h.instance_id for h in registered}
+        self._born_by_id = {h.instance_id: h.born_ms for h in registered}
+
+    def step(self, now_s: float, weights: Sequence[float]) -> list:
+        """Returns what has to be done now: grants, releases, a write."""
+        actions = []
+        if self._publishing is None:
+            changed = self._next_map(now_s, weights)
+            if changed is not self.key_map:
+                self._publishing = changed
+                actions.append(Publish(changed))
+        for key_range in self.key_map.ranges:
+            actions.extend(self._work_on(key_range, now_s))
+        return actions
+
+    def is_held(self, key_range: ranges.KeyRange) -> bool:
+        """Whether the owner has acknowledged the range."""
+        return _key(key_range) in self._granted
+
+    def published(self, key_map: ranges.KeyMap) -> None:
+        """Takes the success of a write."""
+        self._publishing = None
+        self.key_map = key_map
+        keys = {_key(r) for r in key_map.ranges}
+        self._granted &= keys
+        self._handovers = {
+            k: v for k, v in self._handovers.items() if k in keys
+        }
+
+    def publishing_failed(self) -> None:
+        """Takes the failure of a write that is known to have no effect."""
+        self._publishing = None
+
+    def grant_ended(
+        self,
+        grant: Grant,
+        answered: bool,
+        stale: bool,
+        now_s: float,
+    ) -> None:
+        """Takes the end of a grant.
+
+        Args:
+            grant: The call.
+            answered: Whether the instance took it.
+            stale: Whether the instance has seen a higher token.
+            now_s: Present time.
+        """
+        key_range = grant.key_range
+        key = _key(key_range)
+        life = _life(key_range.owner)
+        self._calls.discard(('grant', key))
+        if not stale:
+            self._extend(life, key_range, hold_end_s(now_s))
+        pause_s = RENEWAL_S if answered else REPEAT_S
+        self._next_call_s[key] = now_s + pause_s
+        if answered:
+            self._granted.add(key)
+            self._silent_since_s.pop(life, None)
+        elif stale:
+            # Another coordinator moved the range; the store tells where to.
+            self._avoided_until_s[life] = now_s + UNREACHABLE_S
+        else:
+            since_s = self._silent_since_s.setdefault(life, now_s)
+            if now_s - since_s > UNREACHABLE_S:
+                self._avoided_until_s[life] = now_s + FORGIVEN_S
+
+    def release_ended(
+        self, release: Release, handover: str | None, now_s: float
+    ) -> None:
+        """Takes the end of a release.
+
+        Args:
+            release: The call.
+            handover: What the former holder handed over, an empty string if it
+                gave the range up without, or None if it did not answer.
+            now_s: Present time.
+        """
+        key = _key(release.key_range)
+        life = _life(release.holder)
+        self._calls.discard(('release', key, life))
+        self._next_call_s[(key, life)] = now_s + REPEAT_S
+        if handover is not None:
+            self._handovers.setdefault(key, {})[life] = handover
+
+    def _next_map(self, now_s: float, weights) -> ranges.KeyMap:
+        self._avoided_until_s = {
+            life: until_s
+            for life, until_s in self._avoided_until_s.items()
+            if until_s > now_s
+        }
+        candidates = [
+            c
+            for c in self._candidates
+            if _life(c.holder) not in self._avoided_until_s
+        ]
+        settled = all(not r.priors for r in self.key_map.ranges)
+        may_balance = settled and now_s >= self._balance_at_s
+        changed = allotment.allot(
+            self._settle(), candidates, weights, may_balance
+        )
+        if may_balance and changed is not self.key_map:
+            self._balance_at_s = now_s + BALANCE_S
+        if changed == self.key_map:
+            return self.key_map
+        return changed
+
+    def _settle(self) -> ranges.KeyMap:
+        """Returns the map without former holders of ranges that are held."""
+        settled = tuple(
+            dataclasses.replace(r, priors=())
+            if r.priors and _key(r) in self._granted
+            else r
+            for r in self.key_map.ranges
+        )
+        return dataclasses.replace(self.key_map, ranges=settled)
+
+    def _work_on(self, key_range: ranges.KeyRange, now_s: float) -> list:
+        key = _key(key_range)
+        actions = []
+        free = True
+        for prior in key_range.priors:
+            if key in self._granted or self._is_free(key_range, prior, now_s):
+                continue
+            free = False
+            call = ('release', key, _life(prior))
+            due_s = self._next_call_s.get((key, _life(prior)), 0.0)
+            if call not in self._calls and now_s >= due_s:
+                self._calls.add(call)
+                actions.append(Release(key_range, prior))
+        call = ('grant', key)
+        due_s = self._next_call_s.get(key, 0.0)
+        if free and call not in self._calls and now_s >= due_s:
+            self._calls.add(call)
+            actions.append(Grant(key_range, self._handover(key_range)))
+        return actions
+
+    def _is_free(self, key_range, prior: ranges.Holder, now_s: float) -> bool:
+        if _life(prior) in self._handovers.get(_key(key_range), {}):
+            return True
+        if self._has_ended(prior):
+            return True
+        for call in self._calls:
+            if call[0] == 'grant' and _overlap(call[1], key_range):
+                # A renewal under way may yet arrive.
+                return False
+        until_s = self._inherited_until_s
+        for hold in self._holds_by_life.get(_life(prior), ()):
+            if hold.first <= key_range.last and hold.last >= key_range.first:
+                until_s = max(until_s, hold.until_s)
+        return now_s >= until_s
+
+    def _has_ended(self, prior: ranges.Holder) -> bool:
+        """Whether the registry proves that a life of an instance is over."""
+        born_ms = self._born_by_id.get(prior.instance_id, prior.born_ms)
+        if born_ms > prior.born_ms:
+            return True
+        at_address = self._ids_by_address.get(prior.address)
+        return at_address is not None and at_address != prior.instance_id
+
+    def _handover(self, key_range) -> str:
+        handovers = self._handovers.get(_key(key_range), {})
+        for prior in key_range.priors:
+            if handovers.get(_life(prior)):
+                return handovers[_life(prior)]
+        return ''
+
+    def _extend(self, life, key_range, until_s: float) -> None:
+        holds = self._holds_by_life.setdefault(life, [])
+        for hold in holds:
+            if hold.first == key_range.first and hold.last == key_range.last:
+                hold.until_s = max(hold.until_s, until_s)
+                return
+        holds.append(_Hold(key_range.first, key_range.last, until_s))
+
+
+def _key(key_range: ranges.KeyRange) -> tuple:
+    return key_range.first, key_range.last, key_range.token
+
+
+def _overlap(key: tuple, key_range: ranges.KeyRange) -> bool:
+    return key[0] <= key_range.last and key[1] >= key_range.first
+
+
+def _life(holder: ranges.Holder) -> tuple[str, int]:
+    return holder.instance_id, holder.born_ms
--- /dev/null
+++ b/libs/coordination/src/oriolefold_coordination/office.py
@@ -0,0 +1,62 @@
+"""Who coordinates a service: an office that is held by heartbeats in the store.
+
+The heartbeat is a conditional update, so at most one VM can prolong the office
+at a time. A VM that sees the same heartbeat for long takes the office over.
+"""
+
+import dataclasses
+
+HEARTBEAT_S = 1.0  # Pause between heartbeats of the holder.
+TAKEOVER_S = 2.6  # Time without a new heartbeat after which others take over.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenure:
+    """Content of the office's object.
+
+    Attributes:
+        vm_id: VM that holds the office, or an empty string after a resignation.
+        incarnation: Start of its process, by a random name.
+        beat: Rises with each heartbeat.
+    """
+
+    vm_id: str
+    incarnation: str
+    beat: int
+
+
+class Vigil:
+    """What a VM without the office sees of it."""
+
+    def __init__(self, vm_id: str, incarnation: str):
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._version = -1
+        self._seen_at_s = 0.0
+
+    def observe(self, version: int, tenure: Tenure, now_s: float) -> bool:
+        """Takes a reading of the office.
+
+        Args:
+            version: Version of the object.
+            tenure: Its content.
+            now_s: Present time.
+
+        Returns:
+            Whether the office may be taken over.
+        """
+        if version > self._version:
+            self._version = version
+            self._seen_at_s = now_s
+        elif version < self._version:
+            # A stale reading tells nothing.
+            return False
+        if not tenure.vm_id:
+            return True
+        if (
+            tenure.vm_id == self._vm_id
+            and tenure.incarnation != self._incarnation
+        ):
+            # An earlier process of this VM held it.
+            return True
+        return now_s - self._seen_at_s > TAKEOVER_S
--- /dev/null
+++ b/libs/coordination/src/oriolefold_coordination/ranges.py
@@ -0,0 +1,68 @@
+"""Ranges of keys and the instances that hold them."""
+
+import bisect
+import dataclasses
+
+KEY_COUNT = 65536  # Keys are numbers from 0 to 65535.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """One life of an instance that holds or held keys.
+
+    Attributes:
+        instance_id: Name of the instance.
+        born_ms: Start of this life, Unix time in milliseconds.
+        address: Where it takes grants, as `host:port`.
+    """
+
+    instance_id: str
+    born_ms: int
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Neighbouring keys with one owner.
+
+    Attributes:
+        first: First key.
+        last: Last key, inclusive.
+        owner: Who holds or is to hold the keys.
+        token: Fencing token of the owner.
+        priors: Who may still hold the keys and has to give them up first;
+            empty once the owner holds them.
+    """
+
+    first: int
+    last: int
+    owner: Holder
+    token: int
+    priors: tuple[Holder, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyMap:
+    """Owners of all keys of a service.
+
+    Attributes:
+        service_id: The service.
+        next_token: Lowest fencing token that was never used.
+        ranges: Ranges in rising order without gaps; empty before the first
+            assignment.
+    """
+
+    service_id: str
+    next_token: int = 1
+    ranges: tuple[KeyRange, ...] = ()
+
+    def range_of(self, key: int) -> KeyRange | None:
+        """Returns the range that a key is in."""
+        if not self.ranges or not 0 <= key < KEY_COUNT:
+            return None
+        index = bisect.bisect_right(self.ranges, key, key=_first) - 1
+        return self.ranges[index]
+
+
+def _first(key_range: KeyRange) -> int:
+    return key_range.first
--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -23,6 +23,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     NO_OWNER = 'no-owner'
     NOT_HOME = 'not-home'
+    MISDIRECTED = 'misdirected'
     OVERLOADED = 'overloaded'
     UNREACHABLE = 'unreachable'
     STALE_TOKEN = 'stale-token'
@@ -33,6 +34,7 @@
     STORE_ANSWER_LOST = 'store-answer-lost'
     VERSION_CONFLICT = 'version-conflict'
     BUDGET_EXCEEDED = 'budget-exceeded'
+    HISTORY_LOST = 'history-lost'
     NOT_FOUND = 'not-found'
     CONFIGURATION = 'configuration'
     PROTOCOL = 'protocol'
@@ -81,9 +83,14 @@
 
 
 class NotRunError(OriolefoldError):
-    """The request was refused and is known not to have run."""
+    """The request was refused and is known not to have run.
+
+    Attributes:
+        retry_after_s: When the caller may come back, in seconds.
+    """
 
     category = Category.OVERLOADED
+    retry_after_s = 1.0
 
 
 class NoOwnerError(NotRunError):
@@ -98,6 +105,12 @@
     category = Category.NOT_HOME
 
 
+class MisdirectedError(NotRunError):
+    """The instance is another one, or does not hold the key."""
+
+    category = Category.MISDIRECTED
+
+
 class OverloadedError(NotRunError):
     """A limit was reached before the request was sent."""
 
@@ -158,6 +171,12 @@
     category = Category.VERSION_CONFLICT
 
 
+class HistoryLostError(StoreError):
+    """The store no longer keeps the changes since a revision."""
+
+    category = Category.HISTORY_LOST
+
+
 class StoreBudgetError(StoreError):
     """The store refused a call over its rate limit."""
 
@@ -198,6 +217,7 @@
         Category.BODY_TOO_LARGE,
         Category.NO_OWNER,
         Category.NOT_HOME,
+        Category.MISDIRECTED,
         Category.OVERLOADED,
         Category.UNREACHABLE,
         Category.STALE_TOKEN,
@@ -215,6 +235,7 @@
         BodyTooLargeError,
         NoOwnerError,
         NotHomeError,
+        MisdirectedError,
         OverloadedError,
         UnreachableError,
         StaleTokenError,
--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -0,0 +1,218 @@
+"""Application object of a direct entry VM with its life-cycle hooks."""
+
+import asyncio
+import dataclasses
+import random
+import uuid
+from collections.abc import Sequence
+
+from oriolefold_core import clock, data, tasks
+from oriolefold_direct import (
+    coordinator,
+    coordinators,
+    dispatcher,
+    ports,
+    status,
+    watching,
+)
+from oriolefold_gateway import frontend
+from oriolefold_routing import attempts, fleet, policy
+from oriolefold_store import ports as store_ports
+from oriolefold_telemetry import counters, logs
+
+FIRST_BODY_BYTES = 64 * 1024 * 1024  # Limit until a policy is known.
+IDLE_MARGIN = 1.2  # Idle time granted to callers, relative to the limit.
+READY_CHECK_S = 0.05  # Pause between looks at whether all is known.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectSettings:
+    """What a direct entry VM has to know at its start.
+
+    Attributes:
+        vm_id: Name of this VM.
+        vicinity: Where it stands.
+        caller_address: Where callers connect.
+        status_address: Where readiness and metrics are asked for.
+        ready_path: Path for readiness.
+        metrics_path: Path for metrics.
+        deadline_header: Header with the time that a caller will wait.
+        key_header: Header with the key of a request.
+        budget: Bounds on repeats.
+        leave_s: Time from the first sign of leaving until no caller comes.
+        stop_limit_s: Time that a stop may take.
+    """
+
+    vm_id: str
+    vicinity: fleet.Vicinity
+    caller_address: data.Address
+    status_address: data.Address
+    ready_path: str
+    metrics_path: str
+    deadline_header: str
+    key_header: str
+    budget: attempts.BudgetTerms
+    leave_s: float
+    stop_limit_s: float
+
+
+class _Limits(tasks.Task):
+    """Applies the limits of a policy to the front end."""
+
+    def __init__(self, server: frontend.Frontend):
+        super().__init__('limits')
+        self._server = server
+
+    async def handle(self, message) -> None:
+        """Handles one message."""
+        limits: policy.CallerLimits = message.policy.limits
+        self._server.limit(
+            limits.body_bytes, limits.idle_timeout_s * IDLE_MARGIN
+        )
+        logs.event(
+            'policy.in_force',
+            version=message.policy.version,
+            hosts=len(message.policy.routes_by_host),
+        )
+
+
+class Application:
+    """Makes the tasks, connects them, starts and stops them in order."""
+
+    def __init__(
+        self,
+        values: DirectSettings,
+        store: store_ports.Store,
+        instances: ports.Instances,
+        policy_reader: watching.Reader,
+        endpoint_reader: watching.Reader,
+        recorder: counters.Counters,
+    ):
+        """Makes the application.
+
+        Args:
+            values: Settings.
+            store: Object store.
+            instances: Port to the instances.
+            policy_reader: Reads the configuration.
+            endpoint_reader: Reads the registered instances.
+            recorder: Counts what happens.
+        """
+        self._values = values
+        self._store = store
+        self._instances = instances
+        self._stopping = asyncio.Event()
+        time = clock.BootClock()
+        generator = random.Random()
+        incarnation = uuid.uuid4().hex
+        self._dispatcher = dispatcher.Dispatcher(
+            values.vicinity,
+            values.key_header,
+            instances,
+            time,
+            values.budget,
+            recorder,
+            generator,
+        )
+        self._frontend = frontend.Frontend(
+            values.caller_address,
+            self._dispatcher,
+            FIRST_BODY_BYTES,
+            values.deadline_header,
+        )
+
+        def make(service_id: str) -> coordinator.Coordinator:
+            return coordinator.Coordinator(
+                service_id,
+                values.vm_id,
+                incarnation,
+                store,
+                instances,
+                self._dispatcher,
+                time,
+                recorder,
+                generator,
+            )
+
+        self._coordinators = coordinators.Coordinators(make)
+        limits = _Limits(self._frontend)
+        key_map_reader = watching.KeyMapReader()
+        self._watchers: Sequence[watching.Watcher] = [
+            watching.Watcher(store, reader, subscribers, time)
+            for reader, subscribers in (
+                (
+                    policy_reader,
+                    [self._dispatcher, self._coordinators, limits],
+                ),
+                (endpoint_reader, [self._dispatcher, self._coordinators]),
+                (key_map_reader, [self._dispatcher]),
+            )
+        ]
+        self._tasks: Sequence[tasks.Task] = [
+            self._dispatcher,
+            self._coordinators,
+            limits,
+            *self._watchers,
+        ]
+        self._status = status.StatusServer(
+            values.status_address,
+            values.ready_path,
+            values.metrics_path,
+            self.is_ready,
+            recorder,
+        )
+
+    def is_ready(self) -> bool:
+        """Whether this VM takes callers."""
+        return not self._stopping.is_set() and all(
+            watcher.synchronized for watcher in self._watchers
+        )
+
+    async def run(self) -> None:
+        """Runs until a stop is asked for, then stops gracefully."""
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Starts the tasks and opens the listening sockets.
+
+        Raises:
+            OSError: If an address cannot be listened on.
+        """
+        self._status.start()
+        self._frontend.start(reuse_port=False)
+        for task in self._tasks:
+            await task.start()
+        logs.event('daemon.started', vm=self._values.vm_id)
+
+    def ask_to_stop(self) -> None:
+        """Asks the daemon to finish what is under way and to end."""
+        self._stopping.set()
+
+    async def stop(self) -> None:
+        """Leaves the rotation, finishes the requests and ends the tasks."""
+        logs.event(
+            'daemon.stopping',
+            vm=self._values.vm_id,
+            in_flight=self._frontend.in_flight,
+        )
+        self._frontend.draining = True
+        try:
+            async with asyncio.timeout(self._values.stop_limit_s):
+                leaving = asyncio.sleep(self._values.leave_s)
+                await asyncio.gather(self._coordinators.resign(), leaving)
+                await self._frontend.drain()
+        except TimeoutError:
+            logs.event(
+                'daemon.stop_limit', in_flight=self._frontend.in_flight
+            )
+        await self._frontend.stop()
+        await self._status.stop()
+        for task in reversed(self._tasks):
+            await task.stop()
+        await self._instances.close()
+        await self._store.close()
+        logs.event('daemon.stopped', vm=self._values.vm_id)
+
+
--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -0,0 +1,358 @@
+"""Task that coordinates one keyed service while this VM holds the office."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Any
+
+from oriolefold_coordination import (
+    allotment,
+    custody,
+    keyload,
+    office,
+    ranges,
+)
+from oriolefold_core import clock, errors, tasks
+from oriolefold_direct import documents, messages, ports
+from oriolefold_routing import fleet
+from oriolefold_store import ports as store_ports
+from oriolefold_store import updates
+from oriolefold_telemetry import logs
+
+STEP_S = 0.1  # Pause between steps when nothing happens.
+READ_S = 1.0  # Mean pause between readings of the office by others.
+FIRST_READ_S = 0.3  # Longest pause before the first reading.
+SETTLE_S = 0.5  # Time for instances to register before the first assignment.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GrantEnded:
+    grant: custody.Grant
+    result: ports.GrantResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReleaseEnded:
+    release: custody.Release
+    result: ports.ReleaseResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Published:
+    document: updates.Document | None
+    key_map: ranges.KeyMap
+    error: errors.StoreError | None
+
+
+class Coordinator(tasks.Task):
+    """Owns the office and the grants of one service."""
+
+    def __init__(
+        self,
+        service_id: str,
+        vm_id: str,
+        incarnation: str,
+        store: store_ports.Store,
+        instances: ports.Instances,
+        dispatcher: tasks.Task,
+        time: clock.Clock,
+        recorder,
+        generator: random.Random,
+    ):
+        super().__init__(f'coordinator {service_id}')
+        self._service_id = service_id
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._store = store
+        self._instances = instances
+        self._dispatcher = dispatcher
+        self._clock = time
+        self._metrics = recorder
+        self._random = generator
+        self._vigil = office.Vigil(vm_id, incarnation)
+        self._office: updates.Document | None = None
+        self._beat = 0
+        self._authority_until_s = 0.0
+        self._custodian: custody.Custodian | None = None
+        self._map_document: updates.Document | None = None
+        self._endpoints: tuple[fleet.Endpoint, ...] = ()
+        self._weights = [keyload.IDLE_WEIGHT] * keyload.BUCKET_COUNT
+        self._weighed_at_s = 0.0
+        self._resigning = False
+
+    async def on_start(self) -> None:
+        """Starts to look after the office."""
+        self.spawn(self._serve())
+
+    async def resign(self) -> None:
+        """Gives the office up, so that another VM takes it at once."""
+        self._resigning = True
+        if self._custodian is None or self._office is None:
+            return
+        self._step_down('stopping')
+        tenure = office.Tenure('', self._incarnation, self._beat + 1)
+        try:
+            await updates.replace(
+                self._store, self._office, documents.tenure_text(tenure)
+            )
+        except errors.StoreError as error:
+            self._log('office.not_resigned', error=str(error))
+
+    async def handle(self, message: Any) -> None:
+        """Handles one message."""
+        match message:
+            case messages.EndpointsKnown():
+                self._endpoints = tuple(
+                    e
+                    for e in message.endpoints_by_id.values()
+                    if e.service_id == self._service_id
+                )
+                self._update_custodian()
+                self._step()
+            case _GrantEnded():
+                self._end_grant(message)
+            case _ReleaseEnded():
+                self._end_release(message)
+            case _Published():
+                self._end_publish(message)
+            case messages.Tick():
+                await self._weigh()
+                self._step()
+
+    async def _serve(self) -> None:
+        await asyncio.sleep(FIRST_READ_S * self._random.random())
+        while not self._resigning:
+            if self._custodian is None:
+                taken = await self._try_to_take_office()
+                if not taken:
+                    await asyncio.sleep(
+                        READ_S * (0.75 + 0.5 * self._random.random())
+                    )
+                continue
+            await self._prolong()
+            for _ in range(round(office.HEARTBEAT_S / STEP_S)):
+                self.post(messages.Tick())
+                await asyncio.sleep(STEP_S)
+
+    async def _try_to_take_office(self) -> bool:
+        name = documents.OFFICE_PREFIX + self._service_id
+        try:
+            found = await self._read_office(name)
+            if found is None:
+                return False
+            before, inherited = found
+            return await self._take_office(before, inherited)
+        except (errors.StoreError, errors.ConfigurationError) as error:
+            self._log('office.not_taken', error=str(error))
+            return False
+
+    async def _read_office(self, name: str):
+        """Returns the office to take and its last tenure, or None."""
+        try:
+            stored = await self._store.read_stale(name)
+        except errors.ObjectNotFoundError:
+            return updates.Document(name, store_ports.NEW_OBJECT, (), b''), None
+        document = updates.opened(stored)
+        tenure = documents.read_tenure(document.body, name)
+        now_s = self._clock.now_s()
+        if not self._vigil.observe(document.version, tenure, now_s):
+            return None
+        return document, tenure
+
+    async def _take_office(self, before, last: office.Tenure | None) -> bool:
+        now_s = self._clock.now_s()
+        self._beat = last.beat + 1 if last else 1
+        tenure = office.Tenure(self._vm_id, self._incarnation, self._beat)
+        try:
+            self._office = await updates.replace(
+                self._store, before, documents.tenure_text(tenure)
+            )
+        except errors.VersionConflictError:
+            return False
+        name = documents.KEY_MAP_PREFIX + self._service_id
+        self._map_document = await updates.read(self._store, name)
+        key_map = ranges.KeyMap(self._service_id)
+        if self._map_document.body:
+            key_map = documents.read_key_map(self._map_document.body, name)
+        self._authority_until_s = now_s + custody.AUTHORITY_S
+        inherited_until_s = custody.hold_end_s(self._clock.now_s())
+        if last is None and not key_map.ranges:
+            inherited_until_s = 0.0
+        elif last is not None and last.vm_id not in ('', self._vm_id):
+            # The last holder may still believe that it holds the office.
+            inherited_until_s += custody.AUTHORITY_S
+        self._custodian = custody.Custodian(key_map, inherited_until_s)
+        self._update_custodian()
+        self._log(
+            'office.taken',
+            last=last.vm_id if last else '',
+            version=self._office.version,
+            ranges=len(key_map.ranges),
+        )
+        if not key_map.ranges:
+            await asyncio.sleep(SETTLE_S)
+        return True
+
+    async def _prolong(self) -> None:
+        sent_at_s = self._clock.now_s()
+        tenure = office.Tenure(self._vm_id, self._incarnation, self._beat + 1)
+        try:
+            self._office = await updates.replace(
+                self._store, self._office, documents.tenure_text(tenure)
+            )
+        except errors.VersionConflictError:
+            self._step_down('another VM holds the office')
+        except errors.StoreError as error:
+            self._log('office.not_prolonged', error=str(error))
+        else:
+            self._beat += 1
+            self._authority_until_s = sent_at_s + custody.AUTHORITY_S
+
+    def _step_down(self, reason: str) -> None:
+        if self._custodian is not None:
+            self._log('office.left', reason=reason)
+        self._custodian = None
+
+    def _may_act(self) -> bool:
+        return (
+            self._custodian is not None
+            and self._clock.now_s() < self._authority_until_s
+        )
+
+    def _update_custodian(self) -> None:
+        if self._custodian is None:
+            return
+        candidates = [
+            allotment.Candidate(_holder(e), e.slots)
+            for e in self._endpoints
+            if not e.draining
+        ]
+        registered = [_holder(e) for e in self._endpoints]
+        self._custodian.update(candidates, registered)
+
+    async def _weigh(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s - self._weighed_at_s >= 1.0:
+            self._weighed_at_s = now_s
+            self._weights = await self._dispatcher.ask(
+                messages.ReadLoad(self._service_id)
+            )
+
+    def _step(self) -> None:
+        if not self._may_act():
+            return
+        now_s = self._clock.now_s()
+        for action in self._custodian.step(now_s, self._weights):
+            match action:
+                case custody.Grant():
+                    self.spawn(self._grant(action))
+                case custody.Release():
+                    self.spawn(self._release(action))
+                case custody.Publish():
+                    self.spawn(self._publish(action.key_map))
+
+    async def _grant(self, grant: custody.Grant) -> None:
+        result = ports.GrantResult.UNKNOWN
+        try:
+            result = await self._instances.grant(
+                grant.key_range, custody.HOLD_S, grant.handover, self._may_act
+            )
+        finally:
+            self._metrics.count_grant('grant', result.value)
+            self.post(_GrantEnded(grant, result))
+
+    async def _release(self, release: custody.Release) -> None:
+        result = ports.ReleaseResult(False)
+        try:
+            result = await self._instances.release(
+                release.key_range, release.holder
+            )
+        finally:
+            self._metrics.count_grant('release', str(result.released))
+            self.post(_ReleaseEnded(release, result))
+
+    async def _publish(self, key_map: ranges.KeyMap) -> None:
+        document, failure = None, None
+        try:
+            document = await updates.replace(
+                self._store,
+                self._map_document,
+                documents.key_map_text(key_map),
+            )
+        except errors.StoreError as error:
+            failure = error
+        self.post(_Published(document, key_map, failure))
+
+    def _end_grant(self, ended: _GrantEnded) -> None:
+        if self._custodian is None:
+            return
+        result = ended.result
+        self._custodian.grant_ended(
+            ended.grant,
+            result is ports.GrantResult.TAKEN,
+            result is ports.GrantResult.STALE,
+            self._clock.now_s(),
+        )
+        if result is not ports.GrantResult.TAKEN:
+            self._log_range('grant.failed', ended.grant.key_range, result.value)
+        elif ended.grant.key_range.priors:
+            self._log_range('grant.taken', ended.grant.key_range, result.value)
+        self._step()
+
+    def _end_release(self, ended: _ReleaseEnded) -> None:
+        if self._custodian is None:
+            return
+        result = ended.result
+        handover = result.handover if result.released else None
+        self._custodian.release_ended(
+            ended.release, handover, self._clock.now_s()
+        )
+        self._log_range(
+            'release.ended',
+            ended.release.key_range,
+            str(result.released),
+            holder=ended.release.holder.instance_id,
+        )
+        self._step()
+
+    def _end_publish(self, ended: _Published) -> None:
+        if self._custodian is None:
+            return
+        if ended.document is None:
+            self._custodian.publishing_failed()
+            self._log('key_map.not_written', error=str(ended.error))
+            if isinstance(ended.error, errors.VersionConflictError):
+                self._step_down('another VM wrote the key map')
+            return
+        self._map_document = ended.document
+        self._custodian.published(ended.key_map)
+        self._log(
+            'key_map.written',
+            version=ended.document.version,
+            next_token=ended.key_map.next_token,
+            moving=sum(1 for r in ended.key_map.ranges if r.priors),
+        )
+        self._dispatcher.post(
+            messages.KeyMapKnown(ended.key_map, ended.document.version)
+        )
+        self._step()
+
+    def _log_range(self, name, key_range, result: str, **fields) -> None:
+        self._log(
+            name,
+            first=key_range.first,
+            last=key_range.last,
+            token=key_range.token,
+            owner=key_range.owner.instance_id,
+            result=result,
+            **fields,
+        )
+
+    def _log(self, name: str, **fields) -> None:
+        logs.event(name, service=self._service_id, **fields)
+
+
+def _holder(endpoint: fleet.Endpoint) -> ranges.Holder:
+    return ranges.Holder(
+        endpoint.instance_id, endpoint.born_ms, str(endpoint.address)
+    )
--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -0,0 +1,58 @@
+"""Messages between the tasks of a direct entry VM."""
+
+import dataclasses
+
+from oriolefold_coordination import ranges
+from oriolefold_core import tasks
+from oriolefold_routing import fleet, policy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyInForce:
+    """A newer policy is to be acted on."""
+
+    policy: policy.Policy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointsKnown:
+    """The instances that are registered now."""
+
+    endpoints_by_id: dict[str, fleet.Endpoint]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyMapKnown:
+    """Who owns the keys of a service.
+
+    Attributes:
+        key_map: The owners.
+        version: Version of the stored map.
+    """
+
+    key_map: ranges.KeyMap
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wake:
+    """Time to look again at the requests that wait for a service."""
+
+    service_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time for the next periodic step."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ReadLoad(tasks.Ask):
+    """Asks for the load of the keys of a service by bucket."""
+
+    service_id: str
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class DescribeView(tasks.Ask):
+    """Asks what is in force here; the reply is a dict for JSON."""
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -13,7 +13,6 @@
 
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
-RETRY_AFTER_S = 1
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
 _METHODS = frozenset(
     {
@@ -33,11 +32,25 @@
     """Accepts connections of callers and answers their requests."""
 
     def __init__(
-        self, address: data.Address, dispatcher: tasks.Task, max_body_bytes: int
+        self,
+        address: data.Address,
+        dispatcher: tasks.Task,
+        max_body_bytes: int,
+        deadline_header: str = results.DEADLINE_HEADER,
     ):
+        """Makes the server.
+
+        Args:
+            address: Where to listen.
+            dispatcher: Task that serves the requests.
+            max_body_bytes: Largest body of a request.
+            deadline_header: Header with the time that a caller will wait, in
+                milliseconds.
+        """
         self._address = address
         self._dispatcher = dispatcher
-        self._max_body_bytes = max_body_bytes
+        self.max_body_bytes = max_body_bytes
+        self.deadline_header = deadline_header
         self._server: httpserver.HTTPServer | None = None
         self.draining = False
         self._in_flight = 0
@@ -63,18 +76,30 @@
     def start(self, reuse_port: bool) -> None:
         """Opens the listening socket."""
         self._server = httpserver.HTTPServer(
-            _Acceptor(self, self._dispatcher, self._max_body_bytes),
+            _Acceptor(self, self._dispatcher),
             idle_connection_timeout=IDLE_TIMEOUT_S,
             max_header_size=MAX_HEADER_BYTES,
             # The handler has its own limit, which answers with a clear error;
             # this one only has to be out of its way.
-            max_body_size=2 * self._max_body_bytes + MAX_HEADER_BYTES,
+            max_body_size=2 * self.max_body_bytes + MAX_HEADER_BYTES,
         )
         sockets = netutil.bind_sockets(
             self._address.port, self._address.host, reuse_port=reuse_port
         )
         self._server.add_sockets(sockets)
 
+    def limit(self, body_bytes: int, idle_timeout_s: float) -> None:
+        """Changes the limits for callers.
+
+        Args:
+            body_bytes: Largest body of a request.
+            idle_timeout_s: Time that a connection may stay idle, in seconds.
+        """
+        self.max_body_bytes = body_bytes
+        parameters = self._server.conn_params
+        parameters.max_body_size = 2 * body_bytes + MAX_HEADER_BYTES
+        parameters.header_timeout = idle_timeout_s
+
     async def drain(self) -> None:
         """Takes no new connections and waits for the requests under way.
 
@@ -94,25 +119,22 @@
 class _Acceptor(httputil.HTTPServerConnectionDelegate):
     """Makes a handler for each request."""
 
-    def __init__(self, frontend, dispatcher, max_body_bytes):
+    def __init__(self, frontend, dispatcher):
         self._frontend = frontend
         self._dispatcher = dispatcher
-        self._max_body_bytes = max_body_bytes
 
     def start_request(self, server_conn, request_conn):
         """Returns the handler of one request."""
-        return _Handler(
-            self._frontend, self._dispatcher, self._max_body_bytes, request_conn
-        )
+        return _Handler(self._frontend, self._dispatcher, request_conn)
 
 
 class _Handler(httputil.HTTPMessageDelegate):
     """One request of a caller."""
 
-    def __init__(self, frontend, dispatcher, max_body_bytes, connection):
+    def __init__(self, frontend, dispatcher, connection):
         self._frontend = frontend
         self._dispatcher = dispatcher
-        self._max_body_bytes = max_body_bytes
+        self._max_body_bytes = frontend.max_body_bytes
         self._connection = connection
         self._start_line = None
         self._headers = None
@@ -201,7 +223,7 @@
             self._headers,
             backend_headers.forwarded(self._headers.get_all()),
             b''.join(self._chunks),
-            self._headers.get(results.DEADLINE_HEADER),
+            self._headers.get(self._frontend.deadline_header),
         )
 
     def _write_answer(self, answer: data.Answer) -> None:
@@ -227,7 +249,7 @@
         )
         status = results.status_of(failure)
         if status == results.DEFAULT_STATUS:
-            outgoing['Retry-After'] = str(RETRY_AFTER_S)
+            outgoing['Retry-After'] = f'{_retry_after_s(error):g}'
         if close:
             outgoing['Connection'] = 'close'
         body = json.dumps(
@@ -256,3 +278,10 @@
         written = self._connection.write_headers(start, outgoing, body)
         written.add_done_callback(lambda future: future.exception())
         self._connection.finish()
+
+
+def _retry_after_s(error: BaseException) -> float:
+    """Returns when a caller may come back, in seconds."""
+    if isinstance(error, errors.NotRunError):
+        return error.retry_after_s
+    return errors.NotRunError.retry_after_s
--- /dev/null
+++ b/libs/routing/src/oriolefold_routing/policy.py
@@ -0,0 +1,154 @@
+"""Routes by host and path prefix, and how traffic is split between services."""
+
+import dataclasses
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its share of the requests of a route.
+
+    Attributes:
+        service_id: The service.
+        weight: Share relative to the other weights of the route.
+    """
+
+    service_id: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixRoute:
+    """How the requests of one host below one path prefix are treated.
+
+    Attributes:
+        route_id: Name of the route.
+        host: Host name in lower case, without a port.
+        prefix: Path prefix; begins and ends with a slash.
+        shares: Services that the requests go to.
+        idempotent: Whether a request may safely run more than once.
+        timeout_s: Longest time that a caller is kept waiting, in seconds.
+        objective_s: Latency within which an answer is worth the most, seconds.
+        max_instances: Instances that one request may be sent to.
+        rank: Urgency; 0 is the most urgent.
+    """
+
+    route_id: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    max_instances: int
+    rank: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceProfile:
+    """What holds for all instances of a service.
+
+    Attributes:
+        service_id: Name of the service.
+        keyed: Whether each key has one owning instance.
+        connections: Connections that an instance accepts from all senders.
+    """
+
+    service_id: str
+    keyed: bool
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers may send.
+
+    Attributes:
+        header_bytes: Size of the headers of a request.
+        body_bytes: Size of the body of a request.
+        header_timeout_s: Time to send the headers, in seconds.
+        idle_timeout_s: Time that a connection may stay idle, in seconds.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """An accepted configuration of routes, services and limits.
+
+    Attributes:
+        version: Rises with each change.
+        routes_by_host: Routes of each host, the longest prefix first.
+        services_by_id: Services by their names.
+        limits: Bounds on what callers may send.
+    """
+
+    version: int
+    routes_by_host: dict[str, tuple[PrefixRoute, ...]]
+    services_by_id: dict[str, ServiceProfile]
+    limits: CallerLimits
+
+    def find(self, host: str, target: str) -> PrefixRoute | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        Args:
+            host: Host header as it came.
+            target: Path and query as the caller sent them.
+        """
+        path = target.partition('?')[0]
+        for route in self.routes_by_host.get(host_name(host), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def host_name(host: str) -> str:
+    """Returns a Host header in lower case without its port."""
+    name, colon, port = host.strip().lower().rpartition(':')
+    return name if colon and port.isdigit() else host.strip().lower()
+
+
+def by_host(
+    routes: Sequence[PrefixRoute],
+) -> dict[str, tuple[PrefixRoute, ...]]:
+    """Groups routes by host, the longest prefix first."""
+    grouped: dict[str, list[PrefixRoute]] = {}
+    for route in routes:
+        grouped.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(of_host, key=lambda r: -len(r.prefix)))
+        for host, of_host in grouped.items()
+    }
+
+
+class Splitter:
+    """Distributes the requests of each route over its services by weight.
+
+    Smooth weighted round robin: after any number of requests no service is
+    more than one request away from its share.
+    """
+
+    def __init__(self):
+        self._credits_by_route_id: dict[str, tuple[tuple, list[float]]] = {}
+
+    def choose(self, route: PrefixRoute) -> str:
+        """Returns the service that the next request of a route goes to."""
+        if len(route.shares) == 1:
+            return route.shares[0].service_id
+        shares, credit = self._credits_by_route_id.get(
+            route.route_id, (None, [])
+        )
+        if shares != route.shares:
+            credit = [0.0] * len(route.shares)
+            self._credits_by_route_id[route.route_id] = (route.shares, credit)
+        total = 0.0
+        for index, share in enumerate(route.shares):
+            credit[index] += share.weight
+            total += share.weight
+        best = max(range(len(credit)), key=credit.__getitem__)
+        credit[best] -= total
+        return route.shares[best].service_id
--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -29,10 +29,15 @@
     Attributes:
         revision: Revision of the whole store to watch from next.
         objects: Objects that changed, each in its newest version.
+        removed_names: Objects that were removed.
+        complete: Whether `objects` holds every object of the prefix, so that
+            those not in it are gone.
     """
 
     revision: int
     objects: tuple[StoredObject, ...]
+    removed_names: tuple[str, ...] = ()
+    complete: bool = False
 
 
 class Store(abc.ABC):
@@ -77,7 +82,14 @@
 
         A watch may return a change again or late, so a reader has to compare
         versions. After the timeout it returns without objects.
+
+        Raises:
+            HistoryLostError: If the changes since the revision are not kept.
         """
 
+    async def read_stale(self, name: str) -> StoredObject:
+        """Reads an object that may be seconds old, at a lower cost."""
+        return await self.read(name)
+
     async def close(self) -> None:
         """Releases the connections."""
--- /dev/null
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -0,0 +1,79 @@
+"""Counters of a small daemon; the Prometheus client is loaded when asked for.
+
+Importing the client costs memory that an entry VM which nobody scrapes does not
+have to spend.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from oriolefold_telemetry import latency
+
+_LABELS_BY_NAME = {
+    'oriolefold_requests': ('service', 'outcome', 'category'),
+    'oriolefold_sends': ('distance', 'result'),
+    'oriolefold_store_calls': ('call', 'result'),
+    'oriolefold_grants': ('call', 'result'),
+    'oriolefold_log_lines': ('result',),
+}
+
+
+class Counters:
+    """Counters by name and labels, and latencies by service."""
+
+    def __init__(self):
+        self._counts: collections.Counter[tuple] = collections.Counter()
+        self._latencies_by_service_id: dict[str, latency.LatencyHistogram] = {}
+
+    def count_request(
+        self, service_id: str, outcome: str, category: str, seconds: float
+    ) -> None:
+        """Counts a finished request and records its latency."""
+        self._counts['oriolefold_requests', service_id, outcome, category] += 1
+        found = self._latencies_by_service_id.get(service_id)
+        if found is None:
+            found = latency.LatencyHistogram()
+            self._latencies_by_service_id[service_id] = found
+        found.record_s(seconds)
+
+    def count_send(self, distance: int, result: str) -> None:
+        """Counts a send to an instance."""
+        self._counts['oriolefold_sends', str(distance), result] += 1
+
+    def count_store_call(self, call: str, result: str) -> None:
+        """Counts a call to the object store."""
+        self._counts['oriolefold_store_calls', call, result] += 1
+
+    def count_grant(self, call: str, result: str) -> None:
+        """Counts a grant or release."""
+        self._counts['oriolefold_grants', call, result] += 1
+
+    def text(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        import prometheus_client  # noqa: PLC0415
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)
+        return prometheus_client.generate_latest(registry)
+
+    def collect(self) -> Iterator:
+        """Yields the metric families, for the Prometheus client."""
+        from prometheus_client import core  # noqa: PLC0415
+
+        for name, labels in _LABELS_BY_NAME.items():
+            family = core.CounterMetricFamily(name, name, labels=labels)
+            for (counted, *values), count in self._counts.items():
+                if counted == name:
+                    family.add_metric(values, count)
+            yield family
+        summary = core.GaugeMetricFamily(
+            'oriolefold_latency_ms',
+            'Latency of requests.',
+            labels=('service', 'quantile'),
+        )
+        for service_id, found in self._latencies_by_service_id.items():
+            for percent in latency.QUANTILES:
+                quantile = f'{percent / 100:g}'
+                value = found.quantile_ms(percent)
+                summary.add_metric((service_id, quantile), value)
+        yield summary
--- /dev/null
+++ b/libs/telemetry/src/oriolefold_telemetry/latency.py
@@ -0,0 +1,34 @@
+"""Latencies by HdrHistogram."""
+
+from hdrh import histogram
+
+LOWEST_LATENCY_US = 1
+HIGHEST_LATENCY_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class LatencyHistogram:
+    """Latencies in microseconds."""
+
+    def __init__(self):
+        self._histogram = histogram.HdrHistogram(
+            LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS
+        )
+
+    def record_s(self, seconds: float) -> None:
+        """Records one latency given in seconds."""
+        value = int(seconds * 1e6)
+        value = max(LOWEST_LATENCY_US, min(HIGHEST_LATENCY_US, value))
+        self._histogram.record_value(value)
+
+    @property
+    def count(self) -> int:
+        """Number of latencies recorded."""
+        return self._histogram.get_total_count()
+
+    def quantile_ms(self, percent: float) -> float:
+        """Returns the latency in milliseconds at a percentile, 0 if empty."""
+        if not self.count:
+            return 0.0
+        return self._histogram.get_value_at_percentile(percent) / 1000
--- a/libs/telemetry/src/oriolefold_telemetry/metrics.py
+++ b/libs/telemetry/src/oriolefold_telemetry/metrics.py
@@ -1,38 +1,8 @@
 """Counters by the Prometheus client and latencies by HdrHistogram."""
 
 import prometheus_client
-from hdrh import histogram
 
-LOWEST_LATENCY_US = 1
-HIGHEST_LATENCY_US = 600_000_000
-SIGNIFICANT_DIGITS = 2
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
-
-
-class LatencyHistogram:
-    """Latencies in microseconds."""
-
-    def __init__(self):
-        self._histogram = histogram.HdrHistogram(
-            LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS
-        )
-
-    def record_s(self, seconds: float) -> None:
-        """Records one latency given in seconds."""
-        value = int(seconds * 1e6)
-        value = max(LOWEST_LATENCY_US, min(HIGHEST_LATENCY_US, value))
-        self._histogram.record_value(value)
-
-    @property
-    def count(self) -> int:
-        """Number of latencies recorded."""
-        return self._histogram.get_total_count()
-
-    def quantile_ms(self, percent: float) -> float:
-        """Returns the latency in milliseconds at a percentile, 0 if empty."""
-        if not self.count:
-            return 0.0
-        return self._histogram.get_value_at_percentile(percent) / 1000
+from oriolefold_telemetry import latency
 
 
 class Metrics:
@@ -59,18 +29,18 @@
             registry=self._registry,
         )
         self._children: dict[tuple, prometheus_client.Counter] = {}
-        self._latencies_by_service_id: dict[str, LatencyHistogram] = {}
+        self._latencies_by_service_id: dict[str, latency.LatencyHistogram] = {}
 
     def count_request(
         self, service_id: str, outcome: str, category: str, seconds: float
     ) -> None:
         """Counts a finished request and records its latency."""
         self._child(self._requests, service_id, outcome, category).inc()
-        latency = self._latencies_by_service_id.get(service_id)
-        if latency is None:
-            latency = LatencyHistogram()
-            self._latencies_by_service_id[service_id] = latency
-        latency.record_s(seconds)
+        found = self._latencies_by_service_id.get(service_id)
+        if found is None:
+            found = latency.LatencyHistogram()
+            self._latencies_by_service_id[service_id] = found
+        found.record_s(seconds)
 
     def count_hop(self, kind: str, distance: int, size: int) -> None:
         """Counts a send and, across regions, the bytes of its bodies."""
@@ -84,14 +54,14 @@
             '# HELP oriolefold_latency_ms Latency of requests by service.',
             '# TYPE oriolefold_latency_ms summary',
         ]
-        for service_id, latency in self._latencies_by_service_id.items():
-            for percent in QUANTILES:
-                value = latency.quantile_ms(percent)
+        for service_id, found in self._latencies_by_service_id.items():
+            for percent in latency.QUANTILES:
+                value = found.quantile_ms(percent)
                 labels = f'service="{service_id}",quantile="{percent / 100:g}"'
                 lines.append(f'oriolefold_latency_ms{{{labels}}} {value:g}')
             label = f'service="{service_id}"'
             lines.append(
-                f'oriolefold_latency_ms_count{{{label}}} {latency.count}'
+                f'oriolefold_latency_ms_count{{{label}}} {found.count}'
             )
         text = '\n'.join(lines) + '\n'
         return prometheus_client.generate_latest(self._registry) + text.encode()
