--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,12 @@
 EXAMPLE ?= qurum
 VENV := .venv
 BIN := $(VENV)/bin
-LIBRARIES := $(sort $(wildcard libs/*)) testbed
+LIBRARIES := $(sort $(wildcard libs/*)) platform testbed
+SOURCES := libs platform testbed tools measure
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: requirements.txt $(wildcard libs/*/pyproject.toml) testbed/pyproject.toml
+$(VENV)/ready: requirements.txt $(wildcard libs/*/pyproject.toml) testbed/pyproject.toml platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --requirement requirements.txt
 	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
@@ -22,13 +23,13 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/ruff format --check libs testbed tools measure
-	$(BIN)/ruff check libs testbed tools measure
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/lint-imports
 
 format: setup
-	$(BIN)/ruff format libs testbed tools measure
-	$(BIN)/ruff check --fix libs testbed tools measure
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
 
 SUITE ?= all
 
--- a/libs/coordination/src/oriolefold_coordination/allotment.py
+++ b/libs/coordination/src/oriolefold_coordination/allotment.py
@@ -73,9 +73,7 @@
         if self._next_token == self._before.next_token:
             return self._before
         ordered = tuple(sorted(self._ranges, key=lambda r: r.first))
-        return ranges.KeyMap(
-            self._before.service_id, self._next_token, ordered
-        )
+        return ranges.KeyMap(self._before.service_id, self._next_token, ordered)
 
     def divide(self) -> None:
         """Divides all keys for the first time."""
@@ -131,9 +129,7 @@
             return
         excess = (self._loads[giver] - self._loads[_life(taker.holder)]) / 2
         owned = [
-            r
-            for r in self._ranges
-            if _life(r.owner) == giver and not r.priors
+            r for r in self._ranges if _life(r.owner) == giver and not r.priors
         ]
         owned.sort(key=self._weight)
         for key_range in owned:
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -8,6 +8,7 @@
 
 from oriolefold_core import clock, data, tasks
 from oriolefold_direct import (
+    availability,
     coordinator,
     coordinators,
     dispatcher,
@@ -104,6 +105,7 @@
         self._stopping = asyncio.Event()
         time = clock.BootClock()
         generator = random.Random()
+        available = availability.Availability(time)
         incarnation = uuid.uuid4().hex
         self._dispatcher = dispatcher.Dispatcher(
             values.vicinity,
@@ -130,6 +132,7 @@
                 instances,
                 self._dispatcher,
                 time,
+                available,
                 recorder,
                 generator,
             )
@@ -138,7 +141,7 @@
         limits = _Limits(self._frontend)
         key_map_reader = watching.KeyMapReader()
         self._watchers: Sequence[watching.Watcher] = [
-            watching.Watcher(store, reader, subscribers, time)
+            watching.Watcher(store, reader, subscribers, time, available)
             for reader, subscribers in (
                 (
                     policy_reader,
@@ -204,9 +207,7 @@
                 await asyncio.gather(self._coordinators.resign(), leaving)
                 await self._frontend.drain()
         except TimeoutError:
-            logs.event(
-                'daemon.stop_limit', in_flight=self._frontend.in_flight
-            )
+            logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
         await self._frontend.stop()
         await self._status.stop()
         for task in reversed(self._tasks):
@@ -214,5 +215,3 @@
         await self._instances.close()
         await self._store.close()
         logs.event('daemon.stopped', vm=self._values.vm_id)
-
-
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -13,7 +13,7 @@
     ranges,
 )
 from oriolefold_core import clock, errors, tasks
-from oriolefold_direct import documents, messages, ports
+from oriolefold_direct import availability, documents, messages, ports
 from oriolefold_routing import fleet
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
@@ -22,7 +22,8 @@
 STEP_S = 0.1  # Pause between steps when nothing happens.
 READ_S = 1.0  # Mean pause between readings of the office by others.
 FIRST_READ_S = 0.3  # Longest pause before the first reading.
-SETTLE_S = 0.5  # Time for instances to register before the first assignment.
+SETTLE_S = 1.2  # Calm in the registry that the first assignment waits for.
+SETTLE_LIMIT_S = 4.0  # Time after which it waits no longer.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +57,7 @@
         instances: ports.Instances,
         dispatcher: tasks.Task,
         time: clock.Clock,
+        available: availability.Availability,
         recorder,
         generator: random.Random,
     ):
@@ -67,6 +69,7 @@
         self._instances = instances
         self._dispatcher = dispatcher
         self._clock = time
+        self._availability = available
         self._metrics = recorder
         self._random = generator
         self._vigil = office.Vigil(vm_id, incarnation)
@@ -78,6 +81,8 @@
         self._endpoints: tuple[fleet.Endpoint, ...] = ()
         self._weights = [keyload.IDLE_WEIGHT] * keyload.BUCKET_COUNT
         self._weighed_at_s = 0.0
+        self._registry_changed_at_s = 0.0
+        self._settled_by_s = 0.0
         self._resigning = False
 
     async def on_start(self) -> None:
@@ -102,13 +107,7 @@
         """Handles one message."""
         match message:
             case messages.EndpointsKnown():
-                self._endpoints = tuple(
-                    e
-                    for e in message.endpoints_by_id.values()
-                    if e.service_id == self._service_id
-                )
-                self._update_custodian()
-                self._step()
+                self._take_endpoints(message)
             case _GrantEnded():
                 self._end_grant(message)
             case _ReleaseEnded():
@@ -119,6 +118,19 @@
                 await self._weigh()
                 self._step()
 
+    def _take_endpoints(self, known: messages.EndpointsKnown) -> None:
+        endpoints = tuple(
+            e
+            for e in known.endpoints_by_id.values()
+            if e.service_id == self._service_id
+        )
+        if endpoints == self._endpoints:
+            return
+        self._endpoints = endpoints
+        self._registry_changed_at_s = self._clock.now_s()
+        self._update_custodian()
+        self._step()
+
     async def _serve(self) -> None:
         await asyncio.sleep(FIRST_READ_S * self._random.random())
         while not self._resigning:
@@ -142,8 +154,11 @@
                 return False
             before, inherited = found
             return await self._take_office(before, inherited)
-        except (errors.StoreError, errors.ConfigurationError) as error:
-            self._log('office.not_taken', error=str(error))
+        except errors.StoreError as error:
+            self._availability.lose(error)
+            return False
+        except errors.ConfigurationError as error:
+            self._log('office.unreadable', error=str(error))
             return False
 
     async def _read_office(self, name: str):
@@ -189,8 +204,9 @@
             version=self._office.version,
             ranges=len(key_map.ranges),
         )
+        self._settled_by_s = 0.0
         if not key_map.ranges:
-            await asyncio.sleep(SETTLE_S)
+            self._settled_by_s = self._clock.now_s() + SETTLE_LIMIT_S
         return True
 
     async def _prolong(self) -> None:
@@ -203,6 +219,7 @@
         except errors.VersionConflictError:
             self._step_down('another VM holds the office')
         except errors.StoreError as error:
+            self._availability.lose(error)
             self._log('office.not_prolonged', error=str(error))
         else:
             self._beat += 1
@@ -242,6 +259,9 @@
         if not self._may_act():
             return
         now_s = self._clock.now_s()
+        calm_s = now_s - self._registry_changed_at_s
+        if now_s < self._settled_by_s and calm_s < SETTLE_S:
+            return
         for action in self._custodian.step(now_s, self._weights):
             match action:
                 case custody.Grant():
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -222,7 +222,9 @@
                 raise errors.OutcomeUnknownError(
                     'no answer came in time'
                 ) from error
-            raise self._refusal(flight, 'no instance had room in time') from error
+            raise self._refusal(
+                flight, 'no instance had room in time'
+            ) from error
 
     async def _send_until_done(self, flight: _Flight) -> data.Answer:
         while True:
@@ -284,9 +286,7 @@
         patience_s = waiting.patience_s(flight.route.objective_s, typical_s)
         give_up_at_s = flight.received_s + patience_s
         turn = asyncio.get_running_loop().create_future()
-        waiter = waiting.Waiter(
-            (flight, turn), flight.route.rank, give_up_at_s
-        )
+        waiter = waiting.Waiter((flight, turn), flight.route.rank, give_up_at_s)
         line.add(waiter)
         self._wake_later(flight.service_id)
         try:
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -2,17 +2,20 @@
 
 import abc
 import asyncio
+import contextlib
 import random
 from typing import Any
 
 from oriolefold_core import clock, errors, tasks
-from oriolefold_direct import documents, messages
+from oriolefold_direct import availability, documents, messages
 from oriolefold_store import ports, updates
 from oriolefold_telemetry import logs
 
-WAIT_S = 5.0  # Time that one watch waits; bounds how long silence lasts.
-RETRY_S = 0.15  # Mean pause after a failure of the store.
-ABSENCE_GRACE_S = 2.0  # Time for entries that lapsed during an outage to return.
+WAIT_S = 8.0  # Time that one watch waits; bounds how long silence lasts.
+PROBE_S = 0.1  # Time that a watch waits while the store is in trouble.
+RETRY_S = 0.4  # Mean pause between probes of a store in trouble.
+REST_S = 2.0  # Pause after which a watch tries again without the probe.
+ABSENCE_GRACE_S = 2.0  # Time for lapsed entries to return.
 OUTAGE_MEMORY_S = 2.5  # Time after an outage in which removals may be lapses.
 
 
@@ -20,6 +23,10 @@
     """Turns stored objects into notices."""
 
     prefix: str
+    # Pause after changes, in which more of them gather for one call.
+    gather_s = 0.0
+    # Whether this watch probes the store while it is in trouble.
+    probes = False
     # Whether objects may lapse while the store is away and come back after.
     may_lapse = False
 
@@ -70,6 +77,7 @@
         reader: Reader,
         subscribers: list[tasks.Task],
         time: clock.Clock,
+        available: availability.Availability,
     ):
         """Makes the task.
 
@@ -78,6 +86,7 @@
             reader: Reads them.
             subscribers: Tasks that get the notices.
             time: Clock for the grace after an outage.
+            available: Whether the store answers.
         """
         super().__init__(f'watcher {reader.prefix}')
         self._store = store
@@ -87,8 +96,7 @@
         self._values_by_name: dict[str, Any] = {}
         self._versions_by_name: dict[str, int] = {}
         self._absent_until_s: dict[str, float] = {}
-        self._failed_at_s: float | None = None
-        self._regained_at_s = float('-inf')
+        self._availability = available
         self.synchronized = False
 
     async def on_start(self) -> None:
@@ -106,40 +114,49 @@
         revision = 0
         while True:
             try:
-                changes = await self._store.watch(
-                    self._reader.prefix, revision, WAIT_S
-                )
+                changes = await self._watch(revision)
             except errors.HistoryLostError:
                 logs.event('watch.history_lost', prefix=self._reader.prefix)
                 revision = 0
             except errors.StoreError as error:
-                self._lost(error)
-                await asyncio.sleep(RETRY_S * (0.5 + random.random()))
+                self._availability.lose(error)
+                await self._pause()
             else:
-                self._regained(revision)
+                self._availability.regain()
                 revision = changes.revision
                 self.post(changes)
-
-    def _lost(self, error: errors.StoreError) -> None:
-        if self._failed_at_s is None:
-            self._failed_at_s = self._clock.now_s()
-            logs.event(
-                'store.lost', prefix=self._reader.prefix, error=str(error)
+                if changes.objects or changes.removed_names:
+                    await asyncio.sleep(self._reader.gather_s)
+
+    async def _watch(self, revision: int) -> ports.Changes:
+        """Waits for changes, but no longer than the store answers others."""
+        prefix = self._reader.prefix
+        if self._availability.is_lost:
+            return await self._store.watch(prefix, revision, PROBE_S)
+        watching = asyncio.ensure_future(
+            self._store.watch(prefix, revision, WAIT_S)
+        )
+        losing = asyncio.ensure_future(self._availability.until_lost())
+        try:
+            await asyncio.wait(
+                (watching, losing), return_when=asyncio.FIRST_COMPLETED
             )
-
-    def _regained(self, revision: int) -> None:
-        if self._failed_at_s is None:
+            if watching.done():
+                return watching.result()
+        finally:
+            losing.cancel()
+            watching.cancel()
+        raise errors.StoreUnavailableError('another call to the store failed')
+
+    async def _pause(self) -> None:
+        """Waits after a failure; only one watch probes the store."""
+        pause_s = RETRY_S * (0.75 + 0.5 * random.random())
+        if self._reader.probes:
+            await asyncio.sleep(pause_s)
             return
-        now_s = self._clock.now_s()
-        away_s = round(now_s - self._failed_at_s, 3)
-        self._failed_at_s = None
-        self._regained_at_s = now_s
-        logs.event(
-            'store.regained',
-            prefix=self._reader.prefix,
-            away_s=away_s,
-            revision=revision,
-        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REST_S):
+                await self._availability.until_regained()
 
     def _apply(self, changes: ports.Changes) -> None:
         changed = not self.synchronized
@@ -180,7 +197,7 @@
         if name not in self._values_by_name or name in self._absent_until_s:
             return False
         now_s = self._clock.now_s()
-        since_s = now_s - self._regained_at_s
+        since_s = now_s - self._availability.regained_at_s
         if self._reader.may_lapse and since_s < OUTAGE_MEMORY_S:
             # Entries lapse while the store is away; most return at once.
             self._absent_until_s[name] = now_s + ABSENCE_GRACE_S
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -176,6 +176,8 @@
             return
         self._reply = dispatch.reply
         self._reply.add_done_callback(self._on_reply)
+        # While an answer is made, tornado tells of a lost connection here.
+        self._connection.set_close_callback(self.on_connection_close)
         self._dispatcher.post(dispatch)
 
     def on_connection_close(self):
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -12,6 +12,7 @@
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
 
+NOTICED_S = 0.5  # Time in which a lost caller has to be noticed.
 MAX_BODY_BYTES = 1000
 
 
@@ -180,7 +181,9 @@
         writer.write(b'GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n')
         await self.wait_for(lambda: self.frontend.in_flight)
         writer.close()
-        await self.wait_for(lambda: not self.frontend.in_flight)
+        # Well before the deadline, which would end the request as well.
+        async with asyncio.timeout(NOTICED_S):
+            await self.wait_for(lambda: not self.frontend.in_flight)
 
     async def test_drain_finishes_what_is_under_way(self):
         for name in ('s0', 's1', 's2', 's3'):
--- a/libs/routing/src/oriolefold_routing/outlook.py
+++ b/libs/routing/src/oriolefold_routing/outlook.py
@@ -18,6 +18,9 @@
 FAILURE_PAUSE_S = 1.0  # Time without new requests after a failed connection.
 FAILURES_TO_AVOID = 0.35  # Share of failures from which others go first.
 QUEUE_DEPTH = 0.5  # Requests beyond the slots that one VM may add, per slot.
+QUEUEING_FACTOR = 1.5  # Mean time over the calm one that tells of a queue.
+QUEUEING_DECREASE = 0.93  # Limit after an answer that waited in a queue.
+CALM_DRIFT = 1.002  # Growth of the calm time with each answer.
 ZONE_PENALTY = 1.15  # Cost of another zone, relative to the own one.
 
 
@@ -41,6 +44,7 @@
         limit: Requests that this VM may have in flight there.
         in_flight: Requests sent and not yet ended.
         service_time_s: Moving mean of the time to an answer, or 0 if unknown.
+        calm_time_s: Lowest recent mean, as without a queue; 0 if unknown.
         failure_share: Moving share of the sends that failed, 0 to 1.
         paused_until_s: Time from which new requests may be sent.
         warm_at_s: Time from which it runs at its full speed.
@@ -51,6 +55,7 @@
     limit: float
     in_flight: int = 0
     service_time_s: float = 0.0
+    calm_time_s: float = 0.0
     failure_share: float = 0.0
     paused_until_s: float = 0.0
     warm_at_s: float = 0.0
@@ -96,8 +101,15 @@
             return
         if not self.service_time_s:
             self.service_time_s = took_s
+            self.calm_time_s = took_s
         self.service_time_s += SMOOTHING * (took_s - self.service_time_s)
-        self.limit = min(self.ceiling, self.limit + 1.0 / self.limit)
+        self.calm_time_s = min(
+            self.calm_time_s * CALM_DRIFT, self.service_time_s
+        )
+        if self.service_time_s > QUEUEING_FACTOR * self.calm_time_s:
+            self.limit = max(1.0, self.limit * QUEUEING_DECREASE)
+        else:
+            self.limit = min(self.ceiling, self.limit + 1.0 / self.limit)
 
 
 class Fleet:
--- a/libs/routing/src/oriolefold_routing/waiting.py
+++ b/libs/routing/src/oriolefold_routing/waiting.py
@@ -63,9 +63,7 @@
     return min(longest_s, max(SHORT_WAIT_SHARE * objective_s, left_s))
 
 
-def retry_after_s(
-    left_s: float, wait_s: float, spread: float
-) -> float:
+def retry_after_s(left_s: float, wait_s: float, spread: float) -> float:
     """Returns when a refused caller may come back.
 
     Args:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -65,7 +65,8 @@
 def main() -> int:
     """Runs all tests and returns the exit code."""
     names = sys.argv[1:]
-    folders = sorted(ROOT.glob('libs/*/tests')) + [ROOT / 'testbed' / 'tests']
+    folders = sorted(ROOT.glob('libs/*/tests'))
+    folders += [ROOT / 'platform' / 'tests', ROOT / 'testbed' / 'tests']
     if names:
         folders = [f for f in folders if f.parent.name in names]
     allowed = known_red()
