--- a/libs/telemetry/src/oriolefold_telemetry/logs.py
+++ b/libs/telemetry/src/oriolefold_telemetry/logs.py
@@ -67,7 +67,7 @@
     root.setLevel(logging.WARNING)
 
 
-def event(name: str, **fields: object) -> None:
+def event(name: str, /, **fields: object) -> None:
     """Writes one message.
 
     Args:
