Balance keys by the load that all VMs report

Cause: one key draws up to 44% of a kind of request; its owner queued for over a second, and the coordinator saw an eighth of the load only.

--- a/libs/coordination/src/oriolefold_coordination/custody.py
+++ b/libs/coordination/src/oriolefold_coordination/custody.py
@@ -12,7 +12,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from oriolefold_coordination import allotment, ranges
+from oriolefold_coordination import allotment, keyload, ranges
 
 HOLD_S = 5.0  # Length of a hold; longer than a takeover of the office.
 RENEWAL_S = 0.8  # Pause between renewals of a hold.
@@ -22,7 +22,7 @@
 AUTHORITY_S = 8.0  # Time that a coordinator acts on after its last heartbeat.
 UNREACHABLE_S = 1.6  # Time without answers after which keys are moved away.
 FORGIVEN_S = 4.0  # Time after which an instance may be granted keys again.
-BALANCE_S = 2.0  # Pause between voluntary moves.
+BALANCE_S = 1.2  # Pause between voluntary moves.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,11 +117,11 @@
         self._ids_by_address = {h.address: h.instance_id for h in registered}
         self._born_by_id = {h.instance_id: h.born_ms for h in registered}
 
-    def step(self, now_s: float, weights: Sequence[float]) -> list:
+    def step(self, now_s: float, profile: keyload.Profile) -> list:
         """Returns what has to be done now: grants, releases, a write."""
         actions = []
         if self._publishing is None:
-            changed = self._next_map(now_s, weights)
+            changed = self._next_map(now_s, profile)
             if changed is not self.key_map:
                 self._publishing = changed
                 actions.append(Publish(changed))
@@ -199,7 +199,7 @@
         if handover is not None:
             self._handovers.setdefault(key, {})[life] = handover
 
-    def _next_map(self, now_s: float, weights) -> ranges.KeyMap:
+    def _next_map(self, now_s: float, profile) -> ranges.KeyMap:
         self._avoided_until_s = {
             life: until_s
             for life, until_s in self._avoided_until_s.items()
@@ -213,7 +213,7 @@
         settled = all(not r.priors for r in self.key_map.ranges)
         may_balance = settled and now_s >= self._balance_at_s
         changed = allotment.allot(
-            self._settle(), candidates, weights, may_balance
+            self._settle(), candidates, profile, may_balance
         )
         if may_balance and changed is not self.key_map:
             self._balance_at_s = now_s + BALANCE_S
--- a/libs/coordination/src/oriolefold_coordination/keyload.py
+++ b/libs/coordination/src/oriolefold_coordination/keyload.py
@@ -1,35 +1,95 @@
-"""Load of the keys of a service, by buckets of neighbouring keys."""
+"""Load of the keys of a service, as far as requests have shown it."""
+
+import bisect
+import itertools
+import math
+from collections.abc import Iterable, Mapping
 
 from oriolefold_coordination import ranges
 
-BUCKET_KEYS = 64  # Keys that share one counter.
-BUCKET_COUNT = ranges.KEY_COUNT // BUCKET_KEYS
-HALF_LIFE_S = 4.0  # Age at which a request counts half.
-IDLE_WEIGHT = 0.02  # Weight of a bucket that nobody asked for.
+HALF_LIFE_S = 2.0  # Age at which a request counts half.
+FORGET_BELOW = 0.05  # Decayed count of a key that is no longer kept.
+UNSEEN_RATE = 6.0  # Requests a second expected on all keys beside those seen.
+
+
+class Profile:
+    """Request rates of all keys at one moment."""
+
+    def __init__(self, rates_by_key: Mapping[int, float]):
+        """Makes a profile.
+
+        Args:
+            rates_by_key: Requests a second of each key that was seen.
+        """
+        self._keys = sorted(rates_by_key)
+        rates = (rates_by_key[key] for key in self._keys)
+        self._sums = [0.0, *itertools.accumulate(rates)]
+
+    @property
+    def total(self) -> float:
+        """Requests a second on all keys that were seen."""
+        return self._sums[-1]
+
+    def rate(self, first: int, last: int) -> float:
+        """Returns the requests a second expected on a range of keys."""
+        low = bisect.bisect_left(self._keys, first)
+        high = bisect.bisect_right(self._keys, last)
+        unseen = UNSEEN_RATE * (last - first + 1) / ranges.KEY_COUNT
+        return self._sums[high] - self._sums[low] + unseen
+
+    def heaviest(self, first: int, last: int) -> int | None:
+        """Returns the key of a range with the highest rate, if any is seen."""
+        low = bisect.bisect_left(self._keys, first)
+        high = bisect.bisect_right(self._keys, last)
+        if low == high:
+            return None
+        sums = self._sums
+        index = max(range(low, high), key=lambda i: sums[i + 1] - sums[i])
+        return self._keys[index]
+
+    def cut(self, first: int, last: int, rate: float) -> int:
+        """Returns where the part at the start that has a rate ends.
+
+        Returns:
+            The last key of the longest part from `first` on whose rate is at
+            most the given one; `first - 1` if the first key alone has more.
+        """
+        low, high = first - 1, last
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self.rate(first, middle) <= rate:
+                low = middle
+            else:
+                high = middle - 1
+        return low
 
 
 class KeyLoad:
-    """Decaying request counts, in requests per half-life."""
+    """Decaying request counts by key."""
 
     def __init__(self, now_s: float = 0.0):
-        self._counts = [0.0] * BUCKET_COUNT
         self._counts_by_key: dict[int, float] = {}
         self._decayed_at_s = now_s
 
-    def record(self, key: int) -> None:
-        """Counts one request for a key."""
-        self._counts[key // BUCKET_KEYS] += 1.0
-        self._counts_by_key[key] = self._counts_by_key.get(key, 0.0) + 1.0
+    def record(self, keys: Iterable[int], now_s: float) -> None:
+        """Counts requests.
 
-    def weights(self, now_s: float) -> list[float]:
-        """Returns the weight of each bucket."""
+        Args:
+            keys: Key of each request.
+            now_s: Present time.
+        """
         self._decay(now_s)
-        return [count + IDLE_WEIGHT for count in self._counts]
+        counts = self._counts_by_key
+        for key in keys:
+            counts[key] = counts.get(key, 0.0) + 1.0
 
-    @property
-    def total(self) -> float:
-        """Decayed number of requests."""
-        return sum(self._counts)
+    def profile(self, now_s: float) -> Profile:
+        """Returns the rates of the keys."""
+        self._decay(now_s)
+        per_s = math.log(2) / HALF_LIFE_S
+        return Profile(
+            {key: n * per_s for key, n in self._counts_by_key.items()}
+        )
 
     def _decay(self, now_s: float) -> None:
         passed_s = now_s - self._decayed_at_s
@@ -37,9 +97,8 @@
             return
         factor = 0.5 ** (passed_s / HALF_LIFE_S)
         self._decayed_at_s = now_s
-        self._counts = [count * factor for count in self._counts]
         self._counts_by_key = {
             key: count * factor
             for key, count in self._counts_by_key.items()
-            if count * factor > 0.1
+            if count * factor > FORGET_BELOW
         }
--- a/libs/coordination/src/oriolefold_coordination/office.py
+++ b/libs/coordination/src/oriolefold_coordination/office.py
@@ -18,11 +18,13 @@
         vm_id: VM that holds the office, or an empty string after a resignation.
         incarnation: Start of its process, by a random name.
         beat: Rises with each heartbeat.
+        address: Where the VM takes reports of load, as `host:port`.
     """
 
     vm_id: str
     incarnation: str
     beat: int
+    address: str = ''
 
 
 class Vigil:
--- a/libs/coordination/tests/test_custody.py
+++ b/libs/coordination/tests/test_custody.py
@@ -27,7 +27,7 @@
 STEP_S = 0.1
 INSTANCES = 4
 SAMPLE_KEYS = range(100, ranges.KEY_COUNT, 2048)
-WEIGHTS = [1.0] * keyload.BUCKET_COUNT
+PROFILE = keyload.Profile({})
 
 
 @dataclasses.dataclass
@@ -168,7 +168,7 @@
             if i.up and vm.name not in i.cut_from
         ]
         custodian.update([allotment.Candidate(h, 4) for h in live], live)
-        for action in custodian.step(self.now_s, WEIGHTS):
+        for action in custodian.step(self.now_s, PROFILE):
             match action:
                 case custody.Publish():
                     self.publish(vm, custodian, action.key_map)
@@ -357,62 +357,62 @@
         return made
 
     def assigned(self, custodian, now_s=0.0):
-        (publish,) = custodian.step(now_s, WEIGHTS)
+        (publish,) = custodian.step(now_s, PROFILE)
         custodian.published(publish.key_map)
         return publish.key_map
 
     def test_the_map_is_stored_before_any_grant(self):
         custodian = self.custodian([self.one, self.two])
         self.assigned(custodian)
-        actions = custodian.step(0.0, WEIGHTS)
+        actions = custodian.step(0.0, PROFILE)
         self.assertEqual(len(actions), 2)
         self.assertTrue(all(isinstance(a, custody.Grant) for a in actions))
 
     def test_a_leaving_owner_is_asked_first_and_hands_over(self):
         custodian = self.custodian([self.one])
         self.assigned(custodian)
-        (grant,) = custodian.step(0.0, WEIGHTS)
+        (grant,) = custodian.step(0.0, PROFILE)
         custodian.grant_ended(grant, True, False, 0.1)
         custodian.update([allotment.Candidate(self.two, 4)], [self.one])
         moved = self.assigned(custodian, 0.2)
         self.assertGreater(moved.ranges[0].token, grant.key_range.token)
-        releases = custodian.step(0.2, WEIGHTS)
+        releases = custodian.step(0.2, PROFILE)
         self.assertTrue(
             all(isinstance(a, custody.Release) for a in releases), releases
         )
         custodian.release_ended(releases[0], 'state', 0.3)
-        granted = custodian.step(0.3, WEIGHTS)
+        granted = custodian.step(0.3, PROFILE)
         self.assertIn('state', [a.handover for a in granted])
 
     def test_a_silent_owner_keeps_its_keys_until_the_hold_has_ended(self):
         custodian = self.custodian([self.one])
         self.assigned(custodian)
-        (grant,) = custodian.step(0.0, WEIGHTS)
+        (grant,) = custodian.step(0.0, PROFILE)
         custodian.grant_ended(grant, True, False, 0.1)
         custodian.update([allotment.Candidate(self.two, 4)], [self.two])
         self.assigned(custodian, 0.2)
         end_s = custody.hold_end_s(0.1)
-        early = custodian.step(end_s - 0.01, WEIGHTS)
+        early = custodian.step(end_s - 0.01, PROFILE)
         self.assertFalse(any(isinstance(a, custody.Grant) for a in early))
-        late = custodian.step(end_s + 0.01, WEIGHTS)
+        late = custodian.step(end_s + 0.01, PROFILE)
         self.assertTrue(any(isinstance(a, custody.Grant) for a in late))
 
     def test_a_new_life_gets_its_keys_back_at_once_with_a_higher_token(self):
         custodian = self.custodian([self.one])
         before = self.assigned(custodian)
-        (grant,) = custodian.step(0.0, WEIGHTS)
+        (grant,) = custodian.step(0.0, PROFILE)
         custodian.grant_ended(grant, True, False, 0.1)
         again = dataclasses.replace(self.one, born_ms=2)
         custodian.update([allotment.Candidate(again, 4)], [again])
         after = self.assigned(custodian, 0.2)
         self.assertEqual(after.ranges[0].owner, again)
         self.assertGreater(after.ranges[0].token, before.ranges[0].token)
-        (grant,) = custodian.step(0.2, WEIGHTS)
+        (grant,) = custodian.step(0.2, PROFILE)
         self.assertIsInstance(grant, custody.Grant)
 
     def test_a_refused_write_is_planned_anew(self):
         custodian = self.custodian([self.one])
-        custodian.step(0.0, WEIGHTS)
+        custodian.step(0.0, PROFILE)
         custodian.publishing_failed()
-        (again,) = custodian.step(0.1, WEIGHTS)
+        (again,) = custodian.step(0.1, PROFILE)
         self.assertIsInstance(again, custody.Publish)
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -12,6 +12,7 @@
     coordinator,
     coordinators,
     dispatcher,
+    peering,
     ports,
     status,
     watching,
@@ -123,13 +124,17 @@
             values.deadline_header,
         )
 
+        self._peers = peering.HttpPeers()
+
         def make(service_id: str) -> coordinator.Coordinator:
             return coordinator.Coordinator(
                 service_id,
                 values.vm_id,
                 incarnation,
+                str(values.status_address),
                 store,
                 instances,
+                self._peers,
                 self._dispatcher,
                 time,
                 available,
@@ -163,6 +168,7 @@
             values.metrics_path,
             self.is_ready,
             recorder,
+            self._coordinators,
         )
 
     def is_ready(self) -> bool:
@@ -213,5 +219,6 @@
         for task in reversed(self._tasks):
             await task.stop()
         await self._instances.close()
+        self._peers.close()
         await self._store.close()
         logs.event('daemon.stopped', vm=self._values.vm_id)
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -19,6 +19,9 @@
 from oriolefold_store import updates
 from oriolefold_telemetry import logs
 
+REPORT_S = 0.5  # Pause between readings of the load on this VM.
+REPORTS_PER_READ = 2  # Reports of load between two readings of the office.
+FIRST_TIME_S = 0.2  # Time for a request until answers have shown it.
 STEP_S = 0.1  # Pause between steps when nothing happens.
 READ_S = 1.0  # Mean pause between readings of the office by others.
 FIRST_READ_S = 0.3  # Longest pause before the first reading.
@@ -53,8 +56,10 @@
         service_id: str,
         vm_id: str,
         incarnation: str,
+        own_address: str,
         store: store_ports.Store,
         instances: ports.Instances,
+        peers: ports.Peers,
         dispatcher: tasks.Task,
         time: clock.Clock,
         available: availability.Availability,
@@ -65,8 +70,10 @@
         self._service_id = service_id
         self._vm_id = vm_id
         self._incarnation = incarnation
+        self._own_address = own_address
         self._store = store
         self._instances = instances
+        self._peers = peers
         self._dispatcher = dispatcher
         self._clock = time
         self._availability = available
@@ -79,8 +86,10 @@
         self._custodian: custody.Custodian | None = None
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[fleet.Endpoint, ...] = ()
-        self._weights = [keyload.IDLE_WEIGHT] * keyload.BUCKET_COUNT
+        self._load = keyload.KeyLoad(time.now_s())
+        self._times_by_id: dict[str, float] = {}
         self._weighed_at_s = 0.0
+        self._holder_address = ''
         self._registry_changed_at_s = 0.0
         self._settled_by_s = 0.0
         self._resigning = False
@@ -114,6 +123,9 @@
                 self._end_release(message)
             case _Published():
                 self._end_publish(message)
+            case messages.LoadReported():
+                if self._custodian is not None:
+                    self._load.record(message.keys, self._clock.now_s())
             case messages.Tick():
                 await self._weigh()
                 self._step()
@@ -137,15 +149,20 @@
             if self._custodian is None:
                 taken = await self._try_to_take_office()
                 if not taken:
-                    await asyncio.sleep(
-                        READ_S * (0.75 + 0.5 * self._random.random())
-                    )
+                    await self._follow()
                 continue
             await self._prolong()
             for _ in range(round(office.HEARTBEAT_S / STEP_S)):
                 self.post(messages.Tick())
                 await asyncio.sleep(STEP_S)
 
+    async def _follow(self) -> None:
+        """Reports load until the office is to be read again."""
+        pause_s = READ_S * (0.75 + 0.5 * self._random.random())
+        for _ in range(REPORTS_PER_READ):
+            await asyncio.sleep(pause_s / REPORTS_PER_READ)
+            await self._report()
+
     async def _try_to_take_office(self) -> bool:
         name = documents.OFFICE_PREFIX + self._service_id
         try:
@@ -170,6 +187,7 @@
         document = updates.opened(stored)
         tenure = documents.read_tenure(document.body, name)
         now_s = self._clock.now_s()
+        self._holder_address = tenure.address
         if not self._vigil.observe(document.version, tenure, now_s):
             return None
         return document, tenure
@@ -177,7 +195,7 @@
     async def _take_office(self, before, last: office.Tenure | None) -> bool:
         now_s = self._clock.now_s()
         self._beat = last.beat + 1 if last else 1
-        tenure = office.Tenure(self._vm_id, self._incarnation, self._beat)
+        tenure = self._tenure(self._beat)
         try:
             self._office = await updates.replace(
                 self._store, before, documents.tenure_text(tenure)
@@ -209,9 +227,14 @@
             self._settled_by_s = self._clock.now_s() + SETTLE_LIMIT_S
         return True
 
+    def _tenure(self, beat: int) -> office.Tenure:
+        return office.Tenure(
+            self._vm_id, self._incarnation, beat, self._own_address
+        )
+
     async def _prolong(self) -> None:
         sent_at_s = self._clock.now_s()
-        tenure = office.Tenure(self._vm_id, self._incarnation, self._beat + 1)
+        tenure = self._tenure(self._beat + 1)
         try:
             self._office = await updates.replace(
                 self._store, self._office, documents.tenure_text(tenure)
@@ -240,20 +263,45 @@
         if self._custodian is None:
             return
         candidates = [
-            allotment.Candidate(_holder(e), e.slots)
+            allotment.Candidate(_holder(e), self._capacity(e))
             for e in self._endpoints
             if not e.draining
         ]
         registered = [_holder(e) for e in self._endpoints]
         self._custodian.update(candidates, registered)
 
+    async def _read_load(self) -> messages.SeenLoad:
+        return await self._dispatcher.ask(messages.ReadLoad(self._service_id))
+
     async def _weigh(self) -> None:
         now_s = self._clock.now_s()
-        if now_s - self._weighed_at_s >= 1.0:
-            self._weighed_at_s = now_s
-            self._weights = await self._dispatcher.ask(
-                messages.ReadLoad(self._service_id)
-            )
+        if now_s - self._weighed_at_s < REPORT_S:
+            return
+        self._weighed_at_s = now_s
+        seen = await self._read_load()
+        self._load.record(seen.keys, now_s)
+        self._times_by_id = seen.times_by_id
+        self._update_custodian()
+
+    async def _report(self) -> None:
+        """Tells the holder of the office which keys are asked for here."""
+        seen = await self._read_load()
+        if not self._holder_address or not seen.keys:
+            return
+        report = messages.LoadReported(self._service_id, seen.keys)
+        try:
+            await self._peers.report(self._holder_address, report)
+        except errors.OriolefoldError as error:
+            # The holder balances by what the others tell it.
+            self._log('load.not_reported', error=str(error))
+
+    def _capacity(self, endpoint: fleet.Endpoint) -> float:
+        """Returns the requests a second that an instance can run."""
+        times = self._times_by_id.values()
+        typical_s = sum(times) / len(times) if times else FIRST_TIME_S
+        own_s = self._times_by_id.get(endpoint.instance_id, typical_s)
+        # Single instances are seen seldom, so half of the mean goes in.
+        return 2 * endpoint.slots / (own_s + typical_s)
 
     def _step(self) -> None:
         if not self._may_act():
@@ -262,7 +310,7 @@
         calm_s = now_s - self._registry_changed_at_s
         if now_s < self._settled_by_s and calm_s < SETTLE_S:
             return
-        for action in self._custodian.step(now_s, self._weights):
+        for action in self._custodian.step(now_s, self._load.profile(now_s)):
             match action:
                 case custody.Grant():
                     self.spawn(self._grant(action))
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -27,6 +27,10 @@
             self._endpoints = message
             for made in self._by_service_id.values():
                 made.post(message)
+        elif isinstance(message, messages.LoadReported):
+            found = self._by_service_id.get(message.service_id)
+            if found is not None:
+                found.post(message)
         elif isinstance(message, messages.PolicyInForce):
             for profile in message.policy.services_by_id.values():
                 if profile.keyed:
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -1,11 +1,12 @@
 """Task that places each request on an instance and decides on repeats."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 from typing import Any
 
-from oriolefold_coordination import keyload, ranges
+from oriolefold_coordination import ranges
 from oriolefold_core import clock, data, errors, tasks
 from oriolefold_direct import messages, ports
 from oriolefold_gateway import messages as gateway_messages
@@ -21,6 +22,7 @@
 
 MAX_SENDS = 3  # Sends of one request, refused ones included.
 MISDIRECTED_PAUSE_S = 0.1  # Before a request goes to an owner that refused it.
+MAX_SEEN_KEYS = 4096  # Requests whose keys are kept for the next report.
 WAKE_S = 0.05  # Pause after which paused instances are looked at again.
 FAILED_STATUS = 500  # From here on an instance reports a failure of its own.
 
@@ -103,7 +105,7 @@
         self._map_versions_by_service_id: dict[str, int] = {}
         self._lines_by_service_id: dict[str, waiting.Line] = {}
         self._budgets_by_service_id: dict[str, attempts.AttemptBudget] = {}
-        self._loads_by_service_id: dict[str, keyload.KeyLoad] = {}
+        self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._waking_ids: set[str] = set()
 
     async def handle(self, message: Any) -> None:
@@ -123,7 +125,7 @@
                 self._waking_ids.discard(message.service_id)
                 self._wake(message.service_id)
             case messages.ReadLoad():
-                message.answer(self._weights(message.service_id))
+                message.answer(self._seen_load(message.service_id))
             case messages.DescribeView():
                 message.answer(self._describe())
 
@@ -174,7 +176,7 @@
         )
         self._budget(service_id).record_request(now_s)
         if key is not None:
-            self._load(service_id).record(key)
+            self._seen_keys(service_id).append(key)
         return _Flight(
             ask,
             route,
@@ -477,15 +479,23 @@
             self._budgets_by_service_id[service_id] = budget
         return budget
 
-    def _load(self, service_id: str) -> keyload.KeyLoad:
-        load = self._loads_by_service_id.get(service_id)
-        if load is None:
-            load = keyload.KeyLoad(self._clock.now_s())
-            self._loads_by_service_id[service_id] = load
-        return load
-
-    def _weights(self, service_id: str) -> list[float]:
-        return self._load(service_id).weights(self._clock.now_s())
+    def _seen_keys(self, service_id: str) -> collections.deque[int]:
+        keys = self._keys_by_service_id.get(service_id)
+        if keys is None:
+            keys = collections.deque(maxlen=MAX_SEEN_KEYS)
+            self._keys_by_service_id[service_id] = keys
+        return keys
+
+    def _seen_load(self, service_id: str) -> messages.SeenLoad:
+        keys = self._seen_keys(service_id)
+        seen = tuple(keys)
+        keys.clear()
+        times_by_id = {
+            o.endpoint.instance_id: o.calm_time_s
+            for o in self._fleet.of_service(service_id)
+            if o.calm_time_s
+        }
+        return messages.SeenLoad(seen, times_by_id)
 
     def _describe(self) -> dict:
         return {
--- a/libs/direct/src/oriolefold_direct/documents.py
+++ b/libs/direct/src/oriolefold_direct/documents.py
@@ -35,6 +35,7 @@
     vm_id: str
     incarnation: str
     beat: int
+    address: str = ''
 
 
 def key_map_text(key_map: ranges.KeyMap) -> bytes:
@@ -83,7 +84,9 @@
         ConfigurationError: If the text is no tenure.
     """
     stored = _decode(text, _Tenure, source)
-    return office.Tenure(stored.vm_id, stored.incarnation, stored.beat)
+    return office.Tenure(
+        stored.vm_id, stored.incarnation, stored.beat, stored.address
+    )
 
 
 def _holder(stored: _Holder) -> ranges.Holder:
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -46,11 +46,38 @@
     """Time for the next periodic step."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenLoad:
+    """What a dispatcher has seen of a keyed service since it was last asked.
+
+    Attributes:
+        keys: Key of each request.
+        times_by_id: Time that each instance takes for a request, in seconds,
+            without waiting; instances without answers are left out.
+    """
+
+    keys: tuple[int, ...]
+    times_by_id: dict[str, float]
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class ReadLoad(tasks.Ask):
-    """Asks for the load of the keys of a service by bucket."""
+    """Asks the dispatcher for the load of a service; replied by `SeenLoad`."""
+
+    service_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReported:
+    """Another VM tells the keys of the requests that it has had.
+
+    Attributes:
+        service_id: The service.
+        keys: Key of each request since the last report.
+    """
 
     service_id: str
+    keys: tuple[int, ...]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -7,6 +7,7 @@
 
 from oriolefold_coordination import ranges
 from oriolefold_core import data
+from oriolefold_direct import messages
 from oriolefold_routing import fleet
 
 
@@ -52,6 +53,18 @@
     handover: str = ''
 
 
+class Peers(abc.ABC):
+    """Tells other entry VMs what this one has seen."""
+
+    @abc.abstractmethod
+    async def report(self, address: str, report: messages.LoadReported) -> None:
+        """Reports load to the VM at an address.
+
+        Raises:
+            OriolefoldError: If the report did not arrive, or may not have.
+        """
+
+
 class Instances(abc.ABC):
     """Sends requests and grants to instances."""
 
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -11,7 +11,7 @@
 from oriolefold_store import ports, updates
 from oriolefold_telemetry import logs
 
-WAIT_S = 8.0  # Time that one watch waits; bounds how long silence lasts.
+WAIT_S = 20.0  # Time that one watch waits; bounds how long silence lasts.
 PROBE_S = 0.1  # Time that a watch waits while the store is in trouble.
 RETRY_S = 0.4  # Mean pause between probes of a store in trouble.
 REST_S = 2.0  # Pause after which a watch tries again without the probe.
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -53,6 +53,7 @@
         self.deadline_header = deadline_header
         self._server: httpserver.HTTPServer | None = None
         self.draining = False
+        self.refusing = False
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -104,11 +105,14 @@
         """Takes no new connections and waits for the requests under way.
 
         Requests on open connections are still served; each answer tells the
-        caller to close the connection.
+        caller to close the connection. From the end on, requests are refused,
+        since their connections are about to be closed.
         """
         self.draining = True
         self._server.stop()
-        await self._idle.wait()
+        while self._in_flight:
+            await self._idle.wait()
+        self.refusing = True
 
     async def stop(self) -> None:
         """Closes all connections."""
@@ -166,8 +170,11 @@
         """Sends the request on its way."""
         if self._refused:
             return
-        self._frontend.begin()
         self._request_id = self._choose_request_id()
+        if self._frontend.refusing:
+            self._write_failure(errors.StoppingError('this VM stops'))
+            return
+        self._frontend.begin()
         try:
             dispatch = self._dispatch()
         except errors.RequestError as error:
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -196,6 +196,21 @@
         with self.assertRaises(OSError):
             await self.get()
 
+    async def test_a_request_after_the_drain_is_refused_and_not_passed_on(self):
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(b'GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        ran = len(self.ran())
+        await self.frontend.drain()
+        writer.write(b'GET /svc/a HTTP/1.1\r\nHost: x\r\n\r\n')
+        head = b''
+        while b'503' not in head:
+            head = await reader.readuntil(b'\r\n')
+        self.assertEqual(len(self.ran()), ran)
+
     async def test_draining_dispatcher_refuses_as_not_run(self):
         self.dispatcher.post(messages.Drain())
         status, headers, _ = await self.get()
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -179,7 +179,9 @@
             raise errors.UnreachableError('the right to send has ended')
         try:
             async with asyncio.timeout_at(ends_at_s):
-                incoming = await self._converse(connection, outgoing, is_own)
+                incoming = await self._converse(
+                    address, connection, outgoing, is_own
+                )
         except TimeoutError as error:
             connection.stream.close()
             text = f'no answer from {address} within {timeout_s:.3f} s'
@@ -227,7 +229,9 @@
         stream.set_nodelay(True)
         return _Connection(stream)
 
-    async def _converse(self, connection, outgoing, is_own) -> Incoming:
+    async def _converse(
+        self, address, connection, outgoing, is_own
+    ) -> Incoming:
         stream = connection.stream
         if stream.closed():
             raise errors.UnreachableError('the connection was closed')
@@ -236,6 +240,8 @@
         headers = httputil.HTTPHeaders()
         for name, value in outgoing.headers:
             headers.add(name, value)
+        if 'Host' not in headers:
+            headers['Host'] = str(address)
         if outgoing.body or outgoing.method in ('POST', 'PUT', 'PATCH'):
             headers['Content-Length'] = str(len(outgoing.body))
         start = httputil.RequestStartLine(
--- a/libs/routing/src/oriolefold_routing/outlook.py
+++ b/libs/routing/src/oriolefold_routing/outlook.py
@@ -20,7 +20,9 @@
 QUEUE_DEPTH = 0.5  # Requests beyond the slots that one VM may add, per slot.
 QUEUEING_FACTOR = 1.5  # Mean time over the calm one that tells of a queue.
 QUEUEING_DECREASE = 0.93  # Limit after an answer that waited in a queue.
-CALM_DRIFT = 1.002  # Growth of the calm time with each answer.
+CALM_SMOOTHING = 0.08  # Weight of a new sample in the calm mean.
+BUSY_SMOOTHING = 0.01  # The same while answers wait in a queue.
+OUTLIER_FACTOR = 3.0  # A sample counts for at most so many calm means.
 ZONE_PENALTY = 1.15  # Cost of another zone, relative to the own one.
 
 
@@ -44,7 +46,8 @@
         limit: Requests that this VM may have in flight there.
         in_flight: Requests sent and not yet ended.
         service_time_s: Moving mean of the time to an answer, or 0 if unknown.
-        calm_time_s: Lowest recent mean, as without a queue; 0 if unknown.
+        calm_time_s: Mean of answers that waited in no queue; 0 if unknown.
+        answers: Number of answers.
         failure_share: Moving share of the sends that failed, 0 to 1.
         paused_until_s: Time from which new requests may be sent.
         warm_at_s: Time from which it runs at its full speed.
@@ -56,6 +59,7 @@
     in_flight: int = 0
     service_time_s: float = 0.0
     calm_time_s: float = 0.0
+    answers: int = 0
     failure_share: float = 0.0
     paused_until_s: float = 0.0
     warm_at_s: float = 0.0
@@ -99,18 +103,29 @@
         self.failure_share += SMOOTHING * (failed - self.failure_share)
         if failed:
             return
-        if not self.service_time_s:
-            self.service_time_s = took_s
-            self.calm_time_s = took_s
-        self.service_time_s += SMOOTHING * (took_s - self.service_time_s)
-        self.calm_time_s = min(
-            self.calm_time_s * CALM_DRIFT, self.service_time_s
-        )
-        if self.service_time_s > QUEUEING_FACTOR * self.calm_time_s:
+        self._learn_time(took_s)
+        if self.is_queueing:
             self.limit = max(1.0, self.limit * QUEUEING_DECREASE)
         else:
             self.limit = min(self.ceiling, self.limit + 1.0 / self.limit)
 
+    @property
+    def is_queueing(self) -> bool:
+        """Whether recent answers took longer than without a queue."""
+        return self.service_time_s > QUEUEING_FACTOR * self.calm_time_s
+
+    def _learn_time(self, took_s: float) -> None:
+        self.answers += 1
+        if self.answers == 1:
+            self.service_time_s = self.calm_time_s = took_s
+            return
+        self.service_time_s += SMOOTHING * (took_s - self.service_time_s)
+        weight = max(CALM_SMOOTHING, 1 / self.answers)
+        if self.is_queueing:
+            weight = BUSY_SMOOTHING
+        sample_s = min(took_s, OUTLIER_FACTOR * self.calm_time_s)
+        self.calm_time_s += weight * (sample_s - self.calm_time_s)
+
 
 class Fleet:
     """Outlooks of all instances, grouped by service."""
