Divide the slots of busy owners among the VMs; join writes of the key map

Change: reports of load carry times and are answered with the VM's share of busy owners; the coordinator works with a half-life of 1 s and speeds seen by all VMs; settled ranges share a write.

--- a/libs/coordination/src/oriolefold_coordination/custody.py
+++ b/libs/coordination/src/oriolefold_coordination/custody.py
@@ -22,7 +22,8 @@
 AUTHORITY_S = 8.0  # Time that a coordinator acts on after its last heartbeat.
 UNREACHABLE_S = 1.6  # Time without answers after which keys are moved away.
 FORGIVEN_S = 4.0  # Time after which an instance may be granted keys again.
-BALANCE_S = 1.2  # Pause between voluntary moves.
+GATHER_S = 0.06  # Time in which grants gather for one write of the map.
+BALANCE_S = 0.8  # Pause between voluntary moves.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +107,7 @@
         self._avoided_until_s: dict[tuple, float] = {}
         self._publishing: ranges.KeyMap | None = None
         self._balance_at_s = 0.0
+        self._granted_at_s: float | None = None
 
     def update(
         self,
@@ -136,6 +138,7 @@
     def published(self, key_map: ranges.KeyMap) -> None:
         """Takes the success of a write."""
         self._publishing = None
+        self._granted_at_s = None
         self.key_map = key_map
         keys = {_key(r) for r in key_map.ranges}
         self._granted &= keys
@@ -210,23 +213,32 @@
             for c in self._candidates
             if _life(c.holder) not in self._avoided_until_s
         ]
-        settled = all(not r.priors for r in self.key_map.ranges)
-        may_balance = settled and now_s >= self._balance_at_s
-        changed = allotment.allot(
-            self._settle(), candidates, profile, may_balance
-        )
+        settled = self._settle(now_s)
+        calm = all(not r.priors for r in settled.ranges)
+        may_balance = calm and now_s >= self._balance_at_s
+        changed = allotment.allot(settled, candidates, profile, may_balance)
         if may_balance and changed is not self.key_map:
             self._balance_at_s = now_s + BALANCE_S
         if changed == self.key_map:
             return self.key_map
         return changed
 
-    def _settle(self) -> ranges.KeyMap:
-        """Returns the map without former holders of ranges that are held."""
+    def _settle(self, now_s: float) -> ranges.KeyMap:
+        """Returns the map without former holders of ranges that are held.
+
+        Every write wakes all VMs, so grants that end shortly after each other
+        share one.
+        """
+        moving = [r for r in self.key_map.ranges if r.priors]
+        done = {_key(r) for r in moving if _key(r) in self._granted}
+        if not done:
+            return self.key_map
+        if self._granted_at_s is None:
+            self._granted_at_s = now_s
+        if len(done) < len(moving) and now_s - self._granted_at_s < GATHER_S:
+            return self.key_map
         settled = tuple(
-            dataclasses.replace(r, priors=())
-            if r.priors and _key(r) in self._granted
-            else r
+            dataclasses.replace(r, priors=()) if _key(r) in done else r
             for r in self.key_map.ranges
         )
         return dataclasses.replace(self.key_map, ranges=settled)
--- a/libs/coordination/src/oriolefold_coordination/keyload.py
+++ b/libs/coordination/src/oriolefold_coordination/keyload.py
@@ -7,7 +7,7 @@
 
 from oriolefold_coordination import ranges
 
-HALF_LIFE_S = 2.0  # Age at which a request counts half.
+HALF_LIFE_S = 1.0  # Age at which a request counts half.
 FORGET_BELOW = 0.05  # Decayed count of a key that is no longer kept.
 UNSEEN_RATE = 6.0  # Requests a second expected on all keys beside those seen.
 
--- /dev/null
+++ b/libs/coordination/src/oriolefold_coordination/quotas.py
@@ -0,0 +1,82 @@
+"""Divides the slots of a busy owner among the VMs that send to it.
+
+Each VM sees its own requests only, and all of them together overrun an owner
+before answers show it. The coordinator hears from all VMs what they ask of
+each owner, so it can tell each one its part.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from oriolefold_coordination import ranges
+
+SMOOTHING = 0.5  # Weight of the newest report in the moving rates.
+BUSY_UTILIZATION = 0.55  # Owners below need no division.
+FORGET_S = 2.5  # Age at which the rates of a silent VM no longer count.
+
+
+class Quotas:
+    """Rates at which each VM asks each owner."""
+
+    def __init__(self):
+        self._rates_by_vm_id: dict[str, dict[str, float]] = {}
+        self._reported_at_s: dict[str, float] = {}
+
+    def report(
+        self,
+        vm_id: str,
+        keys: Iterable[int],
+        key_map: ranges.KeyMap,
+        now_s: float,
+    ) -> None:
+        """Takes what a VM was asked for since its last report.
+
+        Args:
+            vm_id: The VM.
+            keys: Key of each request.
+            key_map: Present owners.
+            now_s: Present time.
+        """
+        before_s = self._reported_at_s.get(vm_id)
+        self._reported_at_s[vm_id] = now_s
+        if before_s is None or now_s - before_s > FORGET_S:
+            self._rates_by_vm_id[vm_id] = {}
+            if before_s is None:
+                return
+        passed_s = max(0.1, now_s - before_s)
+        counts_by_id: dict[str, int] = {}
+        for key in keys:
+            key_range = key_map.range_of(key)
+            if key_range is not None:
+                owner_id = key_range.owner.instance_id
+                counts_by_id[owner_id] = counts_by_id.get(owner_id, 0) + 1
+        rates = self._rates_by_vm_id[vm_id]
+        for owner_id in rates.keys() | counts_by_id.keys():
+            rate = counts_by_id.get(owner_id, 0) / passed_s
+            known = rates.get(owner_id, rate)
+            rates[owner_id] = known + SMOOTHING * (rate - known)
+
+    def shares(
+        self,
+        vm_id: str,
+        capacities_by_id: Mapping[str, float],
+        now_s: float,
+    ) -> dict[str, float]:
+        """Returns the part of each busy owner's slots that a VM may use.
+
+        Args:
+            vm_id: The VM.
+            capacities_by_id: Requests a second that each owner can run.
+            now_s: Present time.
+        """
+        totals_by_id: dict[str, float] = {}
+        for other_id, rates in self._rates_by_vm_id.items():
+            if now_s - self._reported_at_s[other_id] > FORGET_S:
+                continue
+            for owner_id, rate in rates.items():
+                totals_by_id[owner_id] = totals_by_id.get(owner_id, 0.0) + rate
+        own = self._rates_by_vm_id.get(vm_id, {})
+        return {
+            owner_id: round(own.get(owner_id, 0.0) / total, 3)
+            for owner_id, total in totals_by_id.items()
+            if total > BUSY_UTILIZATION * capacities_by_id.get(owner_id, total)
+        }
--- a/libs/coordination/tests/test_custody.py
+++ b/libs/coordination/tests/test_custody.py
@@ -22,7 +22,7 @@
 )
 
 SEEDS = range(60)
-PLANTED_SEEDS = range(200)  # Histories in which a planted fault must show.
+PLANTED_SEEDS = range(1000)  # Histories in which a planted fault must show.
 LENGTH_S = 60.0
 STEP_S = 0.1
 INSTANCES = 4
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -10,6 +10,7 @@
     custody,
     keyload,
     office,
+    quotas,
     ranges,
 )
 from oriolefold_core import clock, errors, tasks
@@ -20,9 +21,10 @@
 from oriolefold_telemetry import logs
 
 REPORT_S = 0.5  # Pause between readings of the load on this VM.
+REPORTS_WITH_TIMES = 4  # Every so many reports tell the times of instances.
 REPORTS_PER_READ = 2  # Reports of load between two readings of the office.
 FIRST_TIME_S = 0.2  # Time for a request until answers have shown it.
-STEP_S = 0.1  # Pause between steps when nothing happens.
+STEP_S = 0.05  # Pause between steps when nothing happens.
 READ_S = 1.0  # Mean pause between readings of the office by others.
 FIRST_READ_S = 0.3  # Longest pause before the first reading.
 SETTLE_S = 1.2  # Calm in the registry that the first assignment waits for.
@@ -87,9 +89,11 @@
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[fleet.Endpoint, ...] = ()
         self._load = keyload.KeyLoad(time.now_s())
-        self._times_by_id: dict[str, float] = {}
+        self._times_by_vm_id: dict[str, dict[str, float]] = {}
+        self._quotas = quotas.Quotas()
         self._weighed_at_s = 0.0
         self._holder_address = ''
+        self._reports = 0
         self._registry_changed_at_s = 0.0
         self._settled_by_s = 0.0
         self._resigning = False
@@ -124,8 +128,7 @@
             case _Published():
                 self._end_publish(message)
             case messages.LoadReported():
-                if self._custodian is not None:
-                    self._load.record(message.keys, self._clock.now_s())
+                message.answer(self._take_load(message.vm_id, message.seen))
             case messages.Tick():
                 await self._weigh()
                 self._step()
@@ -279,29 +282,59 @@
             return
         self._weighed_at_s = now_s
         seen = await self._read_load()
-        self._load.record(seen.keys, now_s)
-        self._times_by_id = seen.times_by_id
+        shares_by_id = self._take_load(self._vm_id, seen)
+        self._dispatcher.post(messages.SharesKnown(shares_by_id))
         self._update_custodian()
 
+    def _take_load(
+        self, vm_id: str, seen: messages.SeenLoad
+    ) -> dict[str, float]:
+        """Takes what a VM has seen and returns its share of busy owners."""
+        if self._custodian is None:
+            return {}
+        now_s = self._clock.now_s()
+        self._load.record(seen.keys, now_s)
+        if seen.times_by_id:
+            self._times_by_vm_id[vm_id] = seen.times_by_id
+        self._quotas.report(vm_id, seen.keys, self._custodian.key_map, now_s)
+        capacities_by_id = {
+            e.instance_id: self._capacity(e) for e in self._endpoints
+        }
+        return self._quotas.shares(vm_id, capacities_by_id, now_s)
+
     async def _report(self) -> None:
         """Tells the holder of the office which keys are asked for here."""
         seen = await self._read_load()
         if not self._holder_address or not seen.keys:
             return
-        report = messages.LoadReported(self._service_id, seen.keys)
+        self._reports += 1
+        if self._reports % REPORTS_WITH_TIMES:
+            seen = dataclasses.replace(seen, times_by_id={})
+        report = messages.LoadReported(self._vm_id, self._service_id, seen)
         try:
-            await self._peers.report(self._holder_address, report)
+            shares_by_id = await self._peers.report(
+                self._holder_address, report
+            )
+            self._dispatcher.post(messages.SharesKnown(shares_by_id))
         except errors.OriolefoldError as error:
             # The holder balances by what the others tell it.
             self._log('load.not_reported', error=str(error))
 
     def _capacity(self, endpoint: fleet.Endpoint) -> float:
         """Returns the requests a second that an instance can run."""
-        times = self._times_by_id.values()
-        typical_s = sum(times) / len(times) if times else FIRST_TIME_S
-        own_s = self._times_by_id.get(endpoint.instance_id, typical_s)
-        # Single instances are seen seldom, so half of the mean goes in.
-        return 2 * endpoint.slots / (own_s + typical_s)
+        typical_s = self._mean_time_s(None) or FIRST_TIME_S
+        own_s = self._mean_time_s(endpoint.instance_id) or typical_s
+        return endpoint.slots / own_s
+
+    def _mean_time_s(self, instance_id: str | None) -> float:
+        """Returns the mean of the VMs' times of one instance, or of all."""
+        times = [
+            time_s
+            for times_by_id in self._times_by_vm_id.values()
+            for known_id, time_s in times_by_id.items()
+            if instance_id is None or known_id == instance_id
+        ]
+        return sum(times) / len(times) if times else 0.0
 
     def _step(self) -> None:
         if not self._may_act():
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -29,7 +29,9 @@
                 made.post(message)
         elif isinstance(message, messages.LoadReported):
             found = self._by_service_id.get(message.service_id)
-            if found is not None:
+            if found is None:
+                message.answer({})
+            else:
                 found.post(message)
         elif isinstance(message, messages.PolicyInForce):
             for profile in message.policy.services_by_id.values():
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -124,6 +124,12 @@
             case messages.Wake():
                 self._waking_ids.discard(message.service_id)
                 self._wake(message.service_id)
+            case messages.SharesKnown():
+                now_s = self._clock.now_s()
+                for instance_id, share in message.shares_by_id.items():
+                    known = self._fleet.outlooks_by_id.get(instance_id)
+                    if known is not None:
+                        known.divide(share, now_s)
             case messages.ReadLoad():
                 message.answer(self._seen_load(message.service_id))
             case messages.DescribeView():
@@ -284,8 +290,9 @@
             if chosen is not None:
                 chosen.in_flight += 1
                 return chosen
-        typical_s = self._fleet.typical_time_s(flight.service_id)
-        patience_s = waiting.patience_s(flight.route.objective_s, typical_s)
+        patience_s = waiting.patience_s(
+            flight.route.objective_s, self._expected_time_s(flight)
+        )
         give_up_at_s = flight.received_s + patience_s
         turn = asyncio.get_running_loop().create_future()
         waiter = waiting.Waiter((flight, turn), flight.route.rank, give_up_at_s)
@@ -304,6 +311,13 @@
         finally:
             line.discard(waiter)
 
+    def _expected_time_s(self, flight: _Flight) -> float:
+        """Returns the time that an answer takes once it is sent."""
+        owner = self._owner(flight) if flight.key is not None else None
+        if owner is not None and owner.service_time_s:
+            return owner.service_time_s
+        return self._fleet.typical_time_s(flight.service_id)
+
     def _return_place(self, turn: asyncio.Future) -> None:
         """Frees a place that was given to a request that had gone."""
         if turn.done() and not turn.cancelled():
@@ -314,17 +328,23 @@
             return self._fleet.choose(
                 flight.service_id, flight.tried_ids, now_s
             )
+        owner = self._owner(flight)
+        if owner is None or not owner.has_room(now_s):
+            return None
+        return owner
+
+    def _owner(self, flight: _Flight) -> outlook.Outlook | None:
+        """Returns the instance that holds the key, if one may be sent to."""
         key_map = self._maps_by_service_id.get(flight.service_id)
         key_range = key_map.range_of(flight.key) if key_map else None
         if key_range is None or key_range.priors:
             return None
-        owner = key_range.owner
-        known = self._fleet.outlooks_by_id.get(owner.instance_id)
+        holder = key_range.owner
+        known = self._fleet.outlooks_by_id.get(holder.instance_id)
         if (
             known is None
-            or known.endpoint.born_ms != owner.born_ms
+            or known.endpoint.born_ms != holder.born_ms
             or known.endpoint.draining
-            or not known.has_room(now_s)
         ):
             return None
         return known
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -67,17 +67,30 @@
     service_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReported:
-    """Another VM tells the keys of the requests that it has had.
+@dataclasses.dataclass(slots=True, eq=False)
+class LoadReported(tasks.Ask):
+    """Another VM tells its load; the reply is its share of busy owners by id.
 
     Attributes:
+        vm_id: The VM that tells it.
         service_id: The service.
-        keys: Key of each request since the last report.
+        seen: What it has seen since its last report.
     """
 
+    vm_id: str
     service_id: str
-    keys: tuple[int, ...]
+    seen: SeenLoad
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharesKnown:
+    """This VM's part of the slots of busy owners.
+
+    Attributes:
+        shares_by_id: Part from 0 to 1 by the instance.
+    """
+
+    shares_by_id: dict[str, float]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -8,13 +8,15 @@
 
 REPORT_PATH = '/load'
 REPORT_TIMEOUT_S = 0.5  # A report that is late is of little use.
-MAX_ANSWER_BYTES = 4096
-NO_CONTENT = 204
+MAX_ANSWER_BYTES = 65536
+OK = 200
 
 
 class _Report(msgspec.Struct, forbid_unknown_fields=True):
+    vm_id: str
     service_id: str
     keys: list[int]
+    times_by_id: dict[str, float] = {}
 
 
 class HttpPeers(ports.Peers):
@@ -23,11 +25,18 @@
     def __init__(self):
         self._pool = connections.Pool(MAX_ANSWER_BYTES)
 
-    async def report(self, address: str, report: messages.LoadReported) -> None:
+    async def report(
+        self, address: str, report: messages.LoadReported
+    ) -> dict[str, float]:
         """Reports load to the VM at an address."""
         host, _, port = address.rpartition(':')
         body = msgspec.json.encode(
-            _Report(report.service_id, list(report.keys))
+            _Report(
+                report.vm_id,
+                report.service_id,
+                list(report.seen.keys),
+                report.seen.times_by_id,
+            )
         )
         outgoing = connections.Outgoing('POST', REPORT_PATH, [], body)
         answer = await self._pool.exchange(
@@ -36,8 +45,9 @@
             REPORT_TIMEOUT_S,
             REPORT_TIMEOUT_S,
         )
-        if answer.status != NO_CONTENT:
+        if answer.status != OK:
             raise errors.ProtocolError(f'the peer answered {answer.status}')
+        return _decode(answer.body, dict[str, float])
 
     def close(self) -> None:
         """Closes the kept connections."""
@@ -50,8 +60,18 @@
     Raises:
         ProtocolError: If the body is no report.
     """
+    found = _decode(body, _Report)
+    seen = messages.SeenLoad(tuple(found.keys), found.times_by_id)
+    return messages.LoadReported(found.vm_id, found.service_id, seen)
+
+
+def shares_text(shares_by_id: dict[str, float]) -> bytes:
+    """Returns the answer to a report."""
+    return msgspec.json.encode(shares_by_id)
+
+
+def _decode(body: bytes, model):
     try:
-        found = msgspec.json.decode(body, type=_Report)
+        return msgspec.json.decode(body, type=model)
     except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(f'not a report of load: {error}') from error
-    return messages.LoadReported(found.service_id, tuple(found.keys))
+        raise errors.ProtocolError(f'unreadable load: {error}') from error
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -57,9 +57,14 @@
     """Tells other entry VMs what this one has seen."""
 
     @abc.abstractmethod
-    async def report(self, address: str, report: messages.LoadReported) -> None:
+    async def report(
+        self, address: str, report: messages.LoadReported
+    ) -> dict[str, float]:
         """Reports load to the VM at an address.
 
+        Returns:
+            This VM's part of the slots of busy owners, by the instance.
+
         Raises:
             OriolefoldError: If the report did not arrive, or may not have.
         """
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -1,5 +1,6 @@
 """HTTP interface for readiness, metrics and reports of other VMs."""
 
+import asyncio
 from collections.abc import Callable
 
 from tornado import httpserver, httputil, netutil
@@ -55,24 +56,40 @@
         status, body = 404, b''
         if request.path == self._ready_path:
             status = 200 if self._is_ready() else 503
-        elif request.path == peering.REPORT_PATH:
-            status = self._take_report(request.body)
         elif request.path == self._metrics_path:
             status, body = 200, self._metrics.text()
-        start = httputil.ResponseStartLine(
-            'HTTP/1.1', status, httputil.responses[status]
-        )
-        headers = httputil.HTTPHeaders()
-        if status != peering.NO_CONTENT:
-            headers['Content-Length'] = str(len(body))
-        written = request.connection.write_headers(start, headers, body)
-        written.add_done_callback(lambda future: future.exception())
-        request.connection.finish()
+        elif request.path == peering.REPORT_PATH:
+            self._take_report(request)
+            return
+        _write(request, status, body)
 
-    def _take_report(self, body: bytes) -> int:
+    def _take_report(self, request: httputil.HTTPServerRequest) -> None:
         try:
-            self._coordinators.post(peering.read_report(body))
+            report = peering.read_report(request.body)
         except errors.ProtocolError as error:
             logs.event('load.unreadable', error=str(error))
-            return 400
-        return peering.NO_CONTENT
+            _write(request, 400, b'')
+            return
+
+        def reply(shares: asyncio.Future) -> None:
+            if shares.cancelled() or shares.exception() is not None:
+                _write(request, 500, b'')
+            else:
+                body = peering.shares_text(shares.result())
+                _write(request, 200, body)
+
+        report.reply.add_done_callback(reply)
+        self._coordinators.post(report)
+
+
+def _write(
+    request: httputil.HTTPServerRequest, status: int, body: bytes
+) -> None:
+    start = httputil.ResponseStartLine(
+        'HTTP/1.1', status, httputil.responses[status]
+    )
+    headers = httputil.HTTPHeaders({'Content-Length': str(len(body))})
+    # A failed write means that the asker has gone.
+    written = request.connection.write_headers(start, headers, body)
+    written.add_done_callback(lambda future: future.exception())
+    request.connection.finish()
--- a/libs/routing/src/oriolefold_routing/outlook.py
+++ b/libs/routing/src/oriolefold_routing/outlook.py
@@ -12,17 +12,19 @@
 from oriolefold_routing import fleet
 
 FIRST_SERVICE_TIME_S = 0.2  # Until the first answer of a service was seen.
-SMOOTHING = 0.15  # Weight of a new sample in moving means.
+SMOOTHING = 0.2  # Weight of a new sample in moving means.
 REFUSAL_FACTOR = 0.7  # Limit after a refusal, relative to before.
 REFUSAL_PAUSE_S = 0.08  # Time without new requests after a refusal.
 FAILURE_PAUSE_S = 1.0  # Time without new requests after a failed connection.
 FAILURES_TO_AVOID = 0.35  # Share of failures from which others go first.
 QUEUE_DEPTH = 0.5  # Requests beyond the slots that one VM may add, per slot.
 QUEUEING_FACTOR = 1.5  # Mean time over the calm one that tells of a queue.
-QUEUEING_DECREASE = 0.93  # Limit after an answer that waited in a queue.
+LEAST_DECREASE = 0.7  # Smallest factor by which a queue shrinks the limit.
 CALM_SMOOTHING = 0.08  # Weight of a new sample in the calm mean.
 BUSY_SMOOTHING = 0.01  # The same while answers wait in a queue.
 OUTLIER_FACTOR = 3.0  # A sample counts for at most so many calm means.
+QUOTA_MARGIN = 1.2  # Requests for each slot that all VMs may have in flight.
+QUOTA_S = 1.5  # Time for which a quota holds; it is renewed twice a second.
 ZONE_PENALTY = 1.15  # Cost of another zone, relative to the own one.
 
 
@@ -49,8 +51,11 @@
         calm_time_s: Mean of answers that waited in no queue; 0 if unknown.
         answers: Number of answers.
         failure_share: Moving share of the sends that failed, 0 to 1.
+        shrunk_at_s: When a queue last made the limit smaller.
         paused_until_s: Time from which new requests may be sent.
         warm_at_s: Time from which it runs at its full speed.
+        quota: Requests in flight that are this VM's part of a busy instance.
+        quota_until_s: Time until which the quota holds.
     """
 
     endpoint: fleet.Endpoint
@@ -61,8 +66,11 @@
     calm_time_s: float = 0.0
     answers: int = 0
     failure_share: float = 0.0
+    shrunk_at_s: float = 0.0
     paused_until_s: float = 0.0
     warm_at_s: float = 0.0
+    quota: float = 0.0
+    quota_until_s: float = 0.0
 
     @property
     def ceiling(self) -> float:
@@ -74,10 +82,22 @@
         if now_s < self.paused_until_s:
             return False
         limit = self.limit
+        if now_s < self.quota_until_s:
+            limit = self.quota
         if now_s < self.warm_at_s:
             limit = max(1.0, limit / 2)
         return self.in_flight < limit
 
+    def divide(self, share: float, now_s: float) -> None:
+        """Takes this VM's part of the slots of a busy instance.
+
+        Args:
+            share: Part of the slots, 0 to 1.
+            now_s: Present time.
+        """
+        self.quota = max(1.0, share * self.endpoint.slots * QUOTA_MARGIN)
+        self.quota_until_s = now_s + QUOTA_S
+
     def record(self, result: Result, took_s: float, now_s: float) -> None:
         """Takes the end of a send into account.
 
@@ -104,10 +124,16 @@
         if failed:
             return
         self._learn_time(took_s)
-        if self.is_queueing:
-            self.limit = max(1.0, self.limit * QUEUEING_DECREASE)
-        else:
+        if not self.is_queueing:
             self.limit = min(self.ceiling, self.limit + 1.0 / self.limit)
+        elif now_s >= self.shrunk_at_s + self.calm_time_s:
+            # Requests in flight and their time shrink together, so the limit
+            # follows the ratio; once per service time, since what is in
+            # flight already still tells of the old limit.
+            ratio = QUEUEING_FACTOR * self.calm_time_s / self.service_time_s
+            base = min(self.limit, self.in_flight + 1.0)
+            self.limit = max(1.0, base * max(LEAST_DECREASE, ratio))
+            self.shrunk_at_s = now_s
 
     @property
     def is_queueing(self) -> bool:
--- a/libs/routing/src/oriolefold_routing/waiting.py
+++ b/libs/routing/src/oriolefold_routing/waiting.py
@@ -5,7 +5,7 @@
 
 SHORT_WAIT_SHARE = 0.125  # Part of the objective that may always be waited.
 LONGEST_WAIT_SHARE = 0.6  # Part of the objective that may be waited at most.
-TIME_MARGIN = 1.2  # Service time to plan for, relative to the usual one.
+TIME_MARGIN = 1.5  # Service time to plan for; four in five take less.
 FIRST_RETURN_S = 0.15  # Least time after which a refused caller may return.
 
 
