--- a/libs/coordination/src/oriolefold_coordination/office.py
+++ b/libs/coordination/src/oriolefold_coordination/office.py
@@ -8,6 +8,7 @@
 
 HEARTBEAT_S = 1.0  # Pause between heartbeats of the holder.
 TAKEOVER_S = 2.6  # Time without a new heartbeat after which others take over.
+SUSPECTED_TAKEOVER_S = 1.5  # The same if the holder is silent to this VM too.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,13 +37,20 @@
         self._version = -1
         self._seen_at_s = 0.0
 
-    def observe(self, version: int, tenure: Tenure, now_s: float) -> bool:
+    def observe(
+        self,
+        version: int,
+        tenure: Tenure,
+        now_s: float,
+        suspected: bool = False,
+    ) -> bool:
         """Takes a reading of the office.
 
         Args:
             version: Version of the object.
             tenure: Its content.
             now_s: Present time.
+            suspected: Whether the holder does not answer this VM either.
 
         Returns:
             Whether the office may be taken over.
@@ -61,4 +69,5 @@
         ):
             # An earlier process of this VM held it.
             return True
-        return now_s - self._seen_at_s > TAKEOVER_S
+        limit_s = SUSPECTED_TAKEOVER_S if suspected else TAKEOVER_S
+        return now_s - self._seen_at_s > limit_s
--- a/libs/coordination/tests/test_office.py
+++ b/libs/coordination/tests/test_office.py
@@ -22,6 +22,16 @@
         self.assertFalse(self.vigil.observe(5, OTHER, office.TAKEOVER_S))
         self.assertTrue(self.vigil.observe(5, OTHER, office.TAKEOVER_S + 0.1))
 
+    def test_a_holder_that_is_silent_to_this_vm_too_loses_it_earlier(self):
+        self.vigil.observe(5, OTHER, 0.0, suspected=True)
+        limit_s = office.SUSPECTED_TAKEOVER_S
+        self.assertFalse(
+            self.vigil.observe(5, OTHER, limit_s - 0.1, suspected=True)
+        )
+        self.assertTrue(
+            self.vigil.observe(5, OTHER, limit_s + 0.1, suspected=True)
+        )
+
     def test_a_stale_reading_tells_nothing(self):
         self.vigil.observe(5, OTHER, 0.0)
         self.assertFalse(self.vigil.observe(4, OTHER, 60.0))
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -12,6 +12,7 @@
     coordinator,
     coordinators,
     dispatcher,
+    feeding,
     peering,
     ports,
     status,
@@ -101,10 +102,12 @@
             recorder: Counts what happens.
         """
         self._values = values
-        self._store = store
         self._instances = instances
         self._stopping = asyncio.Event()
         time = clock.BootClock()
+        self._peers = peering.HttpPeers()
+        feed = feeding.Feed(time)
+        self._store = feeding.FedStore(store, self._peers, feed, time)
         generator = random.Random()
         available = availability.Availability(time)
         incarnation = uuid.uuid4().hex
@@ -124,15 +127,14 @@
             values.deadline_header,
         )
 
-        self._peers = peering.HttpPeers()
-
         def make(service_id: str) -> coordinator.Coordinator:
             return coordinator.Coordinator(
                 service_id,
                 values.vm_id,
                 incarnation,
                 str(values.status_address),
-                store,
+                self._store,
+                feed,
                 instances,
                 self._peers,
                 self._dispatcher,
@@ -146,7 +148,7 @@
         limits = _Limits(self._frontend)
         key_map_reader = watching.KeyMapReader()
         self._watchers: Sequence[watching.Watcher] = [
-            watching.Watcher(store, reader, subscribers, time, available)
+            watching.Watcher(self._store, reader, subscribers, time, available)
             for reader, subscribers in (
                 (
                     policy_reader,
@@ -169,6 +171,7 @@
             self.is_ready,
             recorder,
             self._coordinators,
+            feed,
         )
 
     def is_ready(self) -> bool:
@@ -219,6 +222,6 @@
         for task in reversed(self._tasks):
             await task.stop()
         await self._instances.close()
-        self._peers.close()
         await self._store.close()
+        self._peers.close()
         logs.event('daemon.stopped', vm=self._values.vm_id)
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -14,7 +14,13 @@
     ranges,
 )
 from oriolefold_core import clock, errors, tasks
-from oriolefold_direct import availability, documents, messages, ports
+from oriolefold_direct import (
+    availability,
+    documents,
+    feeding,
+    messages,
+    ports,
+)
 from oriolefold_routing import fleet
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
@@ -22,10 +28,11 @@
 
 REPORT_S = 0.5  # Pause between readings of the load on this VM.
 REPORTS_WITH_TIMES = 4  # Every so many reports tell the times of instances.
-REPORTS_PER_READ = 2  # Reports of load between two readings of the office.
+READ_S = 1.0  # Mean pause between readings of the office by others.
+SUSPICIOUS_READ_S = 0.4  # The same after a feed was lost.
+FED_READ_S = 6.0  # The same while the holder feeds this VM.
 FIRST_TIME_S = 0.2  # Time for a request until answers have shown it.
 STEP_S = 0.05  # Pause between steps when nothing happens.
-READ_S = 1.0  # Mean pause between readings of the office by others.
 FIRST_READ_S = 0.3  # Longest pause before the first reading.
 SETTLE_S = 1.2  # Calm in the registry that the first assignment waits for.
 SETTLE_LIMIT_S = 4.0  # Time after which it waits no longer.
@@ -59,7 +66,8 @@
         vm_id: str,
         incarnation: str,
         own_address: str,
-        store: store_ports.Store,
+        store: feeding.FedStore,
+        feed: feeding.Feed,
         instances: ports.Instances,
         peers: ports.Peers,
         dispatcher: tasks.Task,
@@ -74,6 +82,7 @@
         self._incarnation = incarnation
         self._own_address = own_address
         self._store = store
+        self._feed = feed
         self._instances = instances
         self._peers = peers
         self._dispatcher = dispatcher
@@ -160,10 +169,21 @@
                 await asyncio.sleep(STEP_S)
 
     async def _follow(self) -> None:
-        """Reports load until the office is to be read again."""
-        pause_s = READ_S * (0.75 + 0.5 * self._random.random())
-        for _ in range(REPORTS_PER_READ):
-            await asyncio.sleep(pause_s / REPORTS_PER_READ)
+        """Reports load until the office is to be read again.
+
+        A holder that feeds this VM lives, so its office need not be read.
+        """
+        read_s = READ_S
+        if self._store.is_fed:
+            read_s = FED_READ_S
+        elif self._store.has_failed:
+            read_s = SUSPICIOUS_READ_S
+        until_s = self._clock.now_s() + read_s * (
+            0.75 + 0.5 * self._random.random()
+        )
+        fed = self._store.is_fed
+        while self._clock.now_s() < until_s and self._store.is_fed == fed:
+            await asyncio.sleep(REPORT_S)
             await self._report()
 
     async def _try_to_take_office(self) -> bool:
@@ -190,11 +210,19 @@
         document = updates.opened(stored)
         tenure = documents.read_tenure(document.body, name)
         now_s = self._clock.now_s()
-        self._holder_address = tenure.address
-        if not self._vigil.observe(document.version, tenure, now_s):
+        self._follow_holder(tenure)
+        if not self._vigil.observe(
+            document.version, tenure, now_s, self._store.has_failed
+        ):
             return None
         return document, tenure
 
+    def _follow_holder(self, tenure: office.Tenure) -> None:
+        """Lets the holder of the office tell of changes in the store."""
+        self._holder_address = tenure.address if tenure.vm_id else ''
+        if self._holder_address and tenure.incarnation != self._incarnation:
+            self._store.follow(self._holder_address)
+
     async def _take_office(self, before, last: office.Tenure | None) -> bool:
         now_s = self._clock.now_s()
         self._beat = last.beat + 1 if last else 1
@@ -210,6 +238,9 @@
         key_map = ranges.KeyMap(self._service_id)
         if self._map_document.body:
             key_map = documents.read_key_map(self._map_document.body, name)
+        self._store.lead()
+        self._feed.contact()
+        self._feed.hold(self._service_id)
         self._authority_until_s = now_s + custody.AUTHORITY_S
         inherited_until_s = custody.hold_end_s(self._clock.now_s())
         if last is None and not key_map.ranges:
@@ -249,12 +280,14 @@
             self._log('office.not_prolonged', error=str(error))
         else:
             self._beat += 1
+            self._feed.contact()
             self._authority_until_s = sent_at_s + custody.AUTHORITY_S
 
     def _step_down(self, reason: str) -> None:
         if self._custodian is not None:
             self._log('office.left', reason=reason)
         self._custodian = None
+        self._feed.leave(self._service_id)
 
     def _may_act(self) -> bool:
         return (
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -9,6 +9,7 @@
 from oriolefold_core import data
 from oriolefold_direct import messages
 from oriolefold_routing import fleet
+from oriolefold_store import ports as store_ports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +70,16 @@
             OriolefoldError: If the report did not arrive, or may not have.
         """
 
+    @abc.abstractmethod
+    async def changes(
+        self, address: str, revisions_by_prefix: dict[str, int]
+    ) -> dict[str, store_ports.Changes]:
+        """Waits for changes of stored objects that another VM has read.
+
+        Raises:
+            OriolefoldError: If the VM is silent, or must not be relied on.
+        """
+
 
 class Instances(abc.ABC):
     """Sends requests and grants to instances."""
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -6,7 +6,7 @@
 from tornado import httpserver, httputil, netutil
 
 from oriolefold_core import data, errors, tasks
-from oriolefold_direct import peering
+from oriolefold_direct import feeding, peering
 from oriolefold_telemetry import counters, logs
 
 
@@ -21,6 +21,7 @@
         is_ready: Callable[[], bool],
         recorder: counters.Counters,
         coordinators: tasks.Task,
+        feed: feeding.Feed,
     ):
         """Makes the server.
 
@@ -31,6 +32,7 @@
             is_ready: Tells whether this VM takes callers.
             recorder: Has the metrics.
             coordinators: Task that gets the reports of load.
+            feed: What this VM tells others of the store.
         """
         self._address = address
         self._ready_path = ready_path
@@ -38,6 +40,8 @@
         self._is_ready = is_ready
         self._metrics = recorder
         self._coordinators = coordinators
+        self._feed = feed
+        self._feeding: set[asyncio.Task] = set()
         self._server: httpserver.HTTPServer | None = None
 
     def start(self) -> None:
@@ -49,6 +53,8 @@
 
     async def stop(self) -> None:
         """Closes all connections."""
+        for telling in self._feeding:
+            telling.cancel()
         self._server.stop()
         await self._server.close_all_connections()
 
@@ -61,8 +67,30 @@
         elif request.path == peering.REPORT_PATH:
             self._take_report(request)
             return
+        elif request.path == peering.CHANGES_PATH:
+            self._tell_changes(request)
+            return
         _write(request, status, body)
 
+    def _tell_changes(self, request: httputil.HTTPServerRequest) -> None:
+        try:
+            revisions = peering.read_revisions(request.body)
+        except errors.ProtocolError as error:
+            logs.event('changes.unreadable', error=str(error))
+            _write(request, 400, b'')
+            return
+
+        async def tell() -> None:
+            found = await self._feed.changes(revisions)
+            if found is None:
+                _write(request, 503, b'')
+            else:
+                _write(request, 200, peering.changes_text(found))
+
+        telling = asyncio.create_task(tell())
+        self._feeding.add(telling)
+        telling.add_done_callback(self._feeding.discard)
+
     def _take_report(self, request: httputil.HTTPServerRequest) -> None:
         try:
             report = peering.read_report(request.body)
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -108,6 +108,9 @@
         self.reports.append((address, report))
         return {}
 
+    async def changes(self, address, revisions_by_prefix):
+        raise errors.UnreachableError('nobody feeds here')
+
 
 def endpoint(name, zone='z1', service='svc', **changes) -> fleet.Endpoint:
     """Returns an instance."""
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -8,6 +8,7 @@
     availability,
     coordinator,
     documents,
+    feeding,
     messages,
 )
 from oriolefold_store import memory, updates
@@ -36,14 +37,17 @@
         await self.start(self.dispatcher)
 
     def make(self, vm_id):
+        peers = fakes.FakePeers()
+        feed = feeding.Feed(self.clock)
         return coordinator.Coordinator(
             'svc',
             vm_id,
             f'process of {vm_id}',
             '10.0.0.9:80',
-            self.store,
+            feeding.FedStore(self.store, peers, feed, self.clock),
+            feed,
             self.instances,
-            fakes.FakePeers(),
+            peers,
             self.dispatcher,
             self.clock,
             availability.Availability(self.clock),
