--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -27,6 +27,7 @@
 from oriolefold_telemetry import logs
 
 REPORT_S = 0.5  # Pause between readings of the load on this VM.
+FEW_KEYS = 4  # Requests that are not worth a report of their own.
 REPORTS_WITH_TIMES = 4  # Every so many reports tell the times of instances.
 READ_S = 1.0  # Mean pause between readings of the office by others.
 SUSPICIOUS_READ_S = 0.4  # The same after a feed was lost.
@@ -103,6 +104,7 @@
         self._weighed_at_s = 0.0
         self._holder_address = ''
         self._reports = 0
+        self._unreported: tuple[int, ...] = ()
         self._registry_changed_at_s = 0.0
         self._settled_by_s = 0.0
         self._resigning = False
@@ -336,10 +338,21 @@
         return self._quotas.shares(vm_id, capacities_by_id, now_s)
 
     async def _report(self) -> None:
-        """Tells the holder of the office which keys are asked for here."""
-        seen = await self._read_load()
+        """Tells the holder of the office which keys are asked for here.
+
+        A report with few keys waits for the next one, so that many VMs with
+        little to do each do not keep the holder busy.
+        """
+        fresh = await self._read_load()
+        seen = messages.SeenLoad(
+            self._unreported + fresh.keys, fresh.times_by_id
+        )
         if not self._holder_address or not seen.keys:
             return
+        if len(seen.keys) < FEW_KEYS and not self._unreported:
+            self._unreported = seen.keys
+            return
+        self._unreported = ()
         self._reports += 1
         if self._reports % REPORTS_WITH_TIMES:
             seen = dataclasses.replace(seen, times_by_id={})
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -298,7 +298,7 @@
         if flight.key is not None or not line.ahead_of(flight.route.rank):
             chosen = self._choose(flight, now_s)
             if chosen is not None:
-                chosen.in_flight += 1
+                chosen.begin(now_s)
                 return chosen
         patience_s = waiting.patience_s(
             flight.route.objective_s, self._expected_time_s(flight)
@@ -408,7 +408,7 @@
                 continue
             chosen = self._choose(flight, now_s)
             if chosen is not None:
-                chosen.in_flight += 1
+                chosen.begin(now_s)
                 turn.set_result(chosen)
                 line.discard(waiter)
             elif flight.key is None and not flight.tried_ids:
--- a/libs/routing/src/oriolefold_routing/outlook.py
+++ b/libs/routing/src/oriolefold_routing/outlook.py
@@ -24,6 +24,7 @@
 BUSY_SMOOTHING = 0.01  # The same while answers wait in a queue.
 OUTLIER_FACTOR = 3.0  # A sample counts for at most so many calm means.
 QUOTA_MARGIN = 1.2  # Requests for each slot that all VMs may have in flight.
+LEAST_QUOTA = 0.1  # Requests in flight that a VM may always have, over time.
 QUOTA_S = 1.5  # Time for which a quota holds; it is renewed twice a second.
 ZONE_PENALTY = 1.15  # Cost of another zone, relative to the own one.
 
@@ -56,6 +57,7 @@
         warm_at_s: Time from which it runs at its full speed.
         quota: Requests in flight that are this VM's part of a busy instance.
         quota_until_s: Time until which the quota holds.
+        paced_until_s: Time of the next send under a quota below one request.
     """
 
     endpoint: fleet.Endpoint
@@ -71,6 +73,7 @@
     warm_at_s: float = 0.0
     quota: float = 0.0
     quota_until_s: float = 0.0
+    paced_until_s: float = 0.0
 
     @property
     def ceiling(self) -> float:
@@ -83,7 +86,9 @@
             return False
         limit = self.limit
         if now_s < self.quota_until_s:
-            limit = self.quota
+            if self.quota < 1 and now_s < self.paced_until_s:
+                return False
+            limit = max(1.0, self.quota)
         if now_s < self.warm_at_s:
             limit = max(1.0, limit / 2)
         return self.in_flight < limit
@@ -95,9 +100,20 @@
             share: Part of the slots, 0 to 1.
             now_s: Present time.
         """
-        self.quota = max(1.0, share * self.endpoint.slots * QUOTA_MARGIN)
+        quota = share * self.endpoint.slots * QUOTA_MARGIN
+        self.quota = max(LEAST_QUOTA, quota)
         self.quota_until_s = now_s + QUOTA_S
 
+    def begin(self, now_s: float) -> None:
+        """Takes a place for a request.
+
+        A quota below one request is kept over time: the next one has to wait
+        as much longer than this one takes.
+        """
+        self.in_flight += 1
+        if self.quota < 1 and now_s < self.quota_until_s:
+            self.paced_until_s = now_s + self.calm_time_s / self.quota
+
     def record(self, result: Result, took_s: float, now_s: float) -> None:
         """Takes the end of a send into account.
 
--- a/libs/routing/tests/test_outlook.py
+++ b/libs/routing/tests/test_outlook.py
@@ -104,6 +104,19 @@
         self.assertFalse(self.outlook.has_room(1.1))
         self.assertTrue(self.outlook.has_room(1.1 + outlook.QUOTA_S))
 
+    def test_a_quota_below_one_request_is_kept_over_time(self):
+        self.outlook.record(outlook.Result.ANSWERED, 0.2, 0.0)
+        started = []
+        for step in range(200):
+            now_s = 1.0 + step * 0.05
+            self.outlook.divide(0.05, now_s)
+            if self.outlook.has_room(now_s):
+                self.outlook.begin(now_s)
+                started.append(now_s)
+                self.outlook.in_flight -= 1
+        # 0.05 of six slots and a fifth more, at 0.2 s a request.
+        self.assertAlmostEqual(len(started), 10 * 0.36 / 0.2, delta=2)
+
     def test_a_new_instance_gets_less_while_it_warms_up(self):
         self.outlook.warm_at_s = 3.0
         self.outlook.in_flight = 4
