--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -180,6 +180,11 @@
             watcher.synchronized for watcher in self._watchers
         )
 
+    @property
+    def is_fed(self) -> bool:
+        """Whether another VM tells this one of changes in the store."""
+        return self._store.is_fed
+
     async def run(self) -> None:
         """Runs until a stop is asked for, then stops gracefully."""
         await self.start()
