--- a/libs/tool/src/oriolefold_tool/loading.py
+++ b/libs/tool/src/oriolefold_tool/loading.py
@@ -9,7 +9,7 @@
 
 from oriolefold_core import data, errors, results
 from oriolefold_http import client
-from oriolefold_telemetry import metrics
+from oriolefold_telemetry import latency as telemetry_latency
 from oriolefold_tool import workloads
 
 NO_ANSWER = 'no-answer'
@@ -41,8 +41,8 @@
     counts_by_status: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    latency: metrics.LatencyHistogram = dataclasses.field(
-        default_factory=metrics.LatencyHistogram
+    latency: telemetry_latency.LatencyHistogram = dataclasses.field(
+        default_factory=telemetry_latency.LatencyHistogram
     )
 
     @property
@@ -64,7 +64,7 @@
             },
             'latency_ms': {
                 f'p{percent:g}': round(self.latency.quantile_ms(percent), 2)
-                for percent in metrics.QUANTILES
+                for percent in telemetry_latency.QUANTILES
             },
             'accounted': self.accounted,
         }
--- a/measure/clients.py
+++ b/measure/clients.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from oriolefold_telemetry import metrics
+from oriolefold_telemetry import latency as telemetry_latency
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,8 +24,8 @@
     answered: int = 0
     other: int = 0
     took_s: float = 0.0
-    latency: metrics.LatencyHistogram = dataclasses.field(
-        default_factory=metrics.LatencyHistogram
+    latency: telemetry_latency.LatencyHistogram = dataclasses.field(
+        default_factory=telemetry_latency.LatencyHistogram
     )
 
     @property
