--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -8,9 +8,7 @@
 from oriolefold_coordination import (
     allotment,
     custody,
-    keyload,
     office,
-    quotas,
     ranges,
 )
 from oriolefold_core import clock, errors, tasks
@@ -18,13 +16,14 @@
     availability,
     documents,
     feeding,
+    loadbook,
     messages,
     ports,
 )
 from oriolefold_routing import fleet
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
-from oriolefold_telemetry import logs
+from oriolefold_telemetry import counters, logs
 
 REPORT_S = 0.5  # Pause between readings of the load on this VM.
 FEW_KEYS = 4  # Requests that are not worth a report of their own.
@@ -32,7 +31,6 @@
 READ_S = 1.0  # Mean pause between readings of the office by others.
 SUSPICIOUS_READ_S = 0.4  # The same after a feed was lost.
 FED_READ_S = 6.0  # The same while the holder feeds this VM.
-FIRST_TIME_S = 0.2  # Time for a request until answers have shown it.
 STEP_S = 0.05  # Pause between steps when nothing happens.
 FIRST_READ_S = 0.3  # Longest pause before the first reading.
 SETTLE_S = 1.2  # Calm in the registry that the first assignment waits for.
@@ -74,7 +72,7 @@
         dispatcher: tasks.Task,
         time: clock.Clock,
         available: availability.Availability,
-        recorder,
+        recorder: counters.Counters,
         generator: random.Random,
     ):
         super().__init__(f'coordinator {service_id}')
@@ -98,9 +96,7 @@
         self._custodian: custody.Custodian | None = None
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[fleet.Endpoint, ...] = ()
-        self._load = keyload.KeyLoad(time.now_s())
-        self._times_by_vm_id: dict[str, dict[str, float]] = {}
-        self._quotas = quotas.Quotas()
+        self._loads = loadbook.LoadBook(time.now_s())
         self._weighed_at_s = 0.0
         self._holder_address = ''
         self._reports = 0
@@ -301,7 +297,7 @@
         if self._custodian is None:
             return
         candidates = [
-            allotment.Candidate(_holder(e), self._capacity(e))
+            allotment.Candidate(_holder(e), self._loads.capacity(e))
             for e in self._endpoints
             if not e.draining
         ]
@@ -327,15 +323,13 @@
         """Takes what a VM has seen and returns its share of busy owners."""
         if self._custodian is None:
             return {}
-        now_s = self._clock.now_s()
-        self._load.record(seen.keys, now_s)
-        if seen.times_by_id:
-            self._times_by_vm_id[vm_id] = seen.times_by_id
-        self._quotas.report(vm_id, seen.keys, self._custodian.key_map, now_s)
-        capacities_by_id = {
-            e.instance_id: self._capacity(e) for e in self._endpoints
-        }
-        return self._quotas.shares(vm_id, capacities_by_id, now_s)
+        return self._loads.take(
+            vm_id,
+            seen,
+            self._custodian.key_map,
+            self._endpoints,
+            self._clock.now_s(),
+        )
 
     async def _report(self) -> None:
         """Tells the holder of the office which keys are asked for here.
@@ -366,22 +360,6 @@
             # The holder balances by what the others tell it.
             self._log('load.not_reported', error=str(error))
 
-    def _capacity(self, endpoint: fleet.Endpoint) -> float:
-        """Returns the requests a second that an instance can run."""
-        typical_s = self._mean_time_s(None) or FIRST_TIME_S
-        own_s = self._mean_time_s(endpoint.instance_id) or typical_s
-        return endpoint.slots / own_s
-
-    def _mean_time_s(self, instance_id: str | None) -> float:
-        """Returns the mean of the VMs' times of one instance, or of all."""
-        times = [
-            time_s
-            for times_by_id in self._times_by_vm_id.values()
-            for known_id, time_s in times_by_id.items()
-            if instance_id is None or known_id == instance_id
-        ]
-        return sum(times) / len(times) if times else 0.0
-
     def _step(self) -> None:
         if not self._may_act():
             return
@@ -389,7 +367,7 @@
         calm_s = now_s - self._registry_changed_at_s
         if now_s < self._settled_by_s and calm_s < SETTLE_S:
             return
-        for action in self._custodian.step(now_s, self._load.profile(now_s)):
+        for action in self._custodian.step(now_s, self._loads.profile(now_s)):
             match action:
                 case custody.Grant():
                     self.spawn(self._grant(action))
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 from typing import Any
 
 from oriolefold_coordination import ranges
 from oriolefold_core import clock, data, errors, tasks
-from oriolefold_direct import messages, ports
+from oriolefold_direct import flights, messages, ports
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import (
     attempts,
@@ -18,13 +17,12 @@
     policy,
     waiting,
 )
-from oriolefold_telemetry import logs
+from oriolefold_telemetry import counters
 
 MAX_SENDS = 3  # Sends of one request, refused ones included.
 MISDIRECTED_PAUSE_S = 0.1  # Before a request goes to an owner that refused it.
 MAX_SEEN_KEYS = 4096  # Requests whose keys are kept for the next report.
 WAKE_S = 0.05  # Pause after which paused instances are looked at again.
-FAILED_STATUS = 500  # From here on an instance reports a failure of its own.
 
 _RESULTS_BY_CATEGORY = {
     errors.Category.OVERLOADED: outlook.Result.REFUSED,
@@ -33,40 +31,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Flight:
-    """A request under way.
-
-    Attributes:
-        ask: What the caller waits for.
-        route: Route of the request.
-        service_id: Service that was chosen for it.
-        key: Its key, or None for a service without keys.
-        call: The request as it is sent.
-        received_s: When it was received.
-        expires_at_s: When the caller or the route stops waiting.
-        caller_left_s: Time that the caller waits from the receipt on.
-        tried_ids: Instances that it was sent to.
-        sends: Number of sends.
-        may_have_run: Whether an instance may have begun to run it.
-        answer: Failure that an instance answered, to be used if a repeat
-            brings nothing better.
-    """
-
-    ask: gateway_messages.Dispatch
-    route: policy.PrefixRoute
-    service_id: str
-    key: int | None
-    call: ports.Call
-    received_s: float
-    expires_at_s: float
-    caller_left_s: float
-    tried_ids: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    may_have_run: bool = False
-    answer: data.Answer | None = None
-
-
 class Dispatcher(tasks.Task):
     """Owns this VM's view of routes, instances and owners of keys."""
 
@@ -77,7 +41,7 @@
         instances: ports.Instances,
         time: clock.Clock,
         terms: attempts.BudgetTerms,
-        recorder,
+        recorder: counters.Counters,
         generator: random.Random,
     ):
         """Makes the task.
@@ -96,7 +60,7 @@
         self._instances = instances
         self._clock = time
         self._terms = terms
-        self._metrics = recorder
+        self._reporter = flights.Reporter(time, recorder)
         self._random = generator
         self._policy: policy.Policy | None = None
         self._splitter = policy.Splitter()
@@ -148,7 +112,7 @@
         try:
             flight = self._start(ask, now_s)
         except errors.OriolefoldError as error:
-            self._report_refusal(ask, error)
+            self._reporter.refused(ask, error, self._view())
             ask.fail(error)
             return
         child = self.spawn(self._serve(flight))
@@ -157,7 +121,9 @@
             lambda reply: child.cancel() if reply.cancelled() else None
         )
 
-    def _start(self, ask: gateway_messages.Dispatch, now_s: float) -> _Flight:
+    def _start(
+        self, ask: gateway_messages.Dispatch, now_s: float
+    ) -> flights.Flight:
         if self._policy is None:
             raise errors.NoOwnerError('no configuration is known yet')
         host = ask.headers.get('Host', '')
@@ -183,7 +149,7 @@
         self._budget(service_id).record_request(now_s)
         if key is not None:
             self._seen_keys(service_id).append(key)
-        return _Flight(
+        return flights.Flight(
             ask,
             route,
             service_id,
@@ -209,18 +175,25 @@
             )
         return key
 
-    async def _serve(self, flight: _Flight) -> None:
+    async def _serve(self, flight: flights.Flight) -> None:
         try:
             answer = await self._answer(flight)
         except errors.OriolefoldError as error:
             if flight.answer is not None:
                 self._finish(flight, flight.answer)
                 return
-            self._fail(flight, self._honest(flight, error))
+            told = self._honest(flight, error)
+            self._reporter.failed(flight, told, self._view(flight.service_id))
+            flight.ask.fail(told)
         else:
             self._finish(flight, answer)
 
-    async def _answer(self, flight: _Flight) -> data.Answer:
+    def _finish(self, flight: flights.Flight, answer: data.Answer) -> None:
+        view = self._view(flight.service_id)
+        self._reporter.answered(flight, answer.status, view)
+        flight.ask.answer(answer)
+
+    async def _answer(self, flight: flights.Flight) -> data.Answer:
         left_s = flight.expires_at_s - self._clock.now_s()
         try:
             async with asyncio.timeout(left_s):
@@ -234,7 +207,7 @@
                 flight, 'no instance had room in time'
             ) from error
 
-    async def _send_until_done(self, flight: _Flight) -> data.Answer:
+    async def _send_until_done(self, flight: flights.Flight) -> data.Answer:
         while True:
             place = await self._place(flight)
             try:
@@ -245,19 +218,22 @@
                 if error.category is errors.Category.MISDIRECTED:
                     await asyncio.sleep(MISDIRECTED_PAUSE_S)
                 continue
-            if answer.status < FAILED_STATUS or not flight.route.idempotent:
+            if (
+                answer.status < flights.FAILED_STATUS
+                or not flight.route.idempotent
+            ):
                 return answer
             flight.answer = answer
             if not self._may_repeat(flight, None):
                 return answer
 
-    def _told(self, flight: _Flight, error) -> errors.OriolefoldError:
+    def _told(self, flight: flights.Flight, error) -> errors.OriolefoldError:
         """Returns what the caller gets when its request is given up."""
         if isinstance(error, errors.NotRunError):
             return self._refusal(flight, error.message)
         return error
 
-    def _honest(self, flight: _Flight, error) -> errors.OriolefoldError:
+    def _honest(self, flight: flights.Flight, error) -> errors.OriolefoldError:
         """Returns an error that promises nothing if the request may have run.
 
         The repeat of a request that was lost on its way can be refused, which
@@ -267,7 +243,7 @@
             return errors.OutcomeUnknownError(error.message)
         return error
 
-    def _may_repeat(self, flight: _Flight, error) -> bool:
+    def _may_repeat(self, flight: flights.Flight, error) -> bool:
         """Whether a request may be sent once more."""
         if error is None or error.category is errors.Category.OUTCOME_UNKNOWN:
             if not flight.route.idempotent:
@@ -286,7 +262,7 @@
             return False
         return self._budget(flight.service_id).take(self._clock.now_s())
 
-    async def _place(self, flight: _Flight) -> outlook.Outlook:
+    async def _place(self, flight: flights.Flight) -> outlook.Outlook:
         """Finds an instance with room, and takes a place there.
 
         Raises:
@@ -321,7 +297,7 @@
         finally:
             line.discard(waiter)
 
-    def _expected_time_s(self, flight: _Flight) -> float:
+    def _expected_time_s(self, flight: flights.Flight) -> float:
         """Returns the time that an answer takes once it is sent."""
         owner = self._owner(flight) if flight.key is not None else None
         if owner is not None and owner.service_time_s:
@@ -333,7 +309,9 @@
         if turn.done() and not turn.cancelled():
             turn.result().in_flight -= 1
 
-    def _choose(self, flight: _Flight, now_s: float) -> outlook.Outlook | None:
+    def _choose(
+        self, flight: flights.Flight, now_s: float
+    ) -> outlook.Outlook | None:
         if flight.key is None:
             return self._fleet.choose(
                 flight.service_id, flight.tried_ids, now_s
@@ -343,7 +321,7 @@
             return None
         return owner
 
-    def _owner(self, flight: _Flight) -> outlook.Outlook | None:
+    def _owner(self, flight: flights.Flight) -> outlook.Outlook | None:
         """Returns the instance that holds the key, if one may be sent to."""
         key_map = self._maps_by_service_id.get(flight.service_id)
         key_range = key_map.range_of(flight.key) if key_map else None
@@ -359,7 +337,7 @@
             return None
         return known
 
-    async def _send(self, flight: _Flight, place) -> data.Answer:
+    async def _send(self, flight: flights.Flight, place) -> data.Answer:
         started_s = self._clock.now_s()
         endpoint = place.endpoint
         flight.sends += 1
@@ -371,24 +349,24 @@
             answer = await self._instances.send(
                 endpoint, flight.call, flight.expires_at_s - started_s
             )
-            failed = answer.status >= FAILED_STATUS
+            failed = answer.status >= flights.FAILED_STATUS
             result = (
                 outlook.Result.FAILED if failed else outlook.Result.ANSWERED
             )
         except errors.NotRunError as error:
             flight.may_have_run = before
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
-            self._log_send(flight, place, started_s, error)
+            self._reporter.send_failed(flight, place, started_s, error)
             raise
         except errors.OriolefoldError as error:
             result = outlook.Result.FAILED
-            self._log_send(flight, place, started_s, error)
+            self._reporter.send_failed(flight, place, started_s, error)
             raise
         finally:
             place.in_flight -= 1
             now_s = self._clock.now_s()
             place.record(result, now_s - started_s, now_s)
-            self._metrics.count_send(place.distance, result.value)
+            self._reporter.sent(place, result)
             self._wake(flight.service_id)
         return answer
 
@@ -421,7 +399,9 @@
             self._waking_ids.add(service_id)
             self.post_later(WAKE_S, messages.Wake(service_id))
 
-    def _refusal(self, flight: _Flight, text: str) -> errors.OverloadedError:
+    def _refusal(
+        self, flight: flights.Flight, text: str
+    ) -> errors.OverloadedError:
         """Returns the error that tells a caller when to come back."""
         error = errors.OverloadedError(text)
         now_s = self._clock.now_s()
@@ -433,67 +413,15 @@
         )
         return error
 
-    def _finish(self, flight: _Flight, answer: data.Answer) -> None:
-        took_s = self._clock.now_s() - flight.received_s
-        outcome = 'answered' if answer.status < FAILED_STATUS else 'failed'
-        self._metrics.count_request(
-            flight.service_id, outcome, str(answer.status), took_s
-        )
-        if answer.status >= FAILED_STATUS:
-            self._log_end(flight, answer.status, 'answered by the instance')
-        flight.ask.answer(answer)
-
-    def _fail(self, flight: _Flight, error) -> None:
-        took_s = self._clock.now_s() - flight.received_s
-        self._metrics.count_request(
-            flight.service_id, 'failed', error.category.value, took_s
-        )
-        self._log_end(flight, 0, str(error))
-        flight.ask.fail(error)
-
-    def _report_refusal(self, ask, error) -> None:
-        self._metrics.count_request('', 'refused', error.category.value, 0.0)
-        logs.event(
-            'request.refused',
-            request=ask.request_id,
-            host=ask.headers.get('Host', '')[:64],
-            target=ask.target[:64],
-            policy=self._policy.version if self._policy else 0,
-            error=str(error),
-        )
-
-    def _log_send(self, flight, place, started_s: float, error) -> None:
-        now_s = self._clock.now_s()
-        logs.event(
-            'send.failed',
-            request=flight.call.request_id,
-            service=flight.service_id,
-            instance=place.endpoint.instance_id,
-            key=flight.key,
-            took_ms=round((now_s - started_s) * 1000),
-            in_flight=place.in_flight,
-            limit=round(place.limit, 1),
-            error=str(error),
-        )
-
-    def _log_end(self, flight: _Flight, status: int, reason: str) -> None:
-        now_s = self._clock.now_s()
-        key_map = self._maps_by_service_id.get(flight.service_id)
-        logs.event(
-            'request.failed',
-            request=flight.call.request_id,
-            service=flight.service_id,
-            route=flight.route.route_id,
-            key=flight.key,
-            status=status,
-            took_ms=round((now_s - flight.received_s) * 1000),
-            left_ms=round((flight.expires_at_s - now_s) * 1000),
-            sends=flight.sends,
-            tried=sorted(flight.tried_ids),
-            waiting=len(self._line(flight.service_id)),
-            policy=self._policy.version,
-            key_map=key_map.next_token if key_map else 0,
-            reason=reason,
+    def _view(self, service_id: str | None = None) -> flights.View:
+        version = self._policy.version if self._policy else 0
+        if service_id is None:
+            return flights.View(version)
+        key_map = self._maps_by_service_id.get(service_id)
+        return flights.View(
+            version,
+            key_map.next_token if key_map else 0,
+            len(self._line(service_id)),
         )
 
     def _line(self, service_id: str) -> waiting.Line:
