Round small quotas up to one request

Cause: quotas below one request, kept over time, took the pooling away: ten VMs with a tenth of four slots each left slots idle. Change: parts below one are rounded up to one, as far as three times the part.

--- a/libs/routing/src/oriolefold_routing/outlook.py
+++ b/libs/routing/src/oriolefold_routing/outlook.py
@@ -24,6 +24,7 @@
 BUSY_SMOOTHING = 0.01  # The same while answers wait in a queue.
 OUTLIER_FACTOR = 3.0  # A sample counts for at most so many calm means.
 QUOTA_MARGIN = 1.2  # Requests for each slot that all VMs may have in flight.
+SMALL_QUOTA_MARGIN = 3.0  # The same for parts below one request.
 LEAST_QUOTA = 0.1  # Requests in flight that a VM may always have, over time.
 QUOTA_S = 1.5  # Time for which a quota holds; it is renewed twice a second.
 ZONE_PENALTY = 1.15  # Cost of another zone, relative to the own one.
@@ -100,8 +101,11 @@
             share: Part of the slots, 0 to 1.
             now_s: Present time.
         """
-        quota = share * self.endpoint.slots * QUOTA_MARGIN
-        self.quota = max(LEAST_QUOTA, quota)
+        part = share * self.endpoint.slots
+        # VMs cannot lend each other what they do not use, so small parts are
+        # rounded up as far as the queue of the instance takes it.
+        rounded = min(1.0, part * SMALL_QUOTA_MARGIN)
+        self.quota = max(LEAST_QUOTA, rounded, part * QUOTA_MARGIN)
         self.quota_until_s = now_s + QUOTA_S
 
     def begin(self, now_s: float) -> None:
