--- a/libs/routing/tests/test_outlook.py
+++ b/libs/routing/tests/test_outlook.py
@@ -107,8 +107,8 @@
     def test_a_quota_below_one_request_is_kept_over_time(self):
         self.outlook.record(outlook.Result.ANSWERED, 0.2, 0.0)
         started = []
-        for step in range(200):
-            now_s = 1.0 + step * 0.05
+        for step in range(1000):
+            now_s = 1.0 + step * 0.01
             self.outlook.divide(0.05, now_s)
             if self.outlook.has_room(now_s):
                 self.outlook.begin(now_s)
