Trust kept connections less after a reset on a rested one

Cause: instances may forget connections that rested 0.3 s (idle_race on the grown sites); whatever is sent next is reset, which an unsafe request does not survive. Each VM met it again with every request. Change: a reset within 0.15 s on a connection that had rested halves the rest that the pool trusts, for 8 s. The error tells the rest.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -17,6 +17,7 @@
 from tornado import http1connection, httputil, iostream, netutil
 
 from oriolefold_core import data, errors
+from oriolefold_http import resting
 
 KEEPALIVE_IDLE_S = 1  # Silence after which the kernel probes a connection.
 KEEPALIVE_INTERVAL_S = 1  # Pause between the kernel's probes.
@@ -108,6 +109,7 @@
     def __init__(self, stream: _Stream):
         self.stream = stream
         self.idle_until_s = 0.0
+        self.idle_since_s = 0.0
         self.uses = 0
 
     @property
@@ -136,6 +138,7 @@
             max_body_size=max_body_bytes,
         )
         self._idle_s = idle_s
+        self._trust = resting.RestTrust()
         self._idle_by_address: dict[
             data.Address, collections.deque[_Connection]
         ] = {}
@@ -177,11 +180,15 @@
         if may_send is not None and not may_send():
             self._keep(address, connection, None)
             raise errors.UnreachableError('the right to send has ended')
+        started_s = loop.time()
         try:
             async with asyncio.timeout_at(ends_at_s):
                 incoming = await self._converse(
                     address, connection, outgoing, is_own
                 )
+        except errors.OutcomeUnknownError as error:
+            connection.stream.close()
+            raise self._learned(connection, started_s, error) from error
         except TimeoutError as error:
             connection.stream.close()
             text = f'no answer from {address} within {timeout_s:.3f} s'
@@ -207,12 +214,34 @@
         while idle:
             connection = idle.pop()
             connection.stream.set_close_callback(None)
-            if connection.usable and connection.idle_until_s > now_s:
+            rested_s = now_s - connection.idle_since_s
+            if (
+                connection.usable
+                and connection.idle_until_s > now_s
+                and rested_s <= self._trust.longest_s(now_s)
+            ):
                 connection.stream.idle = False
                 return connection
             connection.stream.close()
         return None
 
+    def _learned(
+        self,
+        connection: _Connection,
+        started_s: float,
+        error: errors.OutcomeUnknownError,
+    ) -> errors.OutcomeUnknownError:
+        """Returns an error that tells how long its connection had rested."""
+        if connection.uses < 2:
+            return error
+        now_s = asyncio.get_running_loop().time()
+        rested_s = started_s - connection.idle_since_s
+        self._trust.lost(rested_s, now_s - started_s, now_s)
+        text = (
+            f'{error.message}, on a connection after {rested_s:.3f} s of rest'
+        )
+        return errors.OutcomeUnknownError(text)
+
     async def _connect(self, address, timeout_s: float) -> _Connection:
         stream = _Stream(open_socket())
         try:
@@ -274,7 +303,9 @@
         if not connection.usable or idle_s <= 0:
             stream.close()
             return
-        connection.idle_until_s = asyncio.get_running_loop().time() + idle_s
+        now_s = asyncio.get_running_loop().time()
+        connection.idle_since_s = now_s
+        connection.idle_until_s = now_s + idle_s
         stream.idle = True
         idle = self._idle_by_address.setdefault(address, collections.deque())
         idle.append(connection)
