Bound the control work of an office at the size of a large deployment

Cause: the holder reckoned the mean time of each of 95 instances from the times of all 76 VMs anew for each of 152 reports a second: 7.2 core-seconds a second (test_a_second_of_control_takes_a_part_of_a_small_core on the old load book). Ruled out: the link of the holder alone; the time was spent before any answer.

--- a/libs/coordination/src/oriolefold_coordination/allotment.py
+++ b/libs/coordination/src/oriolefold_coordination/allotment.py
@@ -1,6 +1,7 @@
 """Decides which instance is to own which keys."""
 
 import dataclasses
+import heapq
 from collections.abc import Sequence
 
 from oriolefold_coordination import keyload, ranges
@@ -10,6 +11,7 @@
 UNEVEN_SHARE = 1.3  # Utilization over the mean that is left alone.
 LEAST_GAIN = 0.2  # Utilization that a move has to take off the fullest.
 MAX_MOVES = 8  # Voluntary moves in one plan.
+MAX_TAKERS = 12  # Instances weighed for a move, those with the most room.
 MAX_PIECES = 3  # Parts that a range without an owner is divided into.
 
 
@@ -151,7 +153,7 @@
             enough = UNEVEN_SHARE * self._mean_utilization()
             if before <= max(BUSY_UTILIZATION, enough):
                 return
-            shift = self._best_shift(giver, list(self._by_life.values()))
+            shift = self._best_shift(giver, self._roomiest())
             if shift is None or before - shift.utilization < LEAST_GAIN:
                 return
             self._shift(shift)
@@ -256,6 +258,14 @@
         lives = sorted(self._rates, key=self._utilization)[:count]
         return [self._by_life[life] for life in lives]
 
+    def _roomiest(self) -> list[Candidate]:
+        """Returns the candidates that can take the most requests a second."""
+        return heapq.nlargest(
+            MAX_TAKERS,
+            self._by_life.values(),
+            key=lambda c: c.capacity - self._rates[_life(c.holder)],
+        )
+
     def _new_life(self, owner: ranges.Holder) -> Candidate | None:
         for (instance_id, born_ms), candidate in self._by_life.items():
             if instance_id == owner.instance_id and born_ms > owner.born_ms:
--- a/libs/coordination/src/oriolefold_coordination/custody.py
+++ b/libs/coordination/src/oriolefold_coordination/custody.py
@@ -15,7 +15,7 @@
 from oriolefold_coordination import allotment, keyload, ranges
 
 HOLD_S = 5.0  # Length of a hold; longer than a takeover of the office.
-RENEWAL_S = 0.8  # Pause between renewals of a hold.
+RENEWAL_S = 1.2  # Pause between renewals; leaves 3.8 s for a takeover.
 REPEAT_S = 0.25  # Pause before a call without an answer is repeated.
 CLOCK_DRIFT = 0.02  # An instance's clock may run this much too slow.
 ARRIVAL_MARGIN_S = 0.1  # Transit time of a call that was given up.
@@ -24,6 +24,8 @@
 FORGIVEN_S = 4.0  # Time after which an instance may be granted keys again.
 GATHER_S = 0.06  # Time in which grants gather for one write of the map.
 BALANCE_S = 1.0  # Pause between voluntary moves.
+PLAN_S = 0.1  # Pause between plans if nothing has happened; they take long.
+REWRITE_S = 0.5  # Pause after a write of the map that failed; calls are priced.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +128,8 @@
         self._avoided_until_s: dict[tuple, float] = {}
         self._publishing: ranges.KeyMap | None = None
         self._balance_at_s = 0.0
+        self._publish_at_s = float('-inf')
+        self._plan_at_s = float('-inf')
         self._granted_at_s: float | None = None
 
     def update(
@@ -135,6 +139,7 @@
     ) -> None:
         """Takes who may own keys and who is registered at all."""
         self._candidates = tuple(candidates)
+        self._plan_at_s = float('-inf')
         # The entry of a life that has ended may stay beside that of the next
         # one at its address, so the youngest of them counts.
         ordered = sorted(registered, key=lambda h: h.born_ms)
@@ -144,7 +149,9 @@
     def step(self, now_s: float, profile: keyload.Profile) -> list:
         """Returns what has to be done now: grants, releases, a write."""
         actions = []
-        if self._publishing is None:
+        plan_at_s = max(self._plan_at_s, self._publish_at_s)
+        if self._publishing is None and now_s >= plan_at_s:
+            self._plan_at_s = now_s + PLAN_S
             changed = self._next_map(now_s, profile)
             if changed is not self.key_map:
                 self._publishing = changed
@@ -165,6 +172,7 @@
         """Takes the success of a write."""
         self._publishing = None
         self._granted_at_s = None
+        self._plan_at_s = float('-inf')
         self.key_map = key_map
         keys = {_key(r) for r in key_map.ranges}
         self._granted &= keys
@@ -172,9 +180,10 @@
             k: v for k, v in self._handovers.items() if k in keys
         }
 
-    def publishing_failed(self) -> None:
+    def publishing_failed(self, now_s: float) -> None:
         """Takes the failure of a write that is known to have no effect."""
         self._publishing = None
+        self._publish_at_s = now_s + REWRITE_S
 
     def grant_ended(
         self,
@@ -200,6 +209,8 @@
         pause_s = RENEWAL_S if answered else REPEAT_S
         self._next_call_s[key] = now_s + pause_s
         if answered:
+            if key not in self._granted:
+                self._plan_at_s = float('-inf')
             self._granted.add(key)
             self._silent_since_s.pop(life, None)
         elif stale:
--- a/libs/coordination/src/oriolefold_coordination/office.py
+++ b/libs/coordination/src/oriolefold_coordination/office.py
@@ -34,9 +34,18 @@
 class Vigil:
     """What a VM without the office sees of it."""
 
-    def __init__(self, vm_id: str, incarnation: str):
+    def __init__(self, vm_id: str, incarnation: str, patience_s: float = 0.0):
+        """Makes the view.
+
+        Args:
+            vm_id: This VM.
+            incarnation: Start of its process.
+            patience_s: Time that this VM leaves to others before it takes an
+                office that is free.
+        """
         self._vm_id = vm_id
         self._incarnation = incarnation
+        self._patience_s = patience_s
         self._version = -1
         self._seen_at_s = 0.0
 
@@ -64,8 +73,9 @@
         elif version < self._version:
             # A stale reading tells nothing.
             return False
+        unchanged_s = now_s - self._seen_at_s
         if not tenure.vm_id:
-            return True
+            return unchanged_s >= self._patience_s
         if (
             tenure.vm_id == self._vm_id
             and tenure.incarnation != self._incarnation
@@ -73,4 +83,4 @@
             # An earlier process of this VM held it.
             return True
         limit_s = SUSPECTED_TAKEOVER_S if suspected else TAKEOVER_S
-        return now_s - self._seen_at_s > limit_s
+        return unchanged_s > limit_s + self._patience_s
--- a/libs/coordination/src/oriolefold_coordination/quotas.py
+++ b/libs/coordination/src/oriolefold_coordination/quotas.py
@@ -12,6 +12,7 @@
 SMOOTHING = 0.5  # Weight of the newest report in the moving rates.
 BUSY_UTILIZATION = 0.55  # Owners below need no division.
 FORGET_S = 2.5  # Age at which the rates of a silent VM no longer count.
+TOTALS_S = 0.2  # Age at which the sums of all VMs are reckoned anew.
 
 
 class Quotas:
@@ -20,6 +21,8 @@
     def __init__(self):
         self._rates_by_vm_id: dict[str, dict[str, float]] = {}
         self._reported_at_s: dict[str, float] = {}
+        self._totals_by_id: dict[str, float] = {}
+        self._totalled_at_s = float('-inf')
 
     def report(
         self,
@@ -68,15 +71,22 @@
             capacities_by_id: Requests a second that each owner can run.
             now_s: Present time.
         """
-        totals_by_id: dict[str, float] = {}
-        for other_id, rates in self._rates_by_vm_id.items():
-            if now_s - self._reported_at_s[other_id] > FORGET_S:
-                continue
-            for owner_id, rate in rates.items():
-                totals_by_id[owner_id] = totals_by_id.get(owner_id, 0.0) + rate
+        if now_s - self._totalled_at_s >= TOTALS_S:
+            self._totalled_at_s = now_s
+            self._totals_by_id = self._totals(now_s)
         own = self._rates_by_vm_id.get(vm_id, {})
         return {
-            owner_id: round(own.get(owner_id, 0.0) / total, 3)
-            for owner_id, total in totals_by_id.items()
+            owner_id: round(min(1.0, own.get(owner_id, 0.0) / total), 3)
+            for owner_id, total in self._totals_by_id.items()
             if total > BUSY_UTILIZATION * capacities_by_id.get(owner_id, total)
         }
+
+    def _totals(self, now_s: float) -> dict[str, float]:
+        """Returns the rates at which all VMs together ask each owner."""
+        totals_by_id: dict[str, float] = {}
+        for vm_id, rates in self._rates_by_vm_id.items():
+            if now_s - self._reported_at_s[vm_id] > FORGET_S:
+                continue
+            for owner_id, rate in rates.items():
+                totals_by_id[owner_id] = totals_by_id.get(owner_id, 0.0) + rate
+        return totals_by_id
--- a/libs/direct/src/oriolefold_direct/loadbook.py
+++ b/libs/direct/src/oriolefold_direct/loadbook.py
@@ -7,6 +7,8 @@
 from oriolefold_routing import fleet
 
 FIRST_TIME_S = 0.2  # Time for a request until answers have shown it.
+CAPACITIES_S = 0.5  # Age at which capacities are reckoned anew.
+PROFILE_S = 0.2  # The same for the rates of the keys; a moving mean of 1 s.
 
 
 class LoadBook:
@@ -16,6 +18,11 @@
         self._load = keyload.KeyLoad(now_s)
         self._quotas = quotas.Quotas()
         self._times_by_vm_id: dict[str, dict[str, float]] = {}
+        self._mean_times_by_id: dict[str, float] = {}
+        self._typical_time_s = 0.0
+        self._reckoned_at_s = float('-inf')
+        self._profile = keyload.Profile({})
+        self._profiled_at_s = float('-inf')
 
     def take(
         self,
@@ -41,25 +48,38 @@
         if seen.times_by_id:
             self._times_by_vm_id[vm_id] = seen.times_by_id
         self._quotas.report(vm_id, seen.keys, key_map, now_s)
+        if now_s - self._reckoned_at_s >= CAPACITIES_S:
+            self._reckoned_at_s = now_s
+            self._reckon()
         capacities_by_id = {e.instance_id: self.capacity(e) for e in endpoints}
         return self._quotas.shares(vm_id, capacities_by_id, now_s)
 
     def profile(self, now_s: float) -> keyload.Profile:
-        """Returns the rates of the keys."""
-        return self._load.profile(now_s)
+        """Returns the rates of the keys, as they were a moment ago."""
+        if now_s - self._profiled_at_s >= PROFILE_S:
+            self._profiled_at_s = now_s
+            self._profile = self._load.profile(now_s)
+        return self._profile
 
     def capacity(self, endpoint: fleet.Endpoint) -> float:
         """Returns the requests a second that an instance can run."""
-        typical_s = self._mean_time_s(None) or FIRST_TIME_S
-        own_s = self._mean_time_s(endpoint.instance_id) or typical_s
+        typical_s = self._typical_time_s or FIRST_TIME_S
+        own_s = self._mean_times_by_id.get(endpoint.instance_id, typical_s)
         return endpoint.slots / own_s
 
-    def _mean_time_s(self, instance_id: str | None) -> float:
-        """Returns the mean of the VMs' times of one instance, or of all."""
-        times = [
-            time_s
-            for times_by_id in self._times_by_vm_id.values()
-            for known_id, time_s in times_by_id.items()
-            if instance_id is None or known_id == instance_id
-        ]
-        return sum(times) / len(times) if times else 0.0
+    def _reckon(self) -> None:
+        """Reckons the mean of the VMs' times of each instance, and of all."""
+        sums_by_id: dict[str, float] = {}
+        counts_by_id: dict[str, int] = {}
+        for times_by_id in self._times_by_vm_id.values():
+            for instance_id, time_s in times_by_id.items():
+                sums_by_id[instance_id] = (
+                    sums_by_id.get(instance_id, 0.0) + time_s
+                )
+                counts_by_id[instance_id] = counts_by_id.get(instance_id, 0) + 1
+        self._mean_times_by_id = {
+            instance_id: total_s / counts_by_id[instance_id]
+            for instance_id, total_s in sums_by_id.items()
+        }
+        count = sum(counts_by_id.values())
+        self._typical_time_s = sum(sums_by_id.values()) / max(1, count)
