Answer 431 to headers beyond the limit of the configuration

Change: headers over the limit are refused with 431 before the body is read. Left open: the time-out for headers is still the one for idle connections. Test: test_headers_over_the_limit, 200 instead of 431 without the change.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -21,6 +21,7 @@
     UNKNOWN_SERVICE = 'unknown-service'
     MISSING_KEY = 'missing-key'
     BODY_TOO_LARGE = 'body-too-large'
+    HEADERS_TOO_LARGE = 'headers-too-large'
     NO_OWNER = 'no-owner'
     NOT_HOME = 'not-home'
     MISDIRECTED = 'misdirected'
@@ -82,6 +83,12 @@
     category = Category.BODY_TOO_LARGE
 
 
+class HeadersTooLargeError(RequestError):
+    """The headers of the request are larger than the limit."""
+
+    category = Category.HEADERS_TOO_LARGE
+
+
 class NotRunError(OriolefoldError):
     """The request was refused and is known not to have run.
 
@@ -215,6 +222,7 @@
         Category.UNKNOWN_SERVICE,
         Category.MISSING_KEY,
         Category.BODY_TOO_LARGE,
+        Category.HEADERS_TOO_LARGE,
         Category.NO_OWNER,
         Category.NOT_HOME,
         Category.MISDIRECTED,
@@ -233,6 +241,7 @@
         UnknownServiceError,
         MissingKeyError,
         BodyTooLargeError,
+        HeadersTooLargeError,
         NoOwnerError,
         NotHomeError,
         MisdirectedError,
--- a/libs/core/src/oriolefold_core/results.py
+++ b/libs/core/src/oriolefold_core/results.py
@@ -25,6 +25,7 @@
     errors.Category.UNKNOWN_SERVICE: 404,
     errors.Category.MISSING_KEY: 400,
     errors.Category.BODY_TOO_LARGE: 413,
+    errors.Category.HEADERS_TOO_LARGE: 431,
     errors.Category.DEADLINE_EXPIRED: 504,
     errors.Category.OUTCOME_UNKNOWN: 502,
     errors.Category.INTERNAL: 500,
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -78,7 +78,9 @@
         """Handles one message."""
         limits: policy.CallerLimits = message.policy.limits
         self._server.limit(
-            limits.body_bytes, limits.idle_timeout_s * IDLE_MARGIN
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.idle_timeout_s * IDLE_MARGIN,
         )
         logs.event(
             'policy.in_force',
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -50,6 +50,7 @@
         self._address = address
         self._dispatcher = dispatcher
         self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = MAX_HEADER_BYTES
         self.deadline_header = deadline_header
         self._server: httpserver.HTTPServer | None = None
         self.draining = False
@@ -89,15 +90,21 @@
         )
         self._server.add_sockets(sockets)
 
-    def limit(self, body_bytes: int, idle_timeout_s: float) -> None:
+    def limit(
+        self, header_bytes: int, body_bytes: int, idle_timeout_s: float
+    ) -> None:
         """Changes the limits for callers.
 
         Args:
+            header_bytes: Largest size of the headers of a request; those beyond
+                twice as much and 64 KiB end the connection unanswered.
             body_bytes: Largest body of a request.
             idle_timeout_s: Time that a connection may stay idle, in seconds.
         """
+        self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
         parameters = self._server.conn_params
+        parameters.max_header_size = 2 * header_bytes + MAX_HEADER_BYTES
         parameters.max_body_size = 2 * body_bytes + MAX_HEADER_BYTES
         parameters.header_timeout = idle_timeout_s
 
@@ -138,6 +145,7 @@
     def __init__(self, frontend, dispatcher, connection):
         self._frontend = frontend
         self._dispatcher = dispatcher
+        self._max_header_bytes = frontend.max_header_bytes
         self._max_body_bytes = frontend.max_body_bytes
         self._connection = connection
         self._start_line = None
@@ -152,6 +160,10 @@
         """Checks what can be refused before the body comes."""
         self._start_line = start_line
         self._headers = headers
+        if _size(start_line, headers) > self._max_header_bytes:
+            text = f'the headers have more than {self._max_header_bytes} bytes'
+            self._refuse_unread(errors.HeadersTooLargeError(text))
+            return
         length = headers.get('Content-Length', '0')
         if length.isdigit() and int(length) > self._max_body_bytes:
             self._refuse_body()
@@ -193,13 +205,17 @@
             self._reply.cancel()
 
     def _refuse_body(self) -> None:
+        text = f'the body is larger than {self._max_body_bytes} bytes'
+        self._refuse_unread(errors.BodyTooLargeError(text))
+
+    def _refuse_unread(self, error: errors.RequestError) -> None:
+        """Refuses a request before all of it was read."""
         self._refused = True
         self._chunks = []
-        text = f'the body is larger than {self._max_body_bytes} bytes'
         # The rest of the body is still on its way, so the connection cannot be
         # used again.
         self._request_id = self._choose_request_id()
-        self._write_failure(errors.BodyTooLargeError(text), close=True)
+        self._write_failure(error, close=True)
 
     def _choose_request_id(self) -> str:
         given = self._headers.get(results.REQUEST_ID_HEADER, '')
@@ -289,6 +305,14 @@
         self._connection.finish()
 
 
+def _size(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int:
+    """Returns the bytes of a request before its body."""
+    size = sum(len(part) + 1 for part in start_line)
+    return size + sum(len(n) + len(v) + 4 for n, v in headers.get_all())
+
+
 def _retry_after_s(error: BaseException) -> float:
     """Returns when a caller may come back, in seconds."""
     if isinstance(error, errors.NotRunError):
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -120,6 +120,23 @@
         self.assertEqual(self.ran(), [])
         self.assertEqual((await self.get())[0], 200)
 
+    async def test_headers_over_the_limit(self):
+        self.frontend.limit(400, MAX_BODY_BYTES, 5.0)
+        for body in ('', 'x' * 50):
+            with self.subTest(body=body):
+                raw = (
+                    f'POST /svc/a HTTP/1.1\r\nHost: x\r\nX: {"y" * 400}\r\n'
+                    f'Content-Length: {len(body)}\r\n\r\n{body}'
+                )
+                status, headers, answer = await self.exchange(raw.encode())
+                self.assertEqual(status, 431)
+                self.assertEqual(headers['Connection'], 'close')
+                record = json.loads(answer)
+                self.assertEqual(record['category'], 'headers-too-large')
+        self.assertEqual(self.ran(), [])
+        status, _, _ = await self.get(headers=f'X: {"y" * 300}\r\n')
+        self.assertEqual(status, 200)
+
     async def test_malformed_http_runs_nothing(self):
         cases = [
             b'GET /svc/a\r\n\r\n',
