--- a/libs/coordination/tests/test_custody.py
+++ b/libs/coordination/tests/test_custody.py
@@ -480,3 +480,42 @@
                 writes += isinstance(action, custody.Publish)
                 custodian.publishing_failed(now_s)
         self.assertLessEqual(writes, 5.0 / custody.REWRITE_S + 1)
+
+    def test_keys_rest_after_a_move(self):
+        holders = [ranges.Holder(f'i{n}', 1, f'a{n}') for n in range(12)]
+        generator = random.Random(11)
+        load = keyload.KeyLoad(0.0)
+        custodian = custody.Custodian(ranges.KeyMap('svc'), 0.0)
+        watched = range(58300, 58400)
+        moved_at_s: dict[int, float] = {}
+        rests = []
+        for step in range(600):
+            now_s = step * 0.05
+            if step % 10 == 0:
+                # Times of few answers make uncertain capacities.
+                candidates = [
+                    allotment.Candidate(h, 18.0 * generator.uniform(0.6, 1.4))
+                    for h in holders
+                ]
+                custodian.update(candidates, holders)
+            # Neighbouring keys are busy, as random as real requests are.
+            keys = [int(generator.gauss(58350, 4)) for _ in range(5)]
+            keys += [generator.randrange(ranges.KEY_COUNT) for _ in range(4)]
+            load.record(keys, now_s)
+            for action in custodian.step(now_s, load.profile(now_s)):
+                match action:
+                    case custody.Publish():
+                        for key in watched:
+                            before = custodian.key_map.range_of(key)
+                            after = action.key_map.range_of(key)
+                            if before and before.owner != after.owner:
+                                if key in moved_at_s:
+                                    rests.append(now_s - moved_at_s[key])
+                                moved_at_s[key] = now_s
+                        custodian.published(action.key_map)
+                    case custody.Grant():
+                        custodian.grant_ended(action, True, False, now_s)
+                    case custody.Release():
+                        custodian.release_ended(action, 'state', now_s)
+        self.assertTrue(moved_at_s)
+        self.assertGreaterEqual(min(rests, default=99.0), custody.MOVE_REST_S)
