--- a/libs/coordination/src/oriolefold_coordination/allotment.py
+++ b/libs/coordination/src/oriolefold_coordination/allotment.py
@@ -33,7 +33,6 @@
     candidates: Sequence[Candidate],
     profile: keyload.Profile,
     may_balance: bool,
-    movable_below: int | None = None,
 ) -> ranges.KeyMap:
     """Returns a map in which every range has an owner that lives.
 
@@ -44,14 +43,10 @@
         candidates: Instances that may own keys.
         profile: Load of the keys.
         may_balance: Whether keys of owners that live may be moved.
-        movable_below: Token from which on ranges were moved so lately that
-            they stay where they are; by default all may be moved.
     """
     if not candidates:
         return key_map
-    if movable_below is None:
-        movable_below = key_map.next_token
-    table = _Table(key_map, candidates, profile, movable_below)
+    table = _Table(key_map, candidates, profile)
     if not key_map.ranges:
         table.divide()
     table.place_orphans()
@@ -81,8 +76,7 @@
 class _Table:
     """A key map under change."""
 
-    def __init__(self, key_map, candidates, profile, movable_below):
-        self._movable_below = movable_below
+    def __init__(self, key_map, candidates, profile):
         self._before = key_map
         self._by_life = {_life(c.holder): c for c in candidates}
         self._profile = profile
@@ -169,11 +163,7 @@
         best = None
         giver_capacity = self._by_life[giver].capacity
         owned = [
-            r
-            for r in self._ranges
-            if _life(r.owner) == giver
-            and not r.priors
-            and r.token < self._movable_below
+            r for r in self._ranges if _life(r.owner) == giver and not r.priors
         ]
         for taker in takers:
             life = _life(taker.holder)
--- a/libs/coordination/src/oriolefold_coordination/custody.py
+++ b/libs/coordination/src/oriolefold_coordination/custody.py
@@ -9,7 +9,6 @@
 `AUTHORITY_S` at the latest, so that holds it renewed have a known end.
 """
 
-import collections
 import dataclasses
 from collections.abc import Sequence
 
@@ -25,9 +24,6 @@
 FORGIVEN_S = 4.0  # Time after which an instance may be granted keys again.
 GATHER_S = 0.06  # Time in which grants gather for one write of the map.
 BALANCE_S = 1.0  # Pause between voluntary moves.
-# A move stops new work on its keys until what runs has ended, so keys rest
-# after one for as long as it takes to see its effect in the rates.
-MOVE_REST_S = 4.0
 PLAN_S = 0.1  # Pause between plans if nothing has happened; they take long.
 REWRITE_S = 0.5  # Pause after a write of the map that failed; calls are priced.
 
@@ -133,10 +129,6 @@
         self._avoided_until_s: dict[tuple, float] = {}
         self._publishing: ranges.KeyMap | None = None
         self._balance_at_s = 0.0
-        self._tokens_by_time: collections.deque[tuple[float, int]] = (
-            collections.deque()
-        )
-        self._movable_below = key_map.next_token
         self._publish_at_s = float('-inf')
         self._plan_at_s = float('-inf')
         self._granted_at_s: float | None = None
@@ -262,28 +254,13 @@
         settled = self._settle(now_s)
         calm = all(not r.priors for r in settled.ranges)
         may_balance = calm and now_s >= self._balance_at_s
-        changed = allotment.allot(
-            settled, candidates, profile, may_balance, self._movable(now_s)
-        )
+        changed = allotment.allot(settled, candidates, profile, may_balance)
         if may_balance and changed is not self.key_map:
             self._balance_at_s = now_s + BALANCE_S
         if changed == self.key_map:
             return self.key_map
         return changed
 
-    def _movable(self, now_s: float) -> int:
-        """Returns the token from which on ranges were moved lately."""
-        tokens = self._tokens_by_time
-        next_token = self.key_map.next_token
-        if not tokens or tokens[-1][1] != next_token:
-            tokens.append((now_s, next_token))
-        while tokens and tokens[0][0] <= now_s - MOVE_REST_S:
-            _, self._movable_below = tokens[0]
-            if len(tokens) == 1:
-                break
-            tokens.popleft()
-        return self._movable_below
-
     def _settle(self, now_s: float) -> ranges.KeyMap:
         """Returns the map without former holders of ranges that are held.
 
