Give way to a writer that came after a write whose answer was lost

Its next write then replaced the newer map. Ruled out: renewals, holds and the rest after moves; the log shows both VMs writing version 65. Change: updates.replace can treat a later writer as a conflict; the coordinator does so for the office and for the map. Test: test_who_was_overtaken_gives_way fails without the change.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -236,7 +236,10 @@
             tenure = dataclasses.replace(tenure, inherited_s=most_s)
         try:
             self._office = await updates.replace(
-                self._store, before, documents.tenure_text(tenure)
+                self._store,
+                before,
+                documents.tenure_text(tenure),
+                accept_later=False,
             )
         except errors.VersionConflictError:
             return False
@@ -298,7 +301,10 @@
         tenure = self._tenure(self._beat + 1)
         try:
             self._office = await updates.replace(
-                self._store, self._office, documents.tenure_text(tenure)
+                self._store,
+                self._office,
+                documents.tenure_text(tenure),
+                accept_later=False,
             )
         except errors.VersionConflictError:
             self._step_down('another VM holds the office')
@@ -432,6 +438,7 @@
                 self._store,
                 self._map_document,
                 documents.key_map_text(key_map),
+                accept_later=False,
             )
         except errors.StoreError as error:
             failure = error
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -1,9 +1,12 @@
 """Tests of oriolefold_direct.coordinator, with a store in memory."""
 
+import asyncio
+import dataclasses
+
 import fakes
 
 from oriolefold_coordination import office
-from oriolefold_core import clock
+from oriolefold_core import clock, errors
 from oriolefold_direct import (
     availability,
     coordinator,
@@ -11,7 +14,7 @@
     feeding,
     messages,
 )
-from oriolefold_store import memory, updates
+from oriolefold_store import envelopes, memory, updates
 from oriolefold_telemetry import counters
 from oriolefold_testbed import basecase
 
@@ -125,6 +128,35 @@
         await self.wait_for(lambda: self.instances.grants)
         self.assertEqual((await self.tenure()).vm_id, 'one')
 
+    async def test_who_was_overtaken_gives_way(self):
+        """The answer to a write is lost, and another VM writes after it."""
+        made = await self.begin('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        name = documents.KEY_MAP_PREFIX + 'svc'
+        write = self.store.write
+        overtaken = []
+
+        async def write_and_lose(written, content, expected):
+            version = await write(written, content, expected)
+            if written == name and not overtaken:
+                overtaken.append(version)
+                mine = envelopes.unseal(content, name)
+                later = documents.read_key_map(mine.body, name)
+                later = dataclasses.replace(later, next_token=99)
+                text = documents.key_map_text(later)
+                sealed = envelopes.seal(text, 'other', mine.write_ids)
+                await write(name, sealed, version)
+                raise errors.StoreAnswerLostError(name)
+            return version
+
+        self.store.write = write_and_lose
+        made.post(fakes.known(fakes.endpoint('bb')))
+        await self.wait_for(lambda: overtaken)
+        await asyncio.sleep(2 * updates.RESOLVE_DELAY_S)
+        # Whoever takes the office next goes on from the later map.
+        document = await updates.read(self.store, name)
+        self.assertEqual(document.write_ids[0], 'other')
+
     async def test_renewals_go_on_while_the_store_is_away(self):
         await self.begin('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
--- a/libs/store/src/oriolefold_store/updates.py
+++ b/libs/store/src/oriolefold_store/updates.py
@@ -51,14 +51,26 @@
 
 
 async def replace(
-    store: ports.Store, before: Document, body: bytes
+    store: ports.Store,
+    before: Document,
+    body: bytes,
+    accept_later: bool = True,
 ) -> Document:
     """Replaces a document if it is still the one that was read.
 
     A lost answer is resolved by reading, never by assuming a failure.
 
+    Args:
+        store: Where the document is.
+        before: The document as it was read.
+        body: What it is to hold.
+        accept_later: Whether the document of another writer is returned if it
+            came after this write, whose answer was lost. A writer that goes on
+            from what it wrote must not accept it.
+
     Raises:
-        VersionConflictError: If another writer came first.
+        VersionConflictError: If another writer came first, or, unless that is
+            accepted, after.
         StoreAnswerLostError: If the outcome could not be read either.
     """
     write_id = uuid.uuid4().hex
@@ -66,7 +78,12 @@
     try:
         version = await store.write(before.name, content, before.version)
     except errors.StoreAnswerLostError as error:
-        return await _resolve(store, before, write_id, error)
+        now = await _resolve(store, before, write_id, error)
+        if not accept_later and now.write_ids[0] != write_id:
+            raise errors.VersionConflictError(
+                f'{before.name}: another writer made version {now.version} after'
+            ) from error
+        return now
     write_ids = (write_id, *before.write_ids)
     return Document(before.name, version, write_ids, body)
 
--- a/libs/store/tests/test_contract.py
+++ b/libs/store/tests/test_contract.py
@@ -103,6 +103,32 @@
         after = await updates.replace(self.store, before, b'1')
         self.assertEqual((after.version, after.body), (2, b'2'))
 
+    async def test_a_later_writer_can_be_a_conflict(self):
+        before = await updates.read(self.store, 'doc')
+        self.objects.answers_to_lose = 1
+        first_write = self.objects.write
+
+        async def write_and_be_overtaken(name, content, expected):
+            self.objects.write = first_write
+            try:
+                return await first_write(name, content, expected)
+            finally:
+                opened = envelopes.unseal(content, name)
+                later = envelopes.seal(b'2', 'other', opened.write_ids)
+                await first_write(name, later, 1)
+
+        self.objects.write = write_and_be_overtaken
+        with self.assertRaises(errors.VersionConflictError):
+            await updates.replace(self.store, before, b'1', accept_later=False)
+
+    async def test_a_lost_answer_alone_is_no_conflict(self):
+        before = await updates.read(self.store, 'doc')
+        self.objects.answers_to_lose = 1
+        after = await updates.replace(
+            self.store, before, b'1', accept_later=False
+        )
+        self.assertEqual((after.version, after.body), (1, b'1'))
+
     async def test_of_two_writers_one_is_told(self):
         before = await updates.read(self.store, 'doc')
         results = await asyncio.gather(
