--- a/libs/store/src/oriolefold_store/updates.py
+++ b/libs/store/src/oriolefold_store/updates.py
@@ -81,7 +81,7 @@
         now = await _resolve(store, before, write_id, error)
         if not accept_later and now.write_ids[0] != write_id:
             raise errors.VersionConflictError(
-                f'{before.name}: another writer made version {now.version} after'
+                f'{before.name}: version {now.version} is from a later writer'
             ) from error
         return now
     write_ids = (write_id, *before.write_ids)
--- a/libs/store/tests/test_contract.py
+++ b/libs/store/tests/test_contract.py
@@ -85,8 +85,8 @@
         self.assertEqual(after.body, b'{"a":1}')
         self.assertEqual(after.version, 1)
 
-    async def test_lost_answer_with_a_later_writer_is_recognized(self):
-        before = await updates.read(self.store, 'doc')
+    def lose_and_overtake(self) -> None:
+        """Loses the next answer and lets another writer come after it."""
         self.objects.answers_to_lose = 1
         first_write = self.objects.write
 
@@ -100,24 +100,16 @@
                 await first_write(name, later, 1)
 
         self.objects.write = write_and_be_overtaken
+
+    async def test_lost_answer_with_a_later_writer_is_recognized(self):
+        before = await updates.read(self.store, 'doc')
+        self.lose_and_overtake()
         after = await updates.replace(self.store, before, b'1')
         self.assertEqual((after.version, after.body), (2, b'2'))
 
     async def test_a_later_writer_can_be_a_conflict(self):
         before = await updates.read(self.store, 'doc')
-        self.objects.answers_to_lose = 1
-        first_write = self.objects.write
-
-        async def write_and_be_overtaken(name, content, expected):
-            self.objects.write = first_write
-            try:
-                return await first_write(name, content, expected)
-            finally:
-                opened = envelopes.unseal(content, name)
-                later = envelopes.seal(b'2', 'other', opened.write_ids)
-                await first_write(name, later, 1)
-
-        self.objects.write = write_and_be_overtaken
+        self.lose_and_overtake()
         with self.assertRaises(errors.VersionConflictError):
             await updates.replace(self.store, before, b'1', accept_later=False)
 
