Log each request whose connection ends before its answer is written

The logs had no line for that: a connection that the VM closed while a request waited, and an answer that was still in the stream's buffer when the connection ended, both left nothing.

`request.cut` names the request, who closed the connection, whether the request waited or its answer was being written, its age, how long the connection had been idle before it, and whether the VM was draining. A caller that leaves while its request waits is not logged, as before. No decision changes.

--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -10,6 +10,7 @@
 from oriolefold_backend import headers as backend_headers
 from oriolefold_core import data, errors, results, tasks
 from oriolefold_gateway import messages
+from oriolefold_telemetry import logs
 
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
@@ -60,6 +61,7 @@
         self._server: httpserver.HTTPServer | None = None
         self.draining = False
         self.refusing = False
+        self._is_closing = False
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -69,6 +71,11 @@
         """Number of requests in progress."""
         return self._in_flight
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether this VM is closing its connections to callers."""
+        return self._is_closing
+
     def request_started(self) -> None:
         """Counts a request that has started."""
         self._in_flight += 1
@@ -129,6 +136,7 @@
 
     async def stop(self) -> None:
         """Closes all connections."""
+        self._is_closing = True
         self._server.stop()
         await self._server.close_all_connections()
 
@@ -161,9 +169,12 @@
         self._refused = False
         self._request_id = ''
         self._reply: asyncio.Future | None = None
+        self._created_at_s = asyncio.get_running_loop().time()
+        self._began_at_s = self._created_at_s
 
     def headers_received(self, start_line, headers):
         """Checks the size of the headers and the announced size of the body."""
+        self._began_at_s = asyncio.get_running_loop().time()
         self._start_line = start_line
         self._headers = headers
         if _head_size(start_line, headers) > self._max_header_bytes:
@@ -206,9 +217,12 @@
         self._dispatcher.post(dispatch)
 
     def on_connection_close(self):
-        """Cancels the request of a caller that has disconnected."""
-        if self._reply is not None:
-            self._reply.cancel()
+        """Cancels a request whose connection ended before its answer."""
+        if self._reply is None:
+            return
+        if self._frontend.is_closing or self._reply.done():
+            self._log_cut()
+        self._reply.cancel()
 
     def _refuse_body(self) -> None:
         text = f'the body is larger than {self._max_body_bytes} bytes'
@@ -243,6 +257,20 @@
         finally:
             self._frontend.request_ended()
 
+    def _log_cut(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        logs.event(
+            'request.cut',
+            request=self._request_id,
+            closed_by='vm' if self._frontend.is_closing else 'caller',
+            stage='writing' if self._reply.done() else 'waiting',
+            draining=self._frontend.draining,
+            age_ms=round((now_s - self._began_at_s) * 1000),
+            idle_before_ms=round(
+                (self._began_at_s - self._created_at_s) * 1000
+            ),
+        )
+
     def _dispatch(self) -> messages.Dispatch:
         method = self._start_line.method
         if method not in _METHODS:
