End a caller's connection without destroying its last answer

What callers saw: a caller that was still sending its body when it got 413 had its connection reset, and could lose the 413. After an answer with `Connection: close` the connection stayed open until the caller ended it or the process was gone.

Cause: tornado's server closes the socket at once. With unread bytes in the socket, or bytes that arrive later, the kernel answers with RST, which discards what the caller has not read. And tornado closes only if the request said close, not if the answer did.

Evidence, on with the new tests: test_a_413_reaches_a_caller_that_is_still_sending: BrokenPipeError with both framings; test_bytes_after_the_close_do_not_destroy_the_answer: BrokenPipeError; test_the_connection_ends_after_an_answer_that_says_close: no end within 5 s.

Change: the front end no longer uses tornado's HTTPServer, which owns the connections and closes them, but its HTTP1Connection alone. Connection owns the socket of one caller; Exchange (the former request handler) reads one request and writes its answer; CallerStream is an IOStream whose close ends the output once it is written (shutdown of the sending direction). The connection then reads on and discards, 64 KiB at a time, until the caller closes or for LINGER_S, 1 s, at most. Nothing is written after the end of the output, so no 400 of tornado's follows a 413 when the rest of the body is malformed or longer than its limit.

--- /dev/null
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -0,0 +1,86 @@
+"""Stream to a caller that can be closed without losing what was written."""
+
+import socket
+from collections.abc import Callable
+
+from tornado import iostream
+
+
+class CallerStream(iostream.IOStream):
+    """Stream whose `close` ends only its output, once all of it is written.
+
+    When a socket is closed while it has unread bytes, or gets bytes later, the
+    kernel resets the connection, and the caller can lose an answer that it has
+    not read yet. So the owner reads on after `close`, and then calls `abort`.
+    A stream that has failed, or that the caller has closed, is closed at once.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        on_input: Callable[[], None],
+        on_output_ended: Callable[[], None],
+    ):
+        """Initializes the stream.
+
+        Args:
+            connection: The accepted socket.
+            on_input: Called when bytes have arrived.
+            on_output_ended: Called when all output has been written and the
+                caller has been sent the end of the output.
+        """
+        super().__init__(connection)
+        self._on_input = on_input
+        self._on_output_ended = on_output_ended
+        self._input_ended = False
+        self._output_ended = False
+
+    @property
+    def output_ended(self) -> bool:
+        """Whether nothing more may be written."""
+        return self._output_ended
+
+    def read_from_fd(self, buf):
+        """Reads bytes and reports that they have arrived."""
+        size = super().read_from_fd(buf)
+        if size:
+            self._on_input()
+        elif size == 0:
+            self._input_ended = True
+        return size
+
+    def write(self, data):
+        """Writes bytes.
+
+        Raises:
+            iostream.StreamClosedError: If the output has ended.
+        """
+        if self._output_ended:
+            raise iostream.StreamClosedError
+        return super().write(data)
+
+    def close(self, exc_info=False):
+        """Ends the output; after a failure, closes the stream."""
+        if exc_info or self._input_ended:
+            super().close(exc_info)
+        elif not self._output_ended and not self.closed():
+            written = super().write(b'')
+            self._output_ended = True
+            if written.done():
+                self._shut_down()
+            else:
+                written.add_done_callback(lambda _: self._shut_down())
+
+    def abort(self) -> None:
+        """Closes the stream at once; what is not written yet is lost."""
+        super().close()
+
+    def _shut_down(self) -> None:
+        if self.closed():
+            return
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            super().close(error)
+            return
+        self._on_output_ended()
--- /dev/null
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -0,0 +1,118 @@
+"""Connection of a caller: owns its socket and applies its time limits."""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+
+from tornado import http1connection, iostream
+
+from oriolefold_core import tasks
+from oriolefold_gateway import callerstream, exchange
+
+LINGER_S = 1.0  # Time to read on after the output of a connection has ended.
+DISCARD_BYTES = 65536
+_LOGGER = logging.getLogger(__name__)
+
+
+class Connection:
+    """Serves the requests of one connection, one after the other."""
+
+    def __init__(
+        self, accepted: socket.socket, frontend, dispatcher: tasks.Task
+    ):
+        """Initializes the connection; `start` begins to serve it.
+
+        Args:
+            accepted: The accepted socket.
+            frontend: The front end, which has the limits and the counts.
+            dispatcher: Task that handles the requests.
+        """
+        self._frontend = frontend
+        self._dispatcher = dispatcher
+        self._loop = asyncio.get_running_loop()
+        self._stream = callerstream.CallerStream(
+            accepted, self._on_input, self._on_output_ended
+        )
+        self._has_next = False  # Bytes of the next request have arrived.
+        self._exchange: exchange.Exchange | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._serving: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begins to serve the connection."""
+        self._serving = asyncio.create_task(self._serve())
+
+    async def abort(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+        await self._serving
+
+    async def _serve(self) -> None:
+        try:
+            while not self._stream.output_ended and not self._stream.closed():
+                await self._serve_request()
+                # Pipelined requests leave other connections their turn.
+                await asyncio.sleep(0)
+            await self._discard_input()
+        except iostream.StreamClosedError:
+            pass
+        except Exception:
+            _LOGGER.exception('connection of a caller failed')
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._stream.abort()
+            self._frontend.connection_ended(self)
+
+    async def _serve_request(self) -> None:
+        http = http1connection.HTTP1Connection(
+            self._stream, False, self._frontend.http_parameters
+        )
+        current = exchange.Exchange(
+            self._frontend, self._dispatcher, http, self._stream
+        )
+        self._exchange = current
+        if self._has_next:
+            self._has_next = False
+            current.begin()
+        self._set_timer(self._frontend.idle_timeout_s, self._on_idle_timeout)
+        try:
+            # Returns when the answer is written or the connection has ended.
+            await http.read_response(current)
+        except iostream.StreamClosedError:
+            pass
+        finally:
+            self._exchange = None
+            current.end()
+
+    async def _discard_input(self) -> None:
+        while True:
+            await self._stream.read_bytes(DISCARD_BYTES, partial=True)
+            await asyncio.sleep(0)
+
+    def _end_idle(self) -> None:
+        if self._exchange is not None:
+            self._exchange.ignore()
+        self._stream.close()
+
+    def _on_input(self) -> None:
+        current = self._exchange
+        if self._stream.output_ended:
+            return
+        if current is None or current.is_read:
+            self._has_next = True
+        elif not current.has_begun:
+            current.begin()
+
+    def _on_output_ended(self) -> None:
+        self._set_timer(LINGER_S, self._stream.abort)
+
+    def _on_idle_timeout(self) -> None:
+        if self._exchange is not None and not self._exchange.has_head:
+            self._end_idle()
+
+    def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(delay_s, callback)
--- /dev/null
+++ b/libs/gateway/tests/test_connections.py
@@ -0,0 +1,244 @@
+"""Tests that callers get whole answers, whatever ends their connections."""
+
+import asyncio
+import socket
+from unittest import mock
+
+from oriolefold_core import data, tasks
+from oriolefold_gateway import frontend
+from oriolefold_telemetry import logs
+from oriolefold_testbed import basecase
+
+MAX_BODY_BYTES = 1000
+LARGE_BODY = b'x' * 12_000_000  # More than the kernel buffers of a connection.
+PIECE_BYTES = 256 * 1024
+PIECE_INTERVAL_S = 0.002
+ANSWER_LIMIT_S = 5.0
+GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
+POST = (
+    b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
+    b'Content-Length: 10\r\n\r\n'
+)
+
+
+class AnsweringTask(tasks.Task):
+    """Dispatcher that gives the same answer to every request.
+
+    Attributes:
+        answer: The answer; None leaves requests without one.
+        dispatches: The requests, in the order of their arrival.
+    """
+
+    def __init__(self):
+        super().__init__('answering')
+        self.answer = data.Answer(200, (), b'ok', 's0')
+        self.dispatches = []
+
+    async def handle(self, message) -> None:
+        self.dispatches.append(message)
+        if self.answer is not None:
+            message.answer(self.answer)
+
+
+class Caller:
+    """A caller's connection, with all that it receives."""
+
+    def __init__(self, address: data.Address, receive_bytes: int | None = None):
+        self.socket = socket.socket()
+        if receive_bytes is not None:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        # The kernel completes the handshake before the server accepts.
+        self.socket.connect((address.host, address.port))
+        self.socket.setblocking(False)
+
+    def send(self, raw: bytes) -> None:
+        self.socket.send(raw)
+
+    async def read_some(self, size: int = 65536) -> bytes:
+        loop = asyncio.get_running_loop()
+        return await loop.sock_recv(self.socket, size)
+
+    async def read_to_end(self, interval_s: float = 0.0) -> bytes:
+        """Reads until the other side ends the connection cleanly."""
+        received = b''
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            while piece := await self.read_some(PIECE_BYTES):
+                received += piece
+                await asyncio.sleep(interval_s)
+        return received
+
+    async def read_answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Reads one answer with a Content-Length, and nothing after it."""
+        received = b''
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            while not is_whole(received):
+                piece = await self.read_some()
+                if not piece:
+                    raise EOFError(f'cut after {received!r}')
+                received += piece
+        return parse(received)
+
+    def close(self) -> None:
+        self.socket.close()
+
+
+def is_whole(received: bytes) -> bool:
+    head, blank, body = received.partition(b'\r\n\r\n')
+    if not blank:
+        return False
+    return len(body) >= int(parse_head(head)[1].get('Content-Length', 0))
+
+
+def parse_head(head: bytes) -> tuple[int, dict[str, str]]:
+    first, *lines = head.decode('latin-1').split('\r\n')
+    return int(first.split()[1]), dict(line.split(': ', 1) for line in lines)
+
+
+def parse(received: bytes) -> tuple[int, dict[str, str], bytes]:
+    head, _, body = received.partition(b'\r\n\r\n')
+    return *parse_head(head), body
+
+
+class ConnectionCase(basecase.AsyncCase):
+    """A front end with a dispatcher that the test controls."""
+
+    async def asyncSetUp(self):
+        self.dispatcher = AnsweringTask()
+        await self.start(self.dispatcher)
+        self.address = basecase.free_address()
+        self.frontend = frontend.Frontend(
+            self.address, self.dispatcher, MAX_BODY_BYTES
+        )
+        self.frontend.start(reuse_port=False)
+        self.addAsyncCleanup(self.frontend.stop)
+        patcher = mock.patch.object(logs, 'event')
+        self.log = patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def connect(self, receive_bytes: int | None = None) -> Caller:
+        caller = Caller(self.address, receive_bytes)
+        self.addCleanup(caller.close)
+        return caller
+
+    async def exchange(self, raw: bytes) -> tuple[int, dict[str, str], bytes]:
+        caller = self.connect()
+        caller.send(raw)
+        return await caller.read_answer()
+
+    async def connect_used(self) -> Caller:
+        """Returns an idle connection that has been used."""
+        caller = self.connect()
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        return caller
+
+
+class DrainTest(ConnectionCase):
+    """A stop delivers answers and answers what has arrived."""
+
+    async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        using = [asyncio.create_task(self.use(caller)) for caller in callers]
+        await asyncio.sleep(0.05)
+        await self.drain_and_stop()
+        for received in await asyncio.gather(*using):
+            self.assertEqual(received, b'')
+
+    async def use(self, caller: Caller) -> bytes:
+        """Uses a connection until it ends; returns the part of an answer."""
+        received = b''
+        try:
+            while True:
+                caller.send(GET)
+                received = b''
+                while not is_whole(received):
+                    piece = await caller.read_some()
+                    if not piece:
+                        return received
+                    received += piece
+        except ConnectionError:
+            return received
+
+    async def drain_and_stop(self) -> None:
+        await self.frontend.drain()
+        await self.frontend.stop()
+
+
+class CloseTest(ConnectionCase):
+    """The server ends a connection without destroying its last answer."""
+
+    async def test_the_connection_ends_after_an_answer_that_says_close(self):
+        self.frontend.draining = True
+        caller = self.connect()
+        caller.send(GET)
+        status, headers, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(headers['Connection'], 'close')
+
+    async def test_a_413_reaches_a_caller_that_is_still_sending(self):
+        length = 8_000_000
+        for framing in (
+            f'Content-Length: {length}',
+            'Transfer-Encoding: chunked',
+        ):
+            with self.subTest(framing=framing):
+                caller = self.connect()
+                caller.send(
+                    f'POST /svc/a HTTP/1.1\r\nHost: x\r\n{framing}\r\n\r\n'
+                    '1388\r\n'.encode()
+                )
+                for _ in range(100):
+                    caller.send(b'x' * 2500 + b'\r\n')
+                    await asyncio.sleep(PIECE_INTERVAL_S)
+                status, headers, body = parse(await caller.read_to_end())
+                self.assertEqual(status, 413)
+                self.assertEqual(len(body), int(headers['Content-Length']))
+
+    async def test_bytes_after_the_close_do_not_destroy_the_answer(self):
+        caller = self.connect()
+        closing = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+        caller.send(closing)
+        await asyncio.sleep(0.1)
+        caller.send(b'GET /svc/b HTTP/1.1\r\n')
+        await asyncio.sleep(0.1)
+        caller.send(b'Host: x\r\n\r\n')
+        await asyncio.sleep(0.1)
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        caller = self.connect()
+        for rest in (b'', GET, GET[:30]):
+            caller.send(GET + rest)
+            received = b''
+            while received.count(b'\r\n\r\nok') < 1 + (rest == GET):
+                received += await caller.read_some()
+            self.assertEqual(
+                received.count(b'HTTP/1.1 200 OK'), 1 + (rest == GET)
+            )
+        caller.send(GET[30:])
+        self.assertEqual((await caller.read_answer())[0], 200)
+        self.assertEqual(self.frontend.in_flight, 0)
+
+    async def test_a_pipelined_request_after_the_last_answer_is_not_run(self):
+        self.frontend.draining = True
+        caller = self.connect()
+        caller.send(GET + GET)
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_a_body_without_end_is_discarded_for_a_bounded_time(self):
+        caller = self.connect()
+        caller.send(
+            b'POST /svc/a HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 9999999999\r\n\r\n'
+        )
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                while True:
+                    caller.send(b'x' * 1000)
+                    await asyncio.sleep(PIECE_INTERVAL_S)
