Count a request as in progress until its answer is written

What callers saw: one that reads slowly while its VM stops got a part of its answer and then the end of the connection.

Cause: a request was counted as ended once its answer was handed to the stream. With nothing left to count the drain ended, and the stop closed the stream with what was still in its buffer.

Change: the request ends when HTTP1Connection.read_response returns, which is when the answer has been written to the kernel or the connection has ended. It does not depend on the future of write_headers, which tornado drops when the stream closes while it writes. The drain stays bounded by the time limit of the application around it.

--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -126,6 +126,7 @@
         if self._is_ignored:
             return
         self._is_read = True
+        self._frontend.request_started()
         if self._frontend.refusing:
             self._write_failure(errors.StoppingError('this VM is stopping'))
             return
@@ -134,7 +135,6 @@
         except errors.RequestError as error:
             self._write_failure(error)
             return
-        self._frontend.request_started()
         self._stage = Stage.WAITING
         self._reply = dispatch.reply
         self._reply.add_done_callback(self._on_reply)
@@ -157,6 +157,7 @@
             return
         if self._stage is not Stage.WRITTEN:
             self._log_cut('vm' if self._frontend.is_closing else 'caller')
+        self._frontend.request_ended()
 
     def _refuse_body(self) -> None:
         text = f'the body is larger than {self._max_body_bytes} bytes'
@@ -179,16 +180,15 @@
         return uuid.uuid4().hex
 
     def _on_reply(self, reply: asyncio.Future) -> None:
-        try:
-            if reply.cancelled() or self._stream.closed():
-                return
-            # Every kind of exception is reported to the caller with an outcome.
-            if reply.exception() is None:
-                self._write_answer(reply.result())
-            else:
-                self._write_failure(reply.exception())
-        finally:
-            self._frontend.request_ended()
+        if self._stage is not Stage.WAITING or self._stream.closed():
+            return
+        # Every kind of exception is reported to the caller with an outcome.
+        if reply.cancelled():
+            return
+        if reply.exception() is None:
+            self._write_answer(reply.result())
+        else:
+            self._write_failure(reply.exception())
 
     def _log_cut(self, closed_by: str) -> None:
         """Logs a cut request; a caller may leave while it waits."""
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -63,7 +63,11 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests in progress."""
+        """Number of requests in progress.
+
+        A request is in progress from its arrival until its answer has been
+        written to the kernel, or its connection has ended.
+        """
         return self._in_flight
 
     @property
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -134,10 +134,48 @@
         self.assertEqual((await caller.read_answer())[0], 200)
         return caller
 
+    def cuts(self) -> list[dict]:
+        return [
+            call.kwargs
+            for call in self.log.call_args_list
+            if call.args == ('request.cut',)
+        ]
+
 
 class DrainTest(ConnectionCase):
     """A stop delivers answers and answers what has arrived."""
 
+    async def test_a_slow_reader_gets_its_whole_answer(self):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        first = await caller.read_some(1000)
+        reading = asyncio.create_task(caller.read_to_end(PIECE_INTERVAL_S))
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            await self.frontend.drain()
+        await self.frontend.stop()
+        _, _, body = parse(first + await reading)
+        self.assertEqual(len(body), len(LARGE_BODY))
+        self.assertEqual(self.cuts(), [])
+
+    async def test_a_caller_that_leaves_while_reading_holds_up_no_drain(self):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await caller.read_some(1000)
+        self.assertEqual(self.frontend.in_flight, 1)
+        draining = asyncio.create_task(self.frontend.drain())
+        await asyncio.sleep(0.05)
+        self.assertFalse(draining.done())
+        caller.close()
+        async with asyncio.timeout(0.5):
+            await draining
+        self.assertEqual(self.frontend.in_flight, 0)
+        (cut,) = self.cuts()
+        self.assertEqual(
+            (cut['stage'], cut['closed_by']), ('writing', 'caller')
+        )
+
     async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
         callers = [await self.connect_used() for _ in range(5)]
         using = [asyncio.create_task(self.use(caller)) for caller in callers]
