Serve the connections that the kernel has accepted before a drain

What callers saw: a connection that was established, with a request sent on it, was reset without an answer and without a line in the log.

Cause: a drain closed the listening socket with connections still in the kernel's queue, which the kernel then resets. A connection that had just been accepted, its first request on the way, was closed at once if no other request was in progress.

Evidence, on: test_connections_not_yet_accepted_are_served_by_a_drain and test_the_first_request_of_a_new_connection_crosses_a_drain: ConnectionResetError.

Change: the queue is emptied right before the listening socket is closed, and the drain gives new connections FIRST_REQUEST_S, 0.5 s, for their first request.

After: both tests pass; 20 of 20 queued connections are answered with 200. What is left: a handshake that ends between the last accept and the close of the socket, two system calls apart, is still reset.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -34,11 +34,22 @@
         self._stream = callerstream.CallerStream(
             accepted, self._on_input, self._on_output_ended
         )
+        self._accepted_at_s = self._loop.time()
+        self._has_received = False
         self._has_next = False  # Bytes of the next request have arrived.
         self._exchange: exchange.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._serving: asyncio.Task | None = None
 
+    def awaits_first_request(self, limit_s: float) -> bool:
+        """Returns whether a first request may still be on its way.
+
+        Args:
+            limit_s: Longest time to wait for it, in seconds.
+        """
+        age_s = self._loop.time() - self._accepted_at_s
+        return not self._has_received and age_s < limit_s
+
     def start(self) -> None:
         """Begins to serve the connection."""
         self._serving = asyncio.create_task(self._serve())
@@ -97,6 +108,7 @@
         self._stream.close()
 
     def _on_input(self) -> None:
+        self._has_received = True
         current = self._exchange
         if self._stream.output_ended:
             return
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -12,6 +12,8 @@
 
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
+MAX_QUEUED_CONNECTIONS = 1024  # Accepted when the listening socket closes.
+FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
 
 
 class Frontend:
@@ -147,6 +149,7 @@
         """
         self.draining = True
         self._stop_listening()
+        await self._wait_for_first_requests()
         while self._in_flight:
             await self._wait_for_change()
         self.refusing = True
@@ -164,11 +167,36 @@
         connection.start()
 
     def _stop_listening(self) -> None:
+        """Accepts the connections that the kernel has queued, then no more."""
         for listening, stop_accepting in self._stop_accepting_by_socket.items():
             stop_accepting()
+            self._accept_queued(listening)
             listening.close()
         self._stop_accepting_by_socket.clear()
 
+    def _accept_queued(self, listening: socket.socket) -> None:
+        for _ in range(MAX_QUEUED_CONNECTIONS):
+            try:
+                self._on_accepted(*listening.accept())
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                logs.event('accept.failed', error=repr(error))
+                return
+
+    async def _wait_for_first_requests(self) -> None:
+        try:
+            async with asyncio.timeout(FIRST_REQUEST_S):
+                while any(
+                    connection.awaits_first_request(FIRST_REQUEST_S)
+                    for connection in self._connections
+                ):
+                    await self._wait_for_change()
+        except TimeoutError:
+            pass
+
     async def _wait_for_change(self) -> None:
         """Waits until a request starts or ends, or a connection ends."""
         self._changed.clear()
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -14,6 +14,7 @@
 PIECE_BYTES = 256 * 1024
 PIECE_INTERVAL_S = 0.002
 ANSWER_LIMIT_S = 5.0
+QUEUED_CONNECTIONS = 20
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
 POST = (
     b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
@@ -176,6 +177,24 @@
             (cut['stage'], cut['closed_by']), ('writing', 'caller')
         )
 
+    async def test_connections_not_yet_accepted_are_served_by_a_drain(self):
+        # Nothing is accepted until this coroutine waits.
+        callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.drain()
+        await self.frontend.stop()
+        for caller in callers:
+            self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_the_first_request_of_a_new_connection_crosses_a_drain(self):
+        caller = self.connect()
+        stopping = asyncio.create_task(self.drain_and_stop())
+        await asyncio.sleep(0.05)
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await stopping
+
     async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
         callers = [await self.connect_used() for _ in range(5)]
         using = [asyncio.create_task(self.use(caller)) for caller in callers]
