Answer every request that has begun to arrive when a VM stops

What callers saw: a request that crossed the end of a drain, or of which a part had arrived, ended with its connection closed, no answer and no line in the log.

Cause: only complete requests counted as in progress, so a drain ended with heads and bodies under way. The stop then closed every stream, also those with a refusal just written (unread bytes: reset) or with a request in the kernel's buffer.

Change: a request is in progress from its first byte. A drain also waits for connections that are being ended. A stop first refuses what has arrived in part (503, not run), answers what waits with 502, outcome unknown, ends idle connections in which nothing has arrived, looking into the kernel's buffer too, and gives all of them CLOSE_LIMIT_S, 0.2 s.

What is left: a request that is sent before the end of an idle connection reaches the caller can't be answered in HTTP/1.1; it is not read and shows as crossed.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -40,6 +40,15 @@
         """Whether nothing more may be written."""
         return self._output_ended
 
+    def has_unread_input(self) -> bool:
+        """Returns whether bytes have arrived that were not read yet."""
+        if self.closed():
+            return False
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def read_from_fd(self, buf):
         """Reads bytes and reports that they have arrived."""
         size = super().read_from_fd(buf)
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -12,6 +12,7 @@
 
 LINGER_S = 1.0  # Time to read on after the output of a connection has ended.
 DISCARD_BYTES = 65536
+CROSSED = 'crossed'  # Stage of a request that arrived after the end.
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -37,10 +38,16 @@
         self._accepted_at_s = self._loop.time()
         self._has_received = False
         self._has_next = False  # Bytes of the next request have arrived.
+        self._has_late_input = False
         self._exchange: exchange.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._serving: asyncio.Task | None = None
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the output has ended and the input is being discarded."""
+        return self._stream.output_ended
+
     def awaits_first_request(self, limit_s: float) -> bool:
         """Returns whether a first request may still be on its way.
 
@@ -54,6 +61,16 @@
         """Begins to serve the connection."""
         self._serving = asyncio.create_task(self._serve())
 
+    def end(self) -> None:
+        """Ends the connection once a request in progress has an answer.
+
+        What has arrived in the kernel is read first.
+        """
+        if self._exchange is not None and self._exchange.has_begun:
+            self._exchange.stop()
+        elif not self._stream.has_unread_input():
+            self._end_idle()
+
     async def abort(self) -> None:
         """Closes the connection at once."""
         self._stream.abort()
@@ -74,6 +91,8 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._stream.abort()
+            if self._has_late_input:
+                self._frontend.request_cut('', CROSSED, closed_by='vm')
             self._frontend.connection_ended(self)
 
     async def _serve_request(self) -> None:
@@ -111,8 +130,9 @@
         self._has_received = True
         current = self._exchange
         if self._stream.output_ended:
-            return
-        if current is None or current.is_read:
+            if current is None or not current.has_begun:
+                self._has_late_input = True
+        elif current is None or current.is_read:
             self._has_next = True
         elif not current.has_begun:
             current.begin()
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -7,11 +7,12 @@
 import sys
 import uuid
 
-from tornado import http1connection, httputil
+from tornado import http1connection, httputil, iostream
 
 from oriolefold_backend import headers as backend_headers
 from oriolefold_core import data, errors, results, tasks
 from oriolefold_gateway import callerstream, messages
+from oriolefold_telemetry import logs
 
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
 _METHODS = frozenset(
@@ -65,6 +66,7 @@
         self._stage = Stage.IDLE
         self._is_read = False
         self._is_ignored = False
+        self._is_logged = False
         self._start_line: httputil.RequestStartLine | None = None
         self._headers: httputil.HTTPHeaders | None = None
         self._chunks: list[bytes] = []
@@ -93,6 +95,7 @@
         """Notes that the request begins to arrive."""
         self._stage = Stage.READING
         self._began_at_s = asyncio.get_running_loop().time()
+        self._frontend.request_started()
 
     def headers_received(self, start_line, headers):
         """Checks the size of the headers and the announced size of the body."""
@@ -123,10 +126,9 @@
 
     def finish(self):
         """Passes the complete request to the dispatcher."""
+        self._is_read = True
         if self._is_ignored:
             return
-        self._is_read = True
-        self._frontend.request_started()
         if self._frontend.refusing:
             self._write_failure(errors.StoppingError('this VM is stopping'))
             return
@@ -151,12 +153,35 @@
         """Ignores a request that arrives from now on."""
         self._is_ignored = True
 
+    def stop(self) -> None:
+        """Answers a request in progress without waiting for its result."""
+        if self._stage is Stage.READING:
+            self.cut_reading(errors.StoppingError('this VM is stopping'))
+        elif self._stage is Stage.WAITING:
+            self._log_cut('vm')
+            self._write_failure(
+                errors.OutcomeUnknownError('this VM stopped before the answer')
+            )
+            self._reply.cancel()
+
+    def cut_reading(self, error: errors.OriolefoldError) -> None:
+        """Refuses a request that has not arrived completely."""
+        self._log_cut('vm')
+        self._refuse_unread(error)
+
     def end(self) -> None:
         """Notes that the answer is written or the connection has ended."""
-        if not self._is_read:
+        if not self.has_begun:
             return
-        if self._stage is not Stage.WRITTEN:
-            self._log_cut('vm' if self._frontend.is_closing else 'caller')
+        if self._stage is Stage.READING and self._stream.output_ended:
+            # Tornado has answered with status 400.
+            logs.event('request.unreadable', request=self._request_id)
+        elif self._stage is not Stage.WRITTEN:
+            is_closing = self._frontend.is_closing
+            is_endless = isinstance(
+                self._stream.error, iostream.UnsatisfiableReadError
+            )
+            self._log_cut('vm' if is_closing or is_endless else 'caller')
         self._frontend.request_ended()
 
     def _refuse_body(self) -> None:
@@ -191,7 +216,10 @@
             self._write_failure(reply.exception())
 
     def _log_cut(self, closed_by: str) -> None:
-        """Logs a cut request; a caller may leave while it waits."""
+        """Logs a cut request once; a caller may leave while it waits."""
+        if self._is_logged:
+            return
+        self._is_logged = True
         if closed_by == 'caller' and self._stage is Stage.WAITING:
             return
         now_s = asyncio.get_running_loop().time()
@@ -237,10 +265,11 @@
 
     def _write_failure(self, error, close: bool = False) -> None:
         failure = errors.failure_of(error)
+        request_id = self._request_id or uuid.uuid4().hex
         response_headers = httputil.HTTPHeaders(
             {
                 'Content-Type': 'application/json',
-                results.REQUEST_ID_HEADER: self._request_id,
+                results.REQUEST_ID_HEADER: request_id,
                 results.OUTCOME_HEADER: results.outcome_of(failure).value,
             }
         )
@@ -254,13 +283,15 @@
                 'outcome': results.outcome_of(failure).value,
                 'category': failure.category.value,
                 'message': failure.message,
-                'request_id': self._request_id,
+                'request_id': request_id,
             }
         )
         self._write(status, response_headers, body.encode() + b'\n')
 
     def _write(self, status, response_headers, body: bytes) -> None:
-        is_head = self._start_line.method == 'HEAD'
+        is_head = (
+            self._start_line is not None and self._start_line.method == 'HEAD'
+        )
         if status in _NO_BODY_STATUS or is_head:
             body = b''
         if self._frontend.draining:
@@ -269,9 +300,17 @@
             response_headers['Content-Length'] = str(len(body))
         reason = httputil.responses.get(status, 'Unknown')
         start = httputil.ResponseStartLine('HTTP/1.1', status, reason)
-        self._http.write_headers(start, response_headers, body)
-        self._note_writing()
-        self._http.finish()
+        if self.has_head:
+            self._http.write_headers(start, response_headers, body)
+            self._note_writing()
+            self._http.finish()
+        elif not self._stream.closed():
+            # Tornado writes no answers before it has read the headers.
+            lines = [f'HTTP/1.1 {status} {reason}']
+            lines += [f'{n}: {v}' for n, v in response_headers.get_all()]
+            head = '\r\n'.join(lines) + '\r\n\r\n'
+            self._stream.write(head.encode('latin-1') + body)
+            self._note_writing()
         if response_headers.get('Connection') == 'close':
             self._stream.close()
 
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -14,6 +14,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_QUEUED_CONNECTIONS = 1024  # Accepted when the listening socket closes.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
+CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
 
 
 class Frontend:
@@ -67,7 +68,7 @@
     def in_flight(self) -> int:
         """Number of requests in progress.
 
-        A request is in progress from its arrival until its answer has been
+        A request is in progress from its first byte until its answer has been
         written to the kernel, or its connection has ended.
         """
         return self._in_flight
@@ -150,14 +151,24 @@
         self.draining = True
         self._stop_listening()
         await self._wait_for_first_requests()
-        while self._in_flight:
+        while self._in_flight or self._are_connections_ending():
             await self._wait_for_change()
         self.refusing = True
 
     async def stop(self) -> None:
-        """Closes all connections."""
+        """Answers what has arrived and closes all connections."""
+        self.draining = True
+        self.refusing = True
         self._is_closing = True
         self._stop_listening()
+        try:
+            async with asyncio.timeout(CLOSE_LIMIT_S):
+                while self._connections:
+                    for connection in list(self._connections):
+                        connection.end()
+                    await self._wait_for_change()
+        except TimeoutError:
+            pass
         for connection in list(self._connections):
             await connection.abort()
 
@@ -197,6 +208,9 @@
         except TimeoutError:
             pass
 
+    def _are_connections_ending(self) -> bool:
+        return any(connection.is_ending for connection in self._connections)
+
     async def _wait_for_change(self) -> None:
         """Waits until a request starts or ends, or a connection ends."""
         self._changed.clear()
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests that callers get whole answers, whatever ends their connections."""
 
 import asyncio
+import json
 import socket
 from unittest import mock
 
@@ -135,6 +136,13 @@
         self.assertEqual((await caller.read_answer())[0], 200)
         return caller
 
+    async def send_part(self, raw: bytes) -> Caller:
+        """Returns a connection with a request of which a part has arrived."""
+        caller = await self.connect_used()
+        caller.send(raw)
+        await asyncio.sleep(0.05)
+        return caller
+
     def cuts(self) -> list[dict]:
         return [
             call.kwargs
@@ -142,6 +150,14 @@
             if call.args == ('request.cut',)
         ]
 
+    def assert_refused(self, answer: tuple, status: int) -> None:
+        """Checks for a whole failure that says that nothing was run."""
+        got, headers, body = answer
+        self.assertEqual(got, status)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'not-run')
+        self.assertEqual(headers['Connection'], 'close')
+        self.assertEqual(json.loads(body)['outcome'], 'not-run')
+
 
 class DrainTest(ConnectionCase):
     """A stop delivers answers and answers what has arrived."""
@@ -187,6 +203,15 @@
         for caller in callers:
             self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_connections_not_yet_accepted_are_refused_by_a_stop(self):
+        callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            self.assert_refused(await caller.read_answer(), 503)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
     async def test_the_first_request_of_a_new_connection_crosses_a_drain(self):
         caller = self.connect()
         stopping = asyncio.create_task(self.drain_and_stop())
@@ -195,6 +220,76 @@
         self.assertEqual((await caller.read_answer())[0], 200)
         await stopping
 
+    async def test_a_request_that_has_begun_to_arrive_is_served_by_a_drain(
+        self,
+    ):
+        for raw, size in ((GET, 30), (POST + b'x' * 10, len(POST) + 5)):
+            with self.subTest(part=raw[:size]):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw[:size])
+                stopping = asyncio.create_task(self.drain_and_stop())
+                await asyncio.sleep(0.05)
+                caller.send(raw[size:])
+                self.assertEqual((await caller.read_answer())[0], 200)
+                await stopping
+
+    async def test_a_request_that_has_not_arrived_whole_is_refused_by_a_stop(
+        self,
+    ):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw)
+                await self.frontend.stop()
+                self.assert_refused(parse(await caller.read_to_end()), 503)
+                (cut,) = self.cuts()
+                self.assertEqual(cut['stage'], 'reading')
+                self.assertEqual(cut['closed_by'], 'vm')
+
+    async def test_a_request_in_the_kernel_is_answered_by_a_stop(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            self.assert_refused(await caller.read_answer(), 503)
+
+    async def test_a_request_without_an_answer_ends_as_unknown_at_a_stop(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        await self.frontend.stop()
+        status, headers, body = parse(await caller.read_to_end())
+        self.assertEqual(status, 502)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+        self.assertEqual(json.loads(body)['request_id'], 'a1')
+        self.assertTrue(self.dispatcher.dispatches[0].reply.cancelled())
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('waiting', 'vm'))
+
+    async def test_a_stop_waits_no_longer_than_its_limit_for_a_slow_reader(
+        self,
+    ):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await caller.read_some(1000)
+        async with asyncio.timeout(2 * frontend.CLOSE_LIMIT_S):
+            await self.frontend.stop()
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('writing', 'vm'))
+
+    async def test_a_refusal_after_the_drain_is_whole(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        await self.frontend.drain()
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            answer = parse(await caller.read_to_end())
+            self.assert_refused(answer, 503)
+
     async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
         callers = [await self.connect_used() for _ in range(5)]
         using = [asyncio.create_task(self.use(caller)) for caller in callers]
@@ -299,3 +394,43 @@
                 while True:
                     caller.send(b'x' * 1000)
                     await asyncio.sleep(PIECE_INTERVAL_S)
+
+
+class CutTest(ConnectionCase):
+    """Each connection that ends inside a request leaves a line."""
+
+    async def test_a_caller_that_leaves_inside_its_request_is_logged(self):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                self.log.reset_mock()
+                caller = await self.send_part(raw)
+                caller.close()
+                await self.wait_for(self.cuts)
+                (cut,) = self.cuts()
+                self.assertEqual(cut['stage'], 'reading')
+                self.assertEqual(cut['closed_by'], 'caller')
+                self.assertGreaterEqual(cut['age_ms'], 50)
+                self.assertEqual(self.frontend.in_flight, 0)
+
+    async def test_a_request_that_crosses_the_close_is_logged(self):
+        caller = await self.connect_used()
+        stopping = asyncio.create_task(self.frontend.stop())
+        self.assertEqual(await caller.read_to_end(), b'')
+        caller.send(GET)
+        await stopping
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('crossed', 'vm'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_a_malformed_request_is_logged(self):
+        caller = await self.send_part(b'GET /svc/a\r\n\r\n')
+        self.assertIn(b' 400 ', await caller.read_to_end())
+        await self.wait_for(lambda: self.log.call_args_list)
+        (call,) = self.log.call_args_list
+        self.assertEqual(call.args, ('request.unreadable',))
+
+    async def test_a_caller_that_leaves_between_requests_is_not_logged(self):
+        (await self.connect_used()).close()
+        self.connect().close()
+        await asyncio.sleep(0.05)
+        self.log.assert_not_called()
