--- /dev/null
+++ b/libs/gateway/tests/test_connections.py
@@ -0,0 +1,436 @@
+"""Tests that callers get whole answers, whatever ends their connections."""
+
+import asyncio
+import json
+import socket
+from unittest import mock
+
+from oriolefold_core import data, tasks
+from oriolefold_gateway import frontend
+from oriolefold_telemetry import logs
+from oriolefold_testbed import basecase
+
+MAX_BODY_BYTES = 1000
+LARGE_BODY = b'x' * 12_000_000  # More than the kernel buffers of a connection.
+PIECE_BYTES = 256 * 1024
+PIECE_INTERVAL_S = 0.002
+ANSWER_LIMIT_S = 5.0
+QUEUED_CONNECTIONS = 20
+GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
+POST = (
+    b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
+    b'Content-Length: 10\r\n\r\n'
+)
+
+
+class AnsweringTask(tasks.Task):
+    """Dispatcher that gives the same answer to every request.
+
+    Attributes:
+        answer: The answer; None leaves requests without one.
+        dispatches: The requests, in the order of their arrival.
+    """
+
+    def __init__(self):
+        super().__init__('answering')
+        self.answer = data.Answer(200, (), b'ok', 's0')
+        self.dispatches = []
+
+    async def handle(self, message) -> None:
+        self.dispatches.append(message)
+        if self.answer is not None:
+            message.answer(self.answer)
+
+
+class Caller:
+    """A caller's connection, with all that it receives."""
+
+    def __init__(self, address: data.Address, receive_bytes: int | None = None):
+        self.socket = socket.socket()
+        if receive_bytes is not None:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        # The kernel completes the handshake before the server accepts.
+        self.socket.connect((address.host, address.port))
+        self.socket.setblocking(False)
+
+    def send(self, raw: bytes) -> None:
+        self.socket.send(raw)
+
+    async def read_some(self, size: int = 65536) -> bytes:
+        loop = asyncio.get_running_loop()
+        return await loop.sock_recv(self.socket, size)
+
+    async def read_to_end(self, interval_s: float = 0.0) -> bytes:
+        """Reads until the other side ends the connection cleanly."""
+        received = b''
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            while piece := await self.read_some(PIECE_BYTES):
+                received += piece
+                await asyncio.sleep(interval_s)
+        return received
+
+    async def read_answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Reads one answer with a Content-Length, and nothing after it."""
+        received = b''
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            while not is_whole(received):
+                piece = await self.read_some()
+                if not piece:
+                    raise EOFError(f'cut after {received!r}')
+                received += piece
+        return parse(received)
+
+    def close(self) -> None:
+        self.socket.close()
+
+
+def is_whole(received: bytes) -> bool:
+    head, blank, body = received.partition(b'\r\n\r\n')
+    if not blank:
+        return False
+    return len(body) >= int(parse_head(head)[1].get('Content-Length', 0))
+
+
+def parse_head(head: bytes) -> tuple[int, dict[str, str]]:
+    first, *lines = head.decode('latin-1').split('\r\n')
+    return int(first.split()[1]), dict(line.split(': ', 1) for line in lines)
+
+
+def parse(received: bytes) -> tuple[int, dict[str, str], bytes]:
+    head, _, body = received.partition(b'\r\n\r\n')
+    return *parse_head(head), body
+
+
+class ConnectionCase(basecase.AsyncCase):
+    """A front end with a dispatcher that the test controls."""
+
+    async def asyncSetUp(self):
+        self.dispatcher = AnsweringTask()
+        await self.start(self.dispatcher)
+        self.address = basecase.free_address()
+        self.frontend = frontend.Frontend(
+            self.address, self.dispatcher, MAX_BODY_BYTES
+        )
+        self.frontend.start(reuse_port=False)
+        self.addAsyncCleanup(self.frontend.stop)
+        patcher = mock.patch.object(logs, 'event')
+        self.log = patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def connect(self, receive_bytes: int | None = None) -> Caller:
+        caller = Caller(self.address, receive_bytes)
+        self.addCleanup(caller.close)
+        return caller
+
+    async def exchange(self, raw: bytes) -> tuple[int, dict[str, str], bytes]:
+        caller = self.connect()
+        caller.send(raw)
+        return await caller.read_answer()
+
+    async def connect_used(self) -> Caller:
+        """Returns an idle connection that has been used."""
+        caller = self.connect()
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        return caller
+
+    async def send_part(self, raw: bytes) -> Caller:
+        """Returns a connection with a request of which a part has arrived."""
+        caller = await self.connect_used()
+        caller.send(raw)
+        await asyncio.sleep(0.05)
+        return caller
+
+    def cuts(self) -> list[dict]:
+        return [
+            call.kwargs
+            for call in self.log.call_args_list
+            if call.args == ('request.cut',)
+        ]
+
+    def assert_refused(self, answer: tuple, status: int) -> None:
+        """Checks for a whole failure that says that nothing was run."""
+        got, headers, body = answer
+        self.assertEqual(got, status)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'not-run')
+        self.assertEqual(headers['Connection'], 'close')
+        self.assertEqual(json.loads(body)['outcome'], 'not-run')
+
+
+class DrainTest(ConnectionCase):
+    """A stop delivers answers and answers what has arrived."""
+
+    async def test_a_slow_reader_gets_its_whole_answer(self):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        first = await caller.read_some(1000)
+        reading = asyncio.create_task(caller.read_to_end(PIECE_INTERVAL_S))
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            await self.frontend.drain()
+        await self.frontend.stop()
+        _, _, body = parse(first + await reading)
+        self.assertEqual(len(body), len(LARGE_BODY))
+        self.assertEqual(self.cuts(), [])
+
+    async def test_a_caller_that_leaves_while_reading_holds_up_no_drain(self):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await caller.read_some(1000)
+        self.assertEqual(self.frontend.in_flight, 1)
+        draining = asyncio.create_task(self.frontend.drain())
+        await asyncio.sleep(0.05)
+        self.assertFalse(draining.done())
+        caller.close()
+        async with asyncio.timeout(0.5):
+            await draining
+        self.assertEqual(self.frontend.in_flight, 0)
+        (cut,) = self.cuts()
+        self.assertEqual(
+            (cut['stage'], cut['closed_by']), ('writing', 'caller')
+        )
+
+    async def test_connections_not_yet_accepted_are_served_by_a_drain(self):
+        # Nothing is accepted until this coroutine waits.
+        callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.drain()
+        await self.frontend.stop()
+        for caller in callers:
+            self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_connections_not_yet_accepted_are_refused_by_a_stop(self):
+        callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            self.assert_refused(await caller.read_answer(), 503)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_the_first_request_of_a_new_connection_crosses_a_drain(self):
+        caller = self.connect()
+        stopping = asyncio.create_task(self.drain_and_stop())
+        await asyncio.sleep(0.05)
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await stopping
+
+    async def test_a_request_that_has_begun_to_arrive_is_served_by_a_drain(
+        self,
+    ):
+        for raw, size in ((GET, 30), (POST + b'x' * 10, len(POST) + 5)):
+            with self.subTest(part=raw[:size]):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw[:size])
+                stopping = asyncio.create_task(self.drain_and_stop())
+                await asyncio.sleep(0.05)
+                caller.send(raw[size:])
+                self.assertEqual((await caller.read_answer())[0], 200)
+                await stopping
+
+    async def test_a_request_that_has_not_arrived_whole_is_refused_by_a_stop(
+        self,
+    ):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw)
+                await self.frontend.stop()
+                self.assert_refused(parse(await caller.read_to_end()), 503)
+                (cut,) = self.cuts()
+                self.assertEqual(cut['stage'], 'reading')
+                self.assertEqual(cut['closed_by'], 'vm')
+
+    async def test_a_request_in_the_kernel_is_answered_by_a_stop(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            self.assert_refused(await caller.read_answer(), 503)
+
+    async def test_a_request_without_an_answer_ends_as_unknown_at_a_stop(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        await self.frontend.stop()
+        status, headers, body = parse(await caller.read_to_end())
+        self.assertEqual(status, 502)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+        self.assertEqual(json.loads(body)['request_id'], 'a1')
+        self.assertTrue(self.dispatcher.dispatches[0].reply.cancelled())
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('waiting', 'vm'))
+
+    async def test_a_stop_waits_no_longer_than_its_limit_for_a_slow_reader(
+        self,
+    ):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await caller.read_some(1000)
+        async with asyncio.timeout(2 * frontend.CLOSE_LIMIT_S):
+            await self.frontend.stop()
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('writing', 'vm'))
+
+    async def test_a_refusal_after_the_drain_is_whole(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        await self.frontend.drain()
+        for caller in callers:
+            caller.send(GET)
+        await self.frontend.stop()
+        for caller in callers:
+            answer = parse(await caller.read_to_end())
+            self.assert_refused(answer, 503)
+
+    async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
+        callers = [await self.connect_used() for _ in range(5)]
+        using = [asyncio.create_task(self.use(caller)) for caller in callers]
+        await asyncio.sleep(0.05)
+        await self.drain_and_stop()
+        for received in await asyncio.gather(*using):
+            self.assertEqual(received, b'')
+
+    async def use(self, caller: Caller) -> bytes:
+        """Uses a connection until it ends; returns the part of an answer."""
+        received = b''
+        try:
+            while True:
+                caller.send(GET)
+                received = b''
+                while not is_whole(received):
+                    piece = await caller.read_some()
+                    if not piece:
+                        return received
+                    received += piece
+        except ConnectionError:
+            return received
+
+    async def drain_and_stop(self) -> None:
+        await self.frontend.drain()
+        await self.frontend.stop()
+
+
+class CloseTest(ConnectionCase):
+    """The server ends a connection without destroying its last answer."""
+
+    async def test_the_connection_ends_after_an_answer_that_says_close(self):
+        self.frontend.draining = True
+        caller = self.connect()
+        caller.send(GET)
+        status, headers, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(headers['Connection'], 'close')
+
+    async def test_a_413_reaches_a_caller_that_is_still_sending(self):
+        length = 8_000_000
+        for framing in (
+            f'Content-Length: {length}',
+            'Transfer-Encoding: chunked',
+        ):
+            with self.subTest(framing=framing):
+                caller = self.connect()
+                caller.send(
+                    f'POST /svc/a HTTP/1.1\r\nHost: x\r\n{framing}\r\n\r\n'
+                    '1388\r\n'.encode()
+                )
+                for _ in range(100):
+                    caller.send(b'x' * 2500 + b'\r\n')
+                    await asyncio.sleep(PIECE_INTERVAL_S)
+                status, headers, body = parse(await caller.read_to_end())
+                self.assertEqual(status, 413)
+                self.assertEqual(len(body), int(headers['Content-Length']))
+
+    async def test_bytes_after_the_close_do_not_destroy_the_answer(self):
+        caller = self.connect()
+        closing = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+        caller.send(closing)
+        await asyncio.sleep(0.1)
+        caller.send(b'GET /svc/b HTTP/1.1\r\n')
+        await asyncio.sleep(0.1)
+        caller.send(b'Host: x\r\n\r\n')
+        await asyncio.sleep(0.1)
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        caller = self.connect()
+        for rest in (b'', GET, GET[:30]):
+            caller.send(GET + rest)
+            received = b''
+            while received.count(b'\r\n\r\nok') < 1 + (rest == GET):
+                received += await caller.read_some()
+            self.assertEqual(
+                received.count(b'HTTP/1.1 200 OK'), 1 + (rest == GET)
+            )
+        caller.send(GET[30:])
+        self.assertEqual((await caller.read_answer())[0], 200)
+        self.assertEqual(self.frontend.in_flight, 0)
+
+    async def test_a_pipelined_request_after_the_last_answer_is_not_run(self):
+        self.frontend.draining = True
+        caller = self.connect()
+        caller.send(GET + GET)
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_a_body_without_end_is_discarded_for_a_bounded_time(self):
+        caller = self.connect()
+        caller.send(
+            b'POST /svc/a HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 9999999999\r\n\r\n'
+        )
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                while True:
+                    caller.send(b'x' * 1000)
+                    await asyncio.sleep(PIECE_INTERVAL_S)
+
+
+class CutTest(ConnectionCase):
+    """Each connection that ends inside a request leaves a line."""
+
+    async def test_a_caller_that_leaves_inside_its_request_is_logged(self):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                self.log.reset_mock()
+                caller = await self.send_part(raw)
+                caller.close()
+                await self.wait_for(self.cuts)
+                (cut,) = self.cuts()
+                self.assertEqual(cut['stage'], 'reading')
+                self.assertEqual(cut['closed_by'], 'caller')
+                self.assertGreaterEqual(cut['age_ms'], 50)
+                self.assertEqual(self.frontend.in_flight, 0)
+
+    async def test_a_request_that_crosses_the_close_is_logged(self):
+        caller = await self.connect_used()
+        stopping = asyncio.create_task(self.frontend.stop())
+        self.assertEqual(await caller.read_to_end(), b'')
+        caller.send(GET)
+        await stopping
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('crossed', 'vm'))
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_a_malformed_request_is_logged(self):
+        caller = await self.send_part(b'GET /svc/a\r\n\r\n')
+        self.assertIn(b' 400 ', await caller.read_to_end())
+        await self.wait_for(lambda: self.log.call_args_list)
+        (call,) = self.log.call_args_list
+        self.assertEqual(call.args, ('request.unreadable',))
+
+    async def test_a_caller_that_leaves_between_requests_is_not_logged(self):
+        (await self.connect_used()).close()
+        self.connect().close()
+        await asyncio.sleep(0.05)
+        self.log.assert_not_called()
