Send nothing while draining that the stop would cut

What callers saw: a request on an open connection that was sent after SIGTERM, while another request kept the VM from stopping, was passed on to an instance whatever time it would take, and its connection was closed at the stop limit without an answer.

Cause: after SIGTERM both dispatchers went on as before. Nothing compared the time that a request may take with the time that was left. The Drain message of the own interface refused everything and was posted by nobody.

Evidence: test_request_that_would_be_cut_is_refused_before_it_is_sent, stop limit 1 s, a request sent 0.6 s after the stop began, run of 2 s. Before: sent to the instance ('before', 'busy', 'late' at the instance), answer ''.

Change: routing.draining decides, without clock or I/O, from the end of the announcement, the stop, the request's deadline, whether it may be repeated, and the expected time of the service. A request whose deadline is before the stop, less 0.1 s for writing its answer, is sent. Another one is sent only if it may be repeated, new callers may still arrive, and the time left is four times the expected time; unknown expected time: not sent. The applications post Drain with the schedule. The dispatchers ask before they accept, before each send and, for requests that wait, at each wake. A refusal is StoppingError: 503, not run, Retry-After 0, since another VM can take it at once. Each leaves a line drain.refused with its inputs.

The own interface closes its listening socket at once, so its announcement ends with the signal and only the first rule applies there.

Why it works: a request that is not repeatable is only sent if it ends by its own deadline before the connections close.

After: the test gets 503 with Connection: close and Retry-After 0, the instance gets nothing, and the request that kept the VM busy gets its 200.

Not covered: the factor 4 and the margin 0.1 s are chosen, not measured.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -146,6 +146,7 @@
     """The process is stopping and accepts no new requests."""
 
     category = Category.STOPPING
+    retry_after_s = 0.0  # Another process can take the request at once.
 
 
 class OutcomeUnknownError(OriolefoldError):
--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -29,7 +29,7 @@
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import codec, link, server
 from oriolefold_peer import messages as peer_messages
-from oriolefold_routing import balance
+from oriolefold_routing import balance, draining
 from oriolefold_sending import sender
 from oriolefold_store import http as store_http
 from oriolefold_telemetry import logs, metrics
@@ -50,6 +50,7 @@
         self._values = values
         self._stopping = asyncio.Event()
         boot_clock = clock.BootClock()
+        self._clock = boot_clock
         generator = random.Random(values.random_seed)
         incarnation = uuid.uuid4().hex
         hello = peer_messages.Hello(values.vm_id, incarnation)
@@ -196,6 +197,9 @@
     async def stop(self) -> None:
         """Drains requests within the time limit, then stops the tasks."""
         logs.event('daemon.stopping', vm=self._values.vm_id)
+        now_s = self._clock.now_s()
+        schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
+        self._dispatcher.post(gateway_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -20,7 +20,8 @@
     watching,
 )
 from oriolefold_gateway import frontend
-from oriolefold_routing import attempts, policy, topology
+from oriolefold_gateway import messages as gateway_messages
+from oriolefold_routing import attempts, draining, policy, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters, logs
 
@@ -118,6 +119,7 @@
         self._instances = instances
         self._stopping = asyncio.Event()
         time = clock.BootClock()
+        self._clock = time
         self._peers = peering.HttpPeers()
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
@@ -244,6 +246,12 @@
             in_flight=self._frontend.in_flight,
         )
         self._frontend.draining = True
+        now_s = self._clock.now_s()
+        schedule = draining.Schedule(
+            announced_at_s=now_s + self._settings.drain_delay_s,
+            stops_at_s=now_s + self._settings.stop_limit_s,
+        )
+        self._dispatcher.post(gateway_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._settings.stop_limit_s):
                 drain_delay = asyncio.sleep(self._settings.drain_delay_s)
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -17,6 +17,7 @@
     attempts,
     concurrency,
     deadlines,
+    draining,
     policy,
     topology,
     waitqueue,
@@ -75,6 +76,7 @@
         self._budgets_by_service_id: dict[str, attempts.AttemptBudget] = {}
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
+        self._drain_schedule: draining.Schedule | None = None
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -98,6 +100,9 @@
                     known = self._instance_table.states_by_id.get(instance_id)
                     if known is not None:
                         known.set_quota(share, now_s)
+            case gateway_messages.Drain():
+                self._drain_schedule = message.schedule
+                self._wake_all()
             case messages.CollectLoad():
                 message.answer(self._collect_load(message.service_id))
             case messages.DescribeView():
@@ -117,6 +122,7 @@
         now_s = self._clock.now_s()
         try:
             request = self._admit(dispatch, now_s)
+            self._check_may_send(request, now_s)
         except errors.OriolefoldError as error:
             self._reporter.refused(dispatch, error, self._view())
             dispatch.fail(error)
@@ -170,6 +176,28 @@
             caller_left_s,
         )
 
+    def _check_may_send(
+        self, request: pending.PendingRequest, now_s: float
+    ) -> None:
+        """Checks that a request can end before this VM stops.
+
+        Raises:
+            StoppingError: If it may not.
+        """
+        schedule = self._drain_schedule
+        if schedule is None:
+            return
+        prospect = draining.Prospect(
+            request.expires_at_s,
+            request.route.idempotent,
+            self._measured_time_s(request),
+        )
+        if not draining.may_send(schedule, prospect, now_s):
+            self._reporter.refused_while_draining(request, schedule, prospect)
+            raise errors.StoppingError(
+                'this VM stops before the request is sure to end'
+            )
+
     def _key(self, dispatch: gateway_messages.Dispatch) -> int:
         text = dispatch.headers.get(self._key_header, '').strip()
         if not text:
@@ -301,9 +329,11 @@
 
         Raises:
             OverloadedError: If no instance has capacity in time.
+            StoppingError: If it cannot end before this VM stops.
         """
         queue = self._queue(request.service_id)
         now_s = self._clock.now_s()
+        self._check_may_send(request, now_s)
         # Requests for one busy owner must not delay those for other owners,
         # so keyed requests skip the check for queued requests.
         if request.key is not None or not queue.count_ahead(request.route.rank):
@@ -336,14 +366,22 @@
 
     def _expected_time_s(self, request: pending.PendingRequest) -> float:
         """Returns the expected time from sending to the answer."""
+        return self._measured_time_s(
+            request
+        ) or self._instance_table.typical_time_s(request.service_id)
+
+    def _measured_time_s(self, request: pending.PendingRequest) -> float | None:
+        """Returns the expected time, or None before the first answer."""
         owner = self._owner(request) if request.key is not None else None
         if owner is not None and owner.service_time_s:
             return owner.service_time_s
-        return self._instance_table.typical_time_s(request.service_id)
+        return self._instance_table.measured_time_s(request.service_id)
 
     def _release_instance(self, assignment: asyncio.Future) -> None:
         """Undoes the assignment of an instance to an abandoned request."""
-        if assignment.done() and not assignment.cancelled():
+        if not assignment.done() or assignment.cancelled():
+            return
+        if assignment.exception() is None:
             assignment.result().in_flight -= 1
 
     def _choose(
@@ -423,6 +461,7 @@
         if not queue:
             return
         now_s = self._clock.now_s()
+        self._refuse_unfinishable(queue, now_s)
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
@@ -437,6 +476,22 @@
         if queue:
             self._schedule_wake(service_id)
 
+    def _refuse_unfinishable(
+        self, queue: waitqueue.WaitQueue, now_s: float
+    ) -> None:
+        """Refuses the queued requests that may no longer be sent."""
+        if self._drain_schedule is None:
+            return
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            try:
+                self._check_may_send(request, now_s)
+            except errors.StoppingError as error:
+                assignment.set_exception(error)
+                queue.discard(waiter)
+
     def _schedule_wake(self, service_id: str) -> None:
         if service_id not in self._wake_scheduled_ids:
             self._wake_scheduled_ids.add(service_id)
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -5,7 +5,7 @@
 from oriolefold_core import clock, data
 from oriolefold_direct import ports
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import concurrency, policy
+from oriolefold_routing import concurrency, draining, policy
 from oriolefold_telemetry import counters, logs
 
 MIN_FAILURE_STATUS = 500  # Lowest status that reports a server error.
@@ -82,6 +82,31 @@
             error=str(error),
         )
 
+    def refused_while_draining(
+        self,
+        request: PendingRequest,
+        schedule: draining.Schedule,
+        prospect: draining.Prospect,
+    ) -> None:
+        """Logs why a request may not be sent before this VM stops."""
+        now_s = self._clock.now_s()
+        expected_s = prospect.expected_time_s
+        logs.event(
+            'drain.refused',
+            request=request.call.request_id,
+            service=request.service_id,
+            idempotent=prospect.idempotent,
+            sends=request.sends,
+            left_ms=round((prospect.expires_at_s - now_s) * 1000),
+            stops_in_ms=round((schedule.stops_at_s - now_s) * 1000),
+            announcement_left_ms=round(
+                (schedule.announced_at_s - now_s) * 1000
+            ),
+            expected_ms=(
+                None if expected_s is None else round(expected_s * 1000)
+            ),
+        )
+
     def sent(
         self,
         instance: concurrency.InstanceState,
--- /dev/null
+++ b/libs/direct/tests/test_application.py
@@ -0,0 +1,176 @@
+"""Tests of oriolefold_direct.application: how an entry VM stops."""
+
+import asyncio
+import re
+
+import fakes
+
+from oriolefold_core import errors
+from oriolefold_direct import application, watching
+from oriolefold_routing import attempts, topology
+from oriolefold_store import ports as store_ports
+from oriolefold_telemetry import counters
+from oriolefold_testbed import basecase
+
+LOCALITY = topology.Locality('z1', {'z1': 'r1'})
+STOP_LIMIT_S = 1.0
+DRAIN_DELAY_S = 0.3
+LATE_S = 0.6  # After the drain delay and before the stop limit.
+
+
+class _Store(store_ports.Store):
+    """Store without objects whose calls can fail or stay unanswered.
+
+    Attributes:
+        error: Raised by reads and writes, if set.
+        silent: Whether reads and writes stay unanswered.
+    """
+
+    def __init__(self):
+        self.error: errors.StoreError | None = None
+        self.silent = False
+        self.versions_by_name: dict[str, int] = {}
+        self.contents_by_name: dict[str, bytes] = {}
+
+    async def read(self, name):
+        await self._respond()
+        if name not in self.contents_by_name:
+            raise errors.ObjectNotFoundError(name)
+        return store_ports.StoredObject(
+            name, self.versions_by_name[name], self.contents_by_name[name]
+        )
+
+    async def write(self, name, content, expected_version):
+        await self._respond()
+        self.versions_by_name[name] = expected_version + 1
+        self.contents_by_name[name] = content
+        return expected_version + 1
+
+    async def watch(self, prefix, after_revision, timeout_s):
+        if after_revision:
+            await asyncio.sleep(timeout_s)
+        return store_ports.Changes(1, (), complete=True)
+
+    async def _respond(self):
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.error is not None:
+            raise self.error
+
+
+class _StaticReader(watching.Reader):
+    """Reader that posts the same message for any objects."""
+
+    def __init__(self, prefix, message):
+        self.prefix = prefix
+        self._message = message
+
+    def read(self, stored):
+        return stored
+
+    def build_message(self, values_by_name):
+        return self._message
+
+
+class StopTest(basecase.AsyncCase):
+    """A stop answers the requests that were accepted, and accepts no others."""
+
+    async def asyncSetUp(self):
+        self.instances = fakes.FakeInstances()
+        self.store = _Store()
+        self.address = basecase.free_address()
+
+    async def start_entry(self, *routes, keyed=False):
+        values = application.DirectSettings(
+            'vm-1',
+            LOCALITY,
+            self.address,
+            basecase.free_address(),
+            '/ready',
+            '/metrics',
+            'Deadline-Ms',
+            'Key',
+            attempts.BudgetLimits(0.2, 10.0, 56.0, 1),
+            DRAIN_DELAY_S,
+            STOP_LIMIT_S,
+        )
+        self.entry = application.Application(
+            values,
+            self.store,
+            self.instances,
+            _StaticReader(
+                'config/', fakes.policy_updated(*routes, keyed=keyed)
+            ),
+            _StaticReader(
+                'servers/',
+                fakes.endpoints_updated(fakes.endpoint('one', slots=2)),
+            ),
+            counters.Counters(),
+        )
+        self.running = asyncio.create_task(self.entry.run())
+        self.addAsyncCleanup(self.stop_entry)
+        await self.wait_for(self.entry.is_ready)
+
+    async def stop_entry(self):
+        self.entry.request_stop()
+        await self.running
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def exchange(self, connection, request_id, deadline_ms=3000):
+        """Sends a request; returns the answer, empty if there was none."""
+        reader, writer = connection
+        writer.write(
+            f'GET /a/x HTTP/1.1\r\nHost: h.example\r\n'
+            f'Deadline-Ms: {deadline_ms}\r\n'
+            f'X-Request-Id: {request_id}\r\n\r\n'.encode()
+        )
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ''
+        length = re.search(r'Content-Length: (\d+)', head)
+        await reader.readexactly(int(length.group(1)))
+        return head
+
+    async def occupy(self, seconds):
+        """Starts a request that keeps the VM and an instance busy."""
+        self.instances.outcomes = {'one': [seconds]}
+        connection = await self.connect()
+        self.busy = asyncio.create_task(self.exchange(connection, 'busy'))
+        await self.wait_for(lambda: 'busy' in self.sent_ids())
+
+    def sent_ids(self):
+        return [sent.request_id for sent in self.instances.sent]
+
+    async def test_request_that_would_be_cut_is_refused_before_it_is_sent(
+        self,
+    ):
+        await self.start_entry(fakes.route(timeout_s=5.0, idempotent=False))
+        connection = await self.connect()
+        self.assertIn(' 200 ', await self.exchange(connection, 'before'))
+        await self.occupy(0.8)
+        self.entry.request_stop()
+        await asyncio.sleep(LATE_S)
+        self.instances.outcomes = {'one': [2.0]}
+        answer = await self.exchange(connection, 'late')
+        self.assertIn(' 503 ', answer)
+        self.assertIn('Connection: close', answer)
+        self.assertIn('Retry-After: 0\r\n', answer)
+        self.assertEqual(self.sent_ids(), ['before', 'busy'])
+        self.assertIn(' 200 ', await self.busy)
+
+    async def test_request_that_ends_in_time_is_served_while_draining(self):
+        await self.start_entry(fakes.route(timeout_s=5.0, idempotent=False))
+        connection = await self.connect()
+        await self.exchange(connection, 'before')
+        self.entry.request_stop()
+        await asyncio.sleep(0.1)
+        self.instances.outcomes = {'one': [0.1]}
+        answer = await self.exchange(connection, 'bounded', deadline_ms=400)
+        self.assertIn(' 200 ', answer)
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -16,7 +16,7 @@
 from oriolefold_gateway import messages
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import messages as peer_messages
-from oriolefold_routing import balance, deadlines, retries, routes
+from oriolefold_routing import balance, deadlines, draining, retries, routes
 from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import logs, metrics
 
@@ -88,7 +88,7 @@
         # Where to send for each home: to the home itself or to a standby of it.
         self._holders_by_home_id: dict[str, str] = {}
         self._budgets_by_service_id: dict[str, retries.RetryBudget] = {}
-        self._draining = False
+        self._drain_schedule: draining.Schedule | None = None
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -107,7 +107,7 @@
             case messages.DescribeView():
                 message.answer(self._describe())
             case messages.Drain():
-                self._draining = True
+                self._drain_schedule = message.schedule
 
     def _accept(self, ask: messages.Dispatch) -> None:
         started_s = self._clock.now_s()
@@ -125,10 +125,6 @@
     def _create_pending(
         self, ask: messages.Dispatch, now_s: float
     ) -> _PendingRequest:
-        if self._draining:
-            raise errors.StoppingError(
-                'this VM is draining and accepts no new requests'
-            )
         if self._configuration is None:
             raise errors.NoOwnerError('no configuration is in force yet')
         route = routes.route(
@@ -149,7 +145,38 @@
             route.importance,
             expires_at_s,
         )
-        return _PendingRequest(ask, route, request)
+        pending = _PendingRequest(ask, route, request)
+        self._check_may_send(pending)
+        return pending
+
+    def _check_may_send(self, pending: _PendingRequest) -> None:
+        """Checks that a request can end before this VM stops.
+
+        Raises:
+            StoppingError: If it may not.
+        """
+        schedule = self._drain_schedule
+        if schedule is None:
+            return
+        # No new callers arrive from the stop on, so the expected time of the
+        # service, which could allow a longer request, plays no part.
+        prospect = draining.Prospect(
+            pending.request.expires_at_s, pending.request.idempotent, None
+        )
+        now_s = self._clock.now_s()
+        if not draining.may_send(schedule, prospect, now_s):
+            logs.event(
+                'drain.refused',
+                request=pending.request.request_id,
+                service=pending.request.service_id,
+                idempotent=prospect.idempotent,
+                sends=pending.attempts,
+                left_ms=round((prospect.expires_at_s - now_s) * 1000),
+                stops_in_ms=round((schedule.stops_at_s - now_s) * 1000),
+            )
+            raise errors.StoppingError(
+                'this VM stops before the request is sure to end'
+            )
 
     def _refuse(self, ask: messages.Dispatch, error) -> None:
         failure = errors.failure_of(error)
@@ -214,6 +241,7 @@
             )
         budget.record_attempt()
         while True:
+            self._check_may_send(pending)
             try:
                 return await self._send(pending)
             except errors.OriolefoldError as error:
@@ -359,5 +387,5 @@
                 service_id: shard_map.epoch
                 for service_id, shard_map in self._maps_by_service_id.items()
             },
-            'draining': self._draining,
+            'draining': self._drain_schedule is not None,
         }
--- a/libs/gateway/src/oriolefold_gateway/messages.py
+++ b/libs/gateway/src/oriolefold_gateway/messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from oriolefold_core import tasks
+from oriolefold_routing import draining
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -67,4 +68,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drain:
-    """Tells the dispatcher to accept no new requests."""
+    """Tells the dispatcher to send only what can end before the stop.
+
+    Attributes:
+        schedule: Times of the stop, by the clock of the dispatcher.
+    """
+
+    schedule: draining.Schedule
