Report a refused retry of a lost request as outcome unknown

What callers saw (own interface): a repeatable request whose first answer was lost and whose retry was refused got 503 with outcome not-run, though its first send may have run. Found by reading, on the way to the refusals while draining, which can follow a lost send in the same way.

Cause: the dispatcher of the own interface reported the category of the last failure. The one of the direct VM already remembers earlier sends.

Evidence: test_refused_retry_of_a_lost_request_is_outcome_unknown (answer lost, then unreachable). Before: UnreachableError, a category of not-run. After: OutcomeUnknownError.

Change: the dispatcher remembers whether any send may have run.

--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -36,6 +36,7 @@
         waits: Sends that failed before they reached a server.
         tried_ids: Instances that the request was sent to.
         failure: Why the last send failed.
+        may_have_run: Whether an instance may have begun to run the request.
     """
 
     ask: messages.Dispatch
@@ -45,6 +46,7 @@
     waits: int = 0
     tried_ids: set[str] = dataclasses.field(default_factory=set)
     failure: errors.Failure | None = None
+    may_have_run: bool = False
 
 
 class Dispatcher(tasks.Task):
@@ -207,6 +209,9 @@
                 )
 
     def _fail(self, pending: _PendingRequest, error, started_s: float) -> None:
+        if pending.may_have_run and isinstance(error, errors.NotRunError):
+            # A refused retry does not show that the first send did not run.
+            error = errors.OutcomeUnknownError(error.message)
         failure = errors.failure_of(error)
         took_s = self._clock.now_s() - started_s
         self._metrics.count_request(
@@ -246,6 +251,7 @@
                 return await self._send(pending)
             except errors.OriolefoldError as error:
                 pending.failure = errors.failure_of(error)
+                pending.may_have_run |= not pending.failure.not_run
                 if not self._may_retry(pending, budget):
                     raise
             failed_sends = pending.attempts + pending.waits
--- /dev/null
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -0,0 +1,70 @@
+"""Tests of oriolefold_gateway.dispatcher."""
+
+import random
+
+from oriolefold_core import clock, data, errors, notices, tasks
+from oriolefold_gateway import dispatcher, messages
+from oriolefold_telemetry import metrics
+from oriolefold_testbed import basecase
+
+ANSWER = data.Answer(200, (), b'ok', 's0')
+
+
+class _ScriptedSender(tasks.Task):
+    """Sender whose sends end as scripted.
+
+    Attributes:
+        outcomes: Errors of the next sends, or None for no reply; every later
+            send is answered.
+        sends: Number of sends.
+    """
+
+    def __init__(self):
+        super().__init__('sender')
+        self.outcomes: list = []
+        self.sends = 0
+
+    async def handle(self, message):
+        self.sends += 1
+        if not self.outcomes:
+            message.answer(ANSWER)
+            return
+        outcome = self.outcomes.pop(0)
+        if outcome is not None:
+            message.fail(outcome)
+
+
+class DispatcherTest(basecase.AsyncCase):
+    """Each request gets an answer, and the outcome in it is true."""
+
+    async def asyncSetUp(self):
+        self.sender = _ScriptedSender()
+        self.dispatcher = dispatcher.Dispatcher(
+            'vm0',
+            clock.BootClock(),
+            basecase.RecordingTask(),
+            self.sender,
+            basecase.RecordingTask(),
+            metrics.Metrics(),
+            random.Random(basecase.SEED),
+            False,
+        )
+        await self.start(self.sender, self.dispatcher)
+        register = basecase.make_register(keyed=False)
+        self.dispatcher.post(
+            notices.ConfigurationUpdated(basecase.make_configuration(register))
+        )
+
+    def ask(self, method='GET'):
+        return self.dispatcher.ask(
+            messages.Dispatch('q', method, '/svc/a', {}, (), b'', '3000')
+        )
+
+    async def test_refused_retry_of_a_lost_request_is_outcome_unknown(self):
+        self.sender.outcomes = [
+            errors.OutcomeUnknownError('lost'),
+            *(errors.UnreachableError('down') for _ in range(9)),
+        ]
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.ask()
+        self.assertGreater(self.sender.sends, 1)
