Answer the requests that are in progress at the stop limit

What callers saw: a request that was still at an instance at the stop limit ended with a closed connection and no answer, in both entry programs.

Cause: after the time-out of the drain, stop() closed the connections of callers; nobody told the dispatcher, whose work was cancelled afterwards.

Evidence: test_request_at_an_instance_is_answered_at_the_stop_limit (stop limit 1 s, run of 4 s). Before: the connection closed with ''. After: 502 at the stop limit, and the send is cancelled.

Change: EndRequests makes the dispatcher answer all requests in progress: 502 if one may have run, 503 if not.

Requests that wait in the queue of the direct VM are refused earlier, when they may no longer be sent (test_queued_request_is_refused_while_draining).

Open: in the own interface a request that waits in the queue of the sender counts as sent, so it gets 502 rather than 503.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -1,6 +1,7 @@
 """Application object of the daemon: construction, start and graceful stop."""
 
 import asyncio
+import contextlib
 import random
 import uuid
 
@@ -34,6 +35,8 @@
 from oriolefold_store import http as store_http
 from oriolefold_telemetry import logs, metrics
 
+# Time after the stop limit in which the last answers are written.
+WRITE_LIMIT_S = 0.2
 WIRE_MESSAGES = (
     *peer_messages.CONNECTION_MESSAGES,
     *lease_messages.WIRE_MESSAGES,
@@ -206,6 +209,7 @@
                 await self._lease_manager.ask(ownership_messages.StepDown())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
+            await self._end_requests()
         await self._frontend.stop()
         await self._admin.stop()
         for task in reversed(self._tasks()):
@@ -213,6 +217,13 @@
         await self._store.close()
         logs.event('daemon.stopped', vm=self._values.vm_id)
 
+    async def _end_requests(self) -> None:
+        """Answers the requests in progress and waits until that is written."""
+        await self._dispatcher.ask(gateway_messages.EndRequests())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WRITE_LIMIT_S):
+                await self._frontend.drain()
+
     def _tasks(self) -> list:
         tasks = [
             self._peers,
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -1,6 +1,7 @@
 """Composition root of a direct entry VM: wires, starts and stops its tasks."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import uuid
@@ -28,6 +29,8 @@
 FIRST_BODY_BYTES = 64 * 1024 * 1024  # Limit until a policy has been loaded.
 IDLE_MARGIN = 1.2  # Idle timeout, relative to the configured limit.
 READY_CHECK_S = 0.05  # Interval of readiness checks.
+# Time after the stop limit in which the last answers are written.
+WRITE_LIMIT_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,6 +262,7 @@
                 await self._frontend.drain()
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
+            await self._end_requests()
         await self._frontend.stop()
         await self._status.stop()
         for task in reversed(self._tasks):
@@ -267,3 +271,10 @@
         await self._store.close()
         self._peers.close()
         logs.event('daemon.stopped', vm=self._settings.vm_id)
+
+    async def _end_requests(self) -> None:
+        """Answers the requests in progress and waits until that is written."""
+        await self._dispatcher.ask(gateway_messages.EndRequests())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WRITE_LIMIT_S):
+                await self._frontend.drain()
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -77,6 +77,9 @@
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
         self._drain_schedule: draining.Schedule | None = None
+        self._children_by_request: dict[
+            pending.PendingRequest, asyncio.Task
+        ] = {}
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -103,6 +106,9 @@
             case gateway_messages.Drain():
                 self._drain_schedule = message.schedule
                 self._wake_all()
+            case gateway_messages.EndRequests():
+                self._end_requests()
+                message.answer(None)
             case messages.CollectLoad():
                 message.answer(self._collect_load(message.service_id))
             case messages.DescribeView():
@@ -128,6 +134,10 @@
             dispatch.fail(error)
             return
         serving = self.spawn(self._serve(request))
+        self._children_by_request[request] = serving
+        serving.add_done_callback(
+            lambda _: self._children_by_request.pop(request)
+        )
         # Cancels the work at the instance when the caller disconnects.
         dispatch.reply.add_done_callback(
             lambda reply: serving.cancel() if reply.cancelled() else None
@@ -219,17 +229,33 @@
         try:
             answer = await self._answer_in_time(request)
         except errors.OriolefoldError as error:
-            if request.error_answer is not None:
-                self._finish(request, request.error_answer)
-                return
-            caller_error = self._replace_not_run_error(request, error)
-            self._reporter.failed(
-                request, caller_error, self._view(request.service_id)
-            )
-            request.dispatch.fail(caller_error)
+            self._fail(request, error)
         else:
             self._finish(request, answer)
 
+    def _fail(
+        self, request: pending.PendingRequest, error: errors.OriolefoldError
+    ) -> None:
+        """Ends a request with a server error that it got, or with an error."""
+        if request.error_answer is not None:
+            self._finish(request, request.error_answer)
+            return
+        caller_error = self._replace_not_run_error(request, error)
+        self._reporter.failed(
+            request, caller_error, self._view(request.service_id)
+        )
+        request.dispatch.fail(caller_error)
+
+    def _end_requests(self) -> None:
+        for request, serving in list(self._children_by_request.items()):
+            if request.dispatch.reply.done():
+                continue
+            self._fail(
+                request,
+                errors.StoppingError('this VM stops before the request ended'),
+            )
+            serving.cancel()
+
     def _finish(
         self, request: pending.PendingRequest, answer: data.Answer
     ) -> None:
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 import fakes
 
@@ -174,3 +175,36 @@
         self.instances.outcomes = {'one': [0.1]}
         answer = await self.exchange(connection, 'bounded', deadline_ms=400)
         self.assertIn(' 200 ', answer)
+
+    async def test_request_at_an_instance_is_answered_at_the_stop_limit(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        await self.occupy(4.0)
+        started_s = time.monotonic()
+        self.entry.request_stop()
+        answer = await self.busy
+        self.assertIn(' 502 ', answer)
+        self.assertGreater(time.monotonic() - started_s, STOP_LIMIT_S - 0.05)
+        await self.wait_for(lambda: self.instances.cancelled_ids)
+
+    async def test_queued_request_is_refused_while_draining(self):
+        await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
+        await self.occupy(4.0)
+        self.instances.outcomes = {'one': [4.0]}
+        connections = [await self.connect() for _ in range(2)]
+        for i, (_, writer) in enumerate(connections):
+            writer.write(
+                b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n'
+                b'Deadline-Ms: 4000\r\nX-Request-Id: q%d\r\n\r\n' % i
+            )
+        await self.wait_for(lambda: len(self.sent_ids()) == 2)
+        self.entry.request_stop()
+        heads = [
+            (await reader.read(4096)).decode() for reader, _ in connections
+        ]
+        queued = next(
+            head
+            for i, head in enumerate(heads)
+            if f'q{i}' not in self.sent_ids()
+        )
+        self.assertIn(' 503 ', queued)
+        self.assertEqual(len(self.sent_ids()), 2)
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -24,7 +24,7 @@
 MAX_STANDBY_CHAIN = 3  # A home, its standby and the standby of the standby.
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _PendingRequest:
     """A request in progress.
 
@@ -32,6 +32,7 @@
         ask: Message of the front end, which holds the reply.
         route: Service and key of the request.
         request: The request as it is sent to an instance.
+        started_s: When it was received.
         attempts: Sends that have, or may have, reached a server.
         waits: Sends that failed before they reached a server.
         tried_ids: Instances that the request was sent to.
@@ -42,6 +43,7 @@
     ask: messages.Dispatch
     route: routes.Route
     request: data.Request
+    started_s: float
     attempts: int = 0
     waits: int = 0
     tried_ids: set[str] = dataclasses.field(default_factory=set)
@@ -91,6 +93,7 @@
         self._holders_by_home_id: dict[str, str] = {}
         self._budgets_by_service_id: dict[str, retries.RetryBudget] = {}
         self._drain_schedule: draining.Schedule | None = None
+        self._children_by_request: dict[_PendingRequest, asyncio.Task] = {}
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -110,15 +113,21 @@
                 message.answer(self._describe())
             case messages.Drain():
                 self._drain_schedule = message.schedule
+            case messages.EndRequests():
+                self._end_requests()
+                message.answer(None)
 
     def _accept(self, ask: messages.Dispatch) -> None:
-        started_s = self._clock.now_s()
         try:
-            pending = self._create_pending(ask, started_s)
+            pending = self._create_pending(ask, self._clock.now_s())
         except errors.OriolefoldError as error:
             self._refuse(ask, error)
             return
-        child = self.spawn(self._serve(pending, started_s))
+        child = self.spawn(self._serve(pending))
+        self._children_by_request[pending] = child
+        child.add_done_callback(
+            lambda _: self._children_by_request.pop(pending)
+        )
         # If the caller disconnects, the request is cancelled on every hop.
         ask.reply.add_done_callback(
             lambda reply: child.cancel() if reply.cancelled() else None
@@ -147,7 +156,7 @@
             route.importance,
             expires_at_s,
         )
-        pending = _PendingRequest(ask, route, request)
+        pending = _PendingRequest(ask, route, request, now_s)
         self._check_may_send(pending)
         return pending
 
@@ -186,20 +195,20 @@
         self._metrics.count_request('', outcome, failure.category.value, 0.0)
         ask.fail(error)
 
-    async def _serve(self, pending: _PendingRequest, started_s: float) -> None:
+    async def _serve(self, pending: _PendingRequest) -> None:
         service_id = pending.request.service_id
-        left_s = pending.request.expires_at_s - started_s
+        left_s = pending.request.expires_at_s - pending.started_s
         try:
             async with asyncio.timeout(left_s + DEADLINE_GRACE_S):
                 answer = await self._send_with_retries(pending)
         except TimeoutError:
             text = 'no answer came before the deadline'
-            self._fail(pending, errors.OutcomeUnknownError(text), started_s)
+            self._fail(pending, errors.OutcomeUnknownError(text))
         except errors.OriolefoldError as error:
-            self._fail(pending, error, started_s)
+            self._fail(pending, error)
         else:
             pending.ask.answer(answer)
-            took_s = self._clock.now_s() - started_s
+            took_s = self._clock.now_s() - pending.started_s
             self._metrics.count_request(
                 service_id, results.Outcome.ANSWERED.value, '', took_s
             )
@@ -208,12 +217,20 @@
                     pending, 'request.answered', took_s, answer.status, ''
                 )
 
-    def _fail(self, pending: _PendingRequest, error, started_s: float) -> None:
+    def _end_requests(self) -> None:
+        for pending, child in list(self._children_by_request.items()):
+            if pending.ask.reply.done():
+                continue
+            text = 'this VM stops before the request ended'
+            self._fail(pending, errors.StoppingError(text))
+            child.cancel()
+
+    def _fail(self, pending: _PendingRequest, error) -> None:
         if pending.may_have_run and isinstance(error, errors.NotRunError):
             # A refused retry does not show that the first send did not run.
             error = errors.OutcomeUnknownError(error.message)
         failure = errors.failure_of(error)
-        took_s = self._clock.now_s() - started_s
+        took_s = self._clock.now_s() - pending.started_s
         self._metrics.count_request(
             pending.request.service_id,
             results.outcome_of(failure).value,
@@ -247,11 +264,15 @@
         budget.record_attempt()
         while True:
             self._check_may_send(pending)
+            may_have_run_before = pending.may_have_run
+            pending.may_have_run = True
             try:
                 return await self._send(pending)
             except errors.OriolefoldError as error:
                 pending.failure = errors.failure_of(error)
-                pending.may_have_run |= not pending.failure.not_run
+                pending.may_have_run = (
+                    may_have_run_before or not pending.failure.not_run
+                )
                 if not self._may_retry(pending, budget):
                     raise
             failed_sends = pending.attempts + pending.waits
--- a/libs/gateway/src/oriolefold_gateway/messages.py
+++ b/libs/gateway/src/oriolefold_gateway/messages.py
@@ -75,3 +75,12 @@
     """
 
     schedule: draining.Schedule
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class EndRequests(tasks.Ask):
+    """Tells the dispatcher to answer all requests in progress now.
+
+    Those that may have run get an unknown outcome, the others are refused as
+    not run. The reply is None.
+    """
--- a/libs/gateway/tests/test_dispatcher.py
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Tests of oriolefold_gateway.dispatcher."""
 
+import asyncio
 import random
 
 from oriolefold_core import clock, data, errors, notices, tasks
@@ -68,3 +69,22 @@
         with self.assertRaises(errors.OutcomeUnknownError):
             await self.ask()
         self.assertGreater(self.sender.sends, 1)
+
+    async def test_requests_in_progress_are_answered_at_the_stop_limit(self):
+        cases = [
+            ('at an instance', [None], errors.OutcomeUnknownError),
+            (
+                'sent nowhere',
+                [errors.UnreachableError('down')] * 9,
+                errors.NotRunError,
+            ),
+        ]
+        for name, outcomes, error_class in cases:
+            with self.subTest(name):
+                self.sender.outcomes = outcomes
+                sends = self.sender.sends
+                asking = asyncio.create_task(self.ask())
+                await self.wait_for(lambda n=sends: self.sender.sends > n)
+                await self.dispatcher.ask(messages.EndRequests())
+                with self.assertRaises(error_class):
+                    await asking
