Write the replies to peers before a daemon stops

What callers saw (own interface): a request that another VM had forwarded to the home of its shard could end as unknown though the home had its answer, when the home stopped in that moment.

Cause: the stop did not wait for calls of peers. StepDown waits until the shards are drained, so a forwarded request has its answer by then if the VM still holds its lease; but the peer server then aborted its connections with the bytes that were not yet handed to the kernel, and without a lease StepDown does not wait at all.

Change: the peer server takes DrainCalls: it refuses new calls as not run, waits for those in progress and for their bytes, and the application asks for it after StepDown, within the stop limit. From the signal on, the shard manager sends only what ends before the stop, by routing.draining.

Open: calls that are still in progress at the stop limit end with their connection, which the entry VM reports as unknown. A call that a peer writes while the connection is being closed is unknown too, though it was not run.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -203,10 +203,12 @@
         now_s = self._clock.now_s()
         schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
         self._dispatcher.post(gateway_messages.Drain(schedule))
+        self._shard_manager.post(ownership_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
                 await self._lease_manager.ask(ownership_messages.StepDown())
+                await self._peer_server.ask(peer_messages.DrainCalls())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -13,8 +13,9 @@
 from oriolefold_coordination import loads, protocol, shardmap, shardstate
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_coordination import notices as coordination_notices
-from oriolefold_core import clock, errors, notices, tasks
+from oriolefold_core import clock, data, errors, notices, tasks
 from oriolefold_ownership import acquisition, messages
+from oriolefold_routing import draining
 from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import logs
 
@@ -57,6 +58,7 @@
         self._acquired_epochs_by_shard: dict[ShardKey, int] = {}
         self._loads_by_service_id: dict[str, loads.ShardLoads] = {}
         self._acquiring_maps: set[tuple[str, int]] = set()
+        self._drain_schedule: draining.Schedule | None = None
         self._sender: tasks.Task | None = None
         self._granter: tasks.Task | None = None
         self._lease_manager: tasks.Task | None = None
@@ -85,6 +87,8 @@
                 self._dispatch(message)
             case _SendDone():
                 self._on_send_done(message)
+            case messages.Drain():
+                self._drain_schedule = message.schedule
             case messages.LeaseUpdated():
                 self._on_lease_updated(message.lease)
             case messages.Granted():
@@ -240,11 +244,25 @@
         elif self._clock.now_s() >= self._lease.valid_until_s:
             text = f'{self._vm_id}: the send lease has expired'
             ask.fail(errors.NoOwnerError(text))
+        elif not self._may_send(ask.request):
+            text = f'{self._vm_id} stops before the request is sure to end'
+            ask.fail(errors.StoppingError(text))
         elif state.phase is shardstate.Phase.SERVING:
             self._send(key, state, ask)
         else:
             self._enqueue(key, ask)
 
+    def _may_send(self, request: data.Request) -> bool:
+        """Whether a request can end before this VM stops."""
+        if self._drain_schedule is None:
+            return True
+        prospect = draining.Prospect(
+            request.expires_at_s, request.idempotent, None
+        )
+        return draining.may_send(
+            self._drain_schedule, prospect, self._clock.now_s()
+        )
+
     def _enqueue(self, key: ShardKey, ask: messages.SendKeyed) -> None:
         waiting = self._waiting_by_shard.setdefault(key, [])
         if len(waiting) >= MAX_WAITING_PER_SHARD:
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -10,7 +10,7 @@
 from oriolefold_coordination import notices as coordination_notices
 from oriolefold_core import clock, errors, notices
 from oriolefold_ownership import granter, messages, shardmanager
-from oriolefold_routing import balance
+from oriolefold_routing import balance, draining
 from oriolefold_sending import sender
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
@@ -110,6 +110,23 @@
         owner = self.backend.instance(self.map.rows[0].owner_id)
         self.assertEqual(owner.ran, ['before'])
 
+    async def test_draining_sends_only_what_ends_before_the_stop(self):
+        self.renew_lease()
+        await self.send()
+        # The deadline of each request is 5 s.
+        for stop_in_s, sent in ((6.0, True), (4.0, False)):
+            with self.subTest(stop_in_s=stop_in_s):
+                now_s = self.time.now_s()
+                schedule = draining.Schedule(now_s, now_s + stop_in_s)
+                self.shard_manager.post(messages.Drain(schedule))
+                if sent:
+                    self.assertEqual((await self.send()).status, 200)
+                else:
+                    with self.assertRaises(errors.StoppingError):
+                        await self.send(request_id='late')
+        owner = self.backend.instance(self.map.rows[0].owner_id)
+        self.assertNotIn('late', owner.ran)
+
     async def test_move_waits_for_requests_in_flight(self):
         self.renew_lease()
         await self.send()
--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -87,6 +87,12 @@
             with contextlib.suppress(errors.OverloadedError):
                 self.send(0, messages.Ping())
 
+    async def flush(self) -> None:
+        """Waits until all frames are handed to the kernel."""
+        self._writer.transport.set_write_buffer_limits(high=0)
+        with contextlib.suppress(ConnectionError):
+            await self._writer.drain()
+
     def close(self) -> None:
         """Aborts the connection without sending what is buffered."""
         self._writer.transport.abort()
--- a/libs/peer/src/oriolefold_peer/messages.py
+++ b/libs/peer/src/oriolefold_peer/messages.py
@@ -54,6 +54,15 @@
     body: Any
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class DrainCalls(tasks.Ask):
+    """Asks the peer server to end its calls before it is stopped.
+
+    New calls are refused as not run. The reply is None; it comes when all
+    calls have ended and their replies are written.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersUpdated:
     """The set of VMs that can be called has changed.
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import dataclasses
 from typing import Any
 
 from oriolefold_core import data, errors, tasks
@@ -24,6 +25,21 @@
         """
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Client:
+    """A connection from a peer.
+
+    Attributes:
+        conn: The connection.
+        calls_by_id: Calls in progress.
+    """
+
+    conn: connection.Connection
+    calls_by_id: dict[int, asyncio.Task] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 class PeerServer(tasks.Task):
     """Owns the listening socket and the connections from peers."""
 
@@ -40,6 +56,8 @@
         self._codec = frame_codec
         self._handler = handler
         self._server: asyncio.Server | None = None
+        self._clients: set[_Client] = set()
+        self._draining = False
 
     async def on_start(self) -> None:
         """Opens the listening socket."""
@@ -53,16 +71,32 @@
             self._server.close()
 
     async def handle(self, message: Any) -> None:
-        """Serves a new connection."""
+        """Serves a new connection, or ends the calls."""
+        if isinstance(message, messages.DrainCalls):
+            self._draining = True
+            self._server.close()
+            self.spawn(self._drain(message))
+            return
         reader, writer = message
         self.spawn(self._serve(reader, writer))
 
     def _accept(self, reader, writer) -> None:
         self.post((reader, writer))
 
+    async def _drain(self, ask: messages.DrainCalls) -> None:
+        while calls := [
+            call
+            for client in self._clients
+            for call in client.calls_by_id.values()
+        ]:
+            await asyncio.wait(calls)
+        await asyncio.gather(*(c.conn.flush() for c in self._clients))
+        ask.answer(None)
+
     async def _serve(self, reader, writer) -> None:
-        conn = connection.Connection(reader, writer, self._codec)
-        calls_by_id: dict[int, asyncio.Task] = {}
+        client = _Client(connection.Connection(reader, writer, self._codec))
+        conn = client.conn
+        self._clients.add(client)
         try:
             _, hello = await conn.receive()
             if not isinstance(hello, messages.Hello):
@@ -72,22 +106,27 @@
             conn.send(0, self._hello)
             while True:
                 call_id, body = await conn.receive()
-                self._on_message(conn, hello, calls_by_id, call_id, body)
+                self._on_message(client, hello, call_id, body)
         except errors.OriolefoldError:
             # The caller has disconnected, so the replies cannot be sent.
-            for call in calls_by_id.values():
+            for call in client.calls_by_id.values():
                 call.cancel()
         finally:
+            self._clients.discard(client)
             conn.close()
 
-    def _on_message(self, conn, hello, calls_by_id, call_id, body) -> None:
+    def _on_message(self, client: _Client, hello, call_id, body) -> None:
+        calls_by_id = client.calls_by_id
         if isinstance(body, messages.Ping):
-            conn.send(0, messages.Pong())
+            client.conn.send(0, messages.Pong())
         elif isinstance(body, messages.Cancel):
             if call_id in calls_by_id:
                 calls_by_id[call_id].cancel()
+        elif self._draining:
+            refusal = errors.StoppingError('the process is stopping')
+            client.conn.send(call_id, errors.failure_of(refusal))
         else:
-            answering = self._answer(conn, hello, call_id, body)
+            answering = self._answer(client.conn, hello, call_id, body)
             call = self.spawn(answering)
             calls_by_id[call_id] = call
             call.add_done_callback(lambda _: calls_by_id.pop(call_id, None))
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -19,11 +19,16 @@
 CODEC = codec.Codec((*messages.CONNECTION_MESSAGES, Echo, errors.Failure))
 
 
+LONG_TEXT = 'x' * 16_000_000  # More than the kernel buffers.
+
+
 class _Handler(server.PeerHandler):
     def __init__(self):
+        self.started = 0
         self.cancelled = 0
 
     async def answer(self, caller, body):
+        self.started += 1
         if body.text == 'refuse':
             raise errors.NotHomeError('not here')
         try:
@@ -83,6 +88,24 @@
         with self.assertRaises(errors.OutcomeUnknownError):
             await calling
 
+    async def test_calls_in_progress_get_their_replies_before_the_stop(self):
+        calling = asyncio.create_task(self.call(LONG_TEXT, 0.2))
+        await self.wait_for(lambda: self.handler.started)
+        await self.server.ask(messages.DrainCalls())
+        await self.server.stop()
+        self.assertEqual(len((await calling).text), len(LONG_TEXT) + 9)
+
+    async def test_call_while_draining_is_refused_as_not_run(self):
+        calling = asyncio.create_task(self.call('slow', 0.3))
+        await self.wait_for(lambda: self.handler.started)
+        draining = asyncio.create_task(self.server.ask(messages.DrainCalls()))
+        await asyncio.sleep(0.05)
+        with self.assertRaises(errors.StoppingError):
+            await self.call('new')
+        await calling
+        await draining
+        self.assertEqual(self.handler.started, 1)
+
     async def test_absent_peer_is_unreachable_and_the_call_not_run(self):
         absent = await self.connect('vm1', basecase.free_address())
         with self.assertRaises(errors.UnreachableError):
