--- a/libs/core/tests/test_tasks.py
+++ b/libs/core/tests/test_tasks.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from oriolefold_core import tasks
+from oriolefold_core import errors, tasks
 from oriolefold_testbed import basecase
 
 
@@ -26,6 +26,39 @@
         self.stopped = True
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Work(tasks.Ask):
+    """Asks for a reply by a child.
+
+    Attributes:
+        error: Raised by the child, or None to wait.
+    """
+
+    error: Exception | None = None
+
+
+class _Employer(tasks.Task):
+    """Task whose children reply, or which keeps an ask for later."""
+
+    def __init__(self):
+        super().__init__('employer')
+        self.children = []
+        self.kept = []
+
+    async def handle(self, message):
+        if isinstance(message, _Work):
+            self.children.append(self.spawn(self._work(message), message))
+        elif isinstance(message, _Double):
+            if message.number:
+                await asyncio.sleep(60)
+            self.kept.append(message)
+
+    async def _work(self, work):
+        if work.error is None:
+            await asyncio.sleep(60)
+        raise work.error
+
+
 class TaskTest(basecase.AsyncCase):
     """A task replies to messages and survives errors in handling one."""
 
@@ -44,3 +77,57 @@
         await task.stop()
         self.assertTrue(child.cancelled())
         self.assertTrue(task.stopped)
+
+    async def assert_unknown(self, asking, error_class=Exception):
+        """Checks that an asker gets an error that is not a not-run."""
+        async with asyncio.timeout(1):
+            with self.assertRaises(error_class) as context:
+                await asking
+        self.assertFalse(errors.failure_of(context.exception).not_run)
+
+    async def test_failed_child_fails_the_ask_that_it_owes_a_reply(self):
+        task = _Employer()
+        await self.start(task)
+        cases = [
+            (ValueError('unexpected'), ValueError),
+            (errors.OverloadedError('swallowed'), errors.OutcomeUnknownError),
+        ]
+        for error, error_class in cases:
+            with self.subTest(error=error):
+                with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+                    await self.assert_unknown(
+                        task.ask(_Work(error)), error_class
+                    )
+
+    async def test_cancelled_child_fails_the_ask_that_it_owes_a_reply(self):
+        task = _Employer()
+        await self.start(task)
+        asking = asyncio.create_task(task.ask(_Work()))
+        await self.wait_for(lambda: task.children)
+        task.children[0].cancel()
+        await self.assert_unknown(asking, errors.OutcomeUnknownError)
+
+    async def test_stop_answers_every_ask(self):
+        cases = [
+            ('owed by a child', _Work()),
+            ('kept by the task', _Double(0)),
+            ('being handled', _Double(1)),
+            ('in the mailbox', _Double(2)),
+        ]
+        task = _Employer()
+        await task.start()
+        asking = [asyncio.create_task(task.ask(ask)) for _, ask in cases]
+        await self.wait_for(lambda: task.children and task.kept)
+        await task.stop()
+        asking.append(asyncio.create_task(task.ask(_Double(3))))
+        cases.append(('posted after the stop', None))
+        for (name, _), waiting in zip(cases, asking, strict=True):
+            with self.subTest(name):
+                await self.assert_unknown(waiting, errors.OutcomeUnknownError)
+
+    async def test_messages_before_the_start_are_handled(self):
+        task = _Doubler()
+        asking = asyncio.create_task(task.ask(_Double(4)))
+        await asyncio.sleep(0)
+        await self.start(task)
+        self.assertEqual(await asking, 8)
