Answer a request whose handling fails with an unexpected exception

What callers saw: no answer until their own time-out.

Cause: _serve of both dispatchers reported only errors of the project's tree. Any other exception ended the child with one log line and no reply.

Evidence: test_unexpected_error_in_a_request_is_answered (a client of the instances, and a sender, that raise ValueError). Before, in both: no reply within 1 s. After: an error of category internal, which the front end answers with 500 and an unknown outcome, as the request may have run.

Change: _serve reports such an exception like a failure of the request, with its request.failed line and its count, and lets it go on, so that the child's traceback is logged as before. What fails even there is reported by the task, since _serve runs as the child that owes the reply.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -291,6 +291,16 @@
     return Failure(_category_of(error), _message_of(error), tuple(causes))
 
 
+def unexpected(error: BaseException) -> OriolefoldError:
+    """Returns the error that reports an exception outside the hierarchy.
+
+    Its category is `INTERNAL`; the request may have run.
+    """
+    reported = OriolefoldError(_message_of(error))
+    reported.__cause__ = error
+    return reported
+
+
 def error_of(failure: Failure) -> OriolefoldError:
     """Returns the exception that a failure describes, with chained causes."""
     error = _new_error(failure.category, failure.message)
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -133,7 +133,7 @@
             self._reporter.refused(dispatch, error, self._view())
             dispatch.fail(error)
             return
-        serving = self.spawn(self._serve(request))
+        serving = self.spawn(self._serve(request), dispatch)
         self._children_by_request[request] = serving
         serving.add_done_callback(
             lambda _: self._children_by_request.pop(request)
@@ -230,6 +230,10 @@
             answer = await self._answer_in_time(request)
         except errors.OriolefoldError as error:
             self._fail(request, error)
+        except Exception as error:
+            # The caller is owed an answer, whatever has failed here.
+            self._fail(request, errors.unexpected(error))
+            raise
         else:
             self._finish(request, answer)
 
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -250,3 +250,14 @@
         with self.assertRaises(errors.StoppingError):
             await self.ask()
         self.assertEqual(len(self.instances.sent), 2)
+
+    async def test_unexpected_error_in_a_request_is_answered(self):
+        self.prepare()
+        self.outcomes(ValueError('unexpected'))
+        with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+            async with asyncio.timeout(1):
+                with self.assertRaises(errors.OriolefoldError) as context:
+                    await self.ask(deadline_ms='5000')
+            await asyncio.sleep(0)  # The child is logged after its answer.
+        failure = errors.failure_of(context.exception)
+        self.assertIs(failure.category, errors.Category.INTERNAL)
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -123,7 +123,7 @@
         except errors.OriolefoldError as error:
             self._refuse(ask, error)
             return
-        child = self.spawn(self._serve(pending))
+        child = self.spawn(self._serve(pending), ask)
         self._children_by_request[pending] = child
         child.add_done_callback(
             lambda _: self._children_by_request.pop(pending)
@@ -206,6 +206,10 @@
             self._fail(pending, errors.OutcomeUnknownError(text))
         except errors.OriolefoldError as error:
             self._fail(pending, error)
+        except Exception as error:
+            # The caller is owed an answer, whatever has failed here.
+            self._fail(pending, errors.unexpected(error))
+            raise
         else:
             pending.ask.answer(answer)
             took_s = self._clock.now_s() - pending.started_s
--- a/libs/gateway/tests/test_dispatcher.py
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -88,3 +88,13 @@
                 await self.dispatcher.ask(messages.EndRequests())
                 with self.assertRaises(error_class):
                     await asking
+
+    async def test_unexpected_error_in_a_request_is_answered(self):
+        self.sender.outcomes = [ValueError('unexpected')]
+        with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+            async with asyncio.timeout(1):
+                with self.assertRaises(errors.OriolefoldError) as context:
+                    await self.ask()
+            await asyncio.sleep(0)  # The child is logged after its answer.
+        failure = errors.failure_of(context.exception)
+        self.assertIs(failure.category, errors.Category.INTERNAL)
