--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -1,6 +1,7 @@
 """Application object of the daemon: construction, start and graceful stop."""
 
 import asyncio
+import contextlib
 import random
 import uuid
 
@@ -29,11 +30,13 @@
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import codec, link, server
 from oriolefold_peer import messages as peer_messages
-from oriolefold_routing import balance
+from oriolefold_routing import balance, draining
 from oriolefold_sending import sender
 from oriolefold_store import http as store_http
 from oriolefold_telemetry import logs, metrics
 
+# Time after the stop limit in which the last answers are written.
+WRITE_LIMIT_S = 0.2
 WIRE_MESSAGES = (
     *peer_messages.CONNECTION_MESSAGES,
     *lease_messages.WIRE_MESSAGES,
@@ -50,6 +53,7 @@
         self._values = values
         self._stopping = asyncio.Event()
         boot_clock = clock.BootClock()
+        self._clock = boot_clock
         generator = random.Random(values.random_seed)
         incarnation = uuid.uuid4().hex
         hello = peer_messages.Hello(values.vm_id, incarnation)
@@ -196,12 +200,18 @@
     async def stop(self) -> None:
         """Drains requests within the time limit, then stops the tasks."""
         logs.event('daemon.stopping', vm=self._values.vm_id)
+        now_s = self._clock.now_s()
+        schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
+        self._dispatcher.post(gateway_messages.Drain(schedule))
+        self._shard_manager.post(ownership_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
                 await self._lease_manager.ask(ownership_messages.StepDown())
+                await self._peer_server.ask(peer_messages.DrainCalls())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
+            await self._end_requests()
         await self._frontend.stop()
         await self._admin.stop()
         for task in reversed(self._tasks()):
@@ -209,6 +219,13 @@
         await self._store.close()
         logs.event('daemon.stopped', vm=self._values.vm_id)
 
+    async def _end_requests(self) -> None:
+        """Answers the requests in progress and waits until that is written."""
+        await self._dispatcher.ask(gateway_messages.EndRequests())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WRITE_LIMIT_S):
+                await self._frontend.drain()
+
     def _tasks(self) -> list:
         tasks = [
             self._peers,
--- /dev/null
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -0,0 +1,100 @@
+"""Tests of oriolefold_gateway.dispatcher."""
+
+import asyncio
+import random
+
+from oriolefold_core import clock, data, errors, notices, tasks
+from oriolefold_gateway import dispatcher, messages
+from oriolefold_telemetry import metrics
+from oriolefold_testbed import basecase
+
+ANSWER = data.Answer(200, (), b'ok', 's0')
+
+
+class _ScriptedSender(tasks.Task):
+    """Sender whose sends end as scripted.
+
+    Attributes:
+        outcomes: Errors of the next sends, or None for no reply; every later
+            send is answered.
+        sends: Number of sends.
+    """
+
+    def __init__(self):
+        super().__init__('sender')
+        self.outcomes: list = []
+        self.sends = 0
+
+    async def handle(self, message):
+        self.sends += 1
+        if not self.outcomes:
+            message.answer(ANSWER)
+            return
+        outcome = self.outcomes.pop(0)
+        if outcome is not None:
+            message.fail(outcome)
+
+
+class DispatcherTest(basecase.AsyncCase):
+    """Each request gets an answer, and the outcome in it is true."""
+
+    async def asyncSetUp(self):
+        self.sender = _ScriptedSender()
+        self.dispatcher = dispatcher.Dispatcher(
+            'vm0',
+            clock.BootClock(),
+            basecase.RecordingTask(),
+            self.sender,
+            basecase.RecordingTask(),
+            metrics.Metrics(),
+            random.Random(basecase.SEED),
+            False,
+        )
+        await self.start(self.sender, self.dispatcher)
+        register = basecase.make_register(keyed=False)
+        self.dispatcher.post(
+            notices.ConfigurationUpdated(basecase.make_configuration(register))
+        )
+
+    def ask(self, method='GET'):
+        return self.dispatcher.ask(
+            messages.Dispatch('q', method, '/svc/a', {}, (), b'', '3000')
+        )
+
+    async def test_refused_retry_of_a_lost_request_is_outcome_unknown(self):
+        self.sender.outcomes = [
+            errors.OutcomeUnknownError('lost'),
+            *(errors.UnreachableError('down') for _ in range(9)),
+        ]
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.ask()
+        self.assertGreater(self.sender.sends, 1)
+
+    async def test_requests_in_progress_are_answered_at_the_stop_limit(self):
+        cases = [
+            ('at an instance', [None], errors.OutcomeUnknownError),
+            (
+                'sent nowhere',
+                [errors.UnreachableError('down')] * 9,
+                errors.NotRunError,
+            ),
+        ]
+        for name, outcomes, error_class in cases:
+            with self.subTest(name):
+                self.sender.outcomes = outcomes
+                sends = self.sender.sends
+                asking = asyncio.create_task(self.ask())
+                await self.wait_for(lambda n=sends: self.sender.sends > n)
+                await self.dispatcher.ask(messages.EndRequests())
+                with self.assertRaises(error_class):
+                    await asking
+
+    async def test_unexpected_error_in_a_request_is_answered(self):
+        self.sender.outcomes = [ValueError('unexpected')]
+        with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+            async with asyncio.timeout(1):
+                with self.assertRaises(errors.OriolefoldError) as context:
+                    await self.ask()
+            await asyncio.sleep(0)  # The child is logged after its answer.
+        failure = errors.failure_of(context.exception)
+        self.assertIs(failure.category, errors.Category.INTERNAL)
