Bound the memory of responses by one budget for the process

What callers saw: nothing yet; a VM whose instances send bytes without end would exceed its memory and be killed, with all requests on it.

Change: bytebudget.ByteBudget counts the bytes of all responses as they are read from the sockets. When it is exhausted, the largest response that still grows is aborted: its connection is closed and its exchange ends with OutcomeUnknownError. Complete answers are never aborted; they carry their hold until they are dropped, so an answer that waits for a slow caller is counted.

Why it works: a response without an end outgrows proper ones, so ending the largest one frees the room that these need. The bytes are counted in the one place where they enter the process (heads, chunk-size lines and trailers, too). The collector is one bytearray that is dropped on failure, so neither many tiny chunks nor the traceback of an error hold memory that is not counted.

--- /dev/null
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -0,0 +1,129 @@
+"""Budget of the bytes that a process buffers."""
+
+from collections.abc import Callable
+
+# Holds up to this size may use the reserve, too.
+SMALL_BYTES = 64 * 1024
+RESERVE_FRACTION = 0.2  # Fraction of a budget that only small holds may use.
+
+
+class Hold:
+    """Buffered bytes of one response, counted against a budget.
+
+    A hold that grows has to be settled or released by its owner. Once settled,
+    it is also released when the last reference to it is dropped, so that an
+    answer which keeps its hold is counted for as long as it is referenced.
+
+    Attributes:
+        size: Number of bytes counted.
+        announced_size: Size that the sender has announced, or 0.
+        essential: Whether holds that are not essential are aborted first.
+    """
+
+    __slots__ = ('_abort', '_budget', 'announced_size', 'essential', 'size')
+
+    def __init__(
+        self, budget: 'ByteBudget', abort: Callable[[], None], essential: bool
+    ):
+        self._budget = budget
+        self._abort: Callable[[], None] | None = abort
+        self.announced_size = 0
+        self.essential = essential
+        self.size = 0
+
+    def __del__(self):
+        self.release()
+
+    def grow(self, count: int) -> None:
+        """Counts more bytes; may abort this hold or others to make room."""
+        if self._abort is not None:
+            self.size += count
+            self._budget.add(self, count)
+
+    def settle(self, size: int) -> None:
+        """Fixes the size of a complete response, which is never aborted."""
+        if self._abort is not None:
+            self._abort = None
+            self._budget.settle(self, size - self.size)
+            self.size = size
+
+    def abort(self) -> None:
+        """Releases the bytes and tells the owner to drop them."""
+        abort = self._abort
+        self.release()
+        if abort is not None:
+            abort()
+
+    def release(self) -> None:
+        """Gives the bytes back; further calls have no effect."""
+        self._abort = None
+        self._budget.remove(self)
+        self.size = 0
+
+
+class ByteBudget:
+    """Limits the bytes that a process has buffered at the same time.
+
+    When the budget is exhausted, the largest hold that still grows is aborted,
+    since a response without an end outgrows proper ones sooner or later. Those
+    of unknown length come first, unless they are small, since one with an
+    announced length has an end.
+
+    Attributes:
+        held_bytes: Number of bytes counted now.
+        aborted: Number of holds that were aborted so far.
+    """
+
+    def __init__(self, max_bytes: int):
+        """Initializes an unused budget.
+
+        Args:
+            max_bytes: Largest number of bytes that are held at a time.
+        """
+        self._max_bytes = max_bytes
+        self._max_unreserved_bytes = int(max_bytes * (1 - RESERVE_FRACTION))
+        self._growing: set[Hold] = set()
+        self.held_bytes = 0
+        self.aborted = 0
+
+    def open(self, abort: Callable[[], None], essential: bool = False) -> Hold:
+        """Returns a new hold that may grow.
+
+        Args:
+            abort: Called when the hold is aborted; has to drop its bytes.
+            essential: Whether other holds are to be aborted first.
+        """
+        hold = Hold(self, abort, essential)
+        self._growing.add(hold)
+        return hold
+
+    def add(self, hold: Hold, count: int) -> None:
+        """Counts bytes of a growing hold and makes room for them."""
+        self.held_bytes += count
+        limit = (
+            self._max_bytes
+            if hold.size <= SMALL_BYTES
+            else self._max_unreserved_bytes
+        )
+        while self.held_bytes > limit and hold in self._growing:
+            largest = max(self._growing, key=_precedence)
+            self.aborted += 1
+            largest.abort()
+
+    def settle(self, hold: Hold, change: int) -> None:
+        """Changes the size of a hold for the last time."""
+        self._growing.discard(hold)
+        self.held_bytes += change
+
+    def remove(self, hold: Hold) -> None:
+        """Stops counting a hold."""
+        self._growing.discard(hold)
+        self.held_bytes -= hold.size
+
+
+def _precedence(hold: Hold) -> tuple[bool, bool, int]:
+    return (
+        not hold.essential,
+        not hold.announced_size and hold.size > SMALL_BYTES,
+        max(hold.size, hold.announced_size),
+    )
--- a/libs/core/src/oriolefold_core/data.py
+++ b/libs/core/src/oriolefold_core/data.py
@@ -198,3 +198,14 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     instance_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BufferedAnswer(Answer):
+    """An answer whose memory is counted until the answer is dropped.
+
+    Attributes:
+        hold: Counts the memory of the body.
+    """
+
+    hold: object = dataclasses.field(compare=False, repr=False)
--- /dev/null
+++ b/libs/core/tests/test_bytebudget.py
@@ -0,0 +1,80 @@
+"""Tests of oriolefold_core.bytebudget."""
+
+from oriolefold_core import bytebudget
+from oriolefold_testbed import basecase
+
+MAX_BYTES = 10_000_000
+
+
+class ByteBudgetTest(basecase.BaseCase):
+    """The bytes held stay within the budget and are given back."""
+
+    def setUp(self):
+        super().setUp()
+        self.budget = bytebudget.ByteBudget(MAX_BYTES)
+        self.aborted_names = []
+
+    def open(self, name, size=0, essential=False):
+        hold = self.budget.open(
+            lambda: self.aborted_names.append(name), essential
+        )
+        hold.grow(size)
+        return hold
+
+    def test_the_largest_growing_hold_is_aborted(self):
+        large = self.open('large', 5_000_000)
+        small = self.open('small', 2_000_000)
+        small.grow(1_500_000)
+        self.assertEqual(self.aborted_names, ['large'])
+        self.assertEqual((large.size, small.size), (0, 3_500_000))
+        self.assertEqual(self.budget.held_bytes, 3_500_000)
+
+    def test_a_hold_that_is_the_largest_itself_is_aborted(self):
+        self.open('one', 3_000_000)
+        self.open('two', 6_000_000)
+        self.assertEqual(self.aborted_names, ['two'])
+        self.assertEqual(self.budget.held_bytes, 3_000_000)
+
+    def test_holds_of_unknown_length_are_aborted_first_unless_small(self):
+        announced = self.open('announced')
+        announced.announced_size = 6_000_000
+        announced.grow(4_000_000)
+        self.open('small', bytebudget.SMALL_BYTES)
+        self.open('unknown', 3_000_000)
+        announced.grow(1_000_000)
+        self.assertEqual(self.aborted_names, ['unknown'])
+        announced.grow(3_000_000)
+        self.assertEqual(self.aborted_names, ['unknown', 'announced'])
+
+    def test_complete_responses_are_never_aborted(self):
+        complete = self.open('complete', 5_000_000)
+        complete.settle(5_000_000)
+        self.open('growing', 4_000_000)
+        self.assertEqual(self.aborted_names, ['growing'])
+        self.assertEqual(complete.size, 5_000_000)
+
+    def test_essential_holds_are_aborted_last(self):
+        self.open('essential', 4_000_000, essential=True)
+        self.open('other', 1_000_000)
+        self.open('last', 3_500_000)
+        self.assertEqual(self.aborted_names, ['last'])
+
+    def test_small_holds_fit_beside_a_budget_used_by_complete_ones(self):
+        complete = self.open('complete', 7_900_000)
+        complete.settle(7_900_000)
+        self.open('large', 200_000)
+        for index in range(20):
+            self.open(f'small {index}', bytebudget.SMALL_BYTES)
+        self.assertEqual(self.aborted_names, ['large'])
+
+    def test_a_hold_is_given_back_once_released_or_dropped(self):
+        holds = [self.open('a', 10), self.open('b', 10), self.open('c', 10)]
+        holds[0].release()
+        holds[0].release()
+        holds[1].settle(4)
+        self.assertEqual(self.budget.held_bytes, 14)
+        holds[2].abort()
+        holds[2].grow(10)
+        self.assertEqual(self.budget.held_bytes, 4)
+        del holds
+        self.assertEqual(self.budget.held_bytes, 0)
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -6,7 +6,7 @@
 import uuid
 from collections.abc import Sequence
 
-from oriolefold_core import clock, data, tasks
+from oriolefold_core import bytebudget, clock, data, tasks
 from oriolefold_direct import (
     availability,
     changefeed,
@@ -103,6 +103,7 @@
         policy_reader: watching.Reader,
         endpoint_reader: watching.Reader,
         recorder: counters.Counters,
+        budget: bytebudget.ByteBudget | None = None,
     ):
         """Initializes the application.
 
@@ -113,12 +114,14 @@
             policy_reader: Decodes policies.
             endpoint_reader: Decodes registered instances.
             recorder: Metrics.
+            budget: Budget of the bytes of all responses; by default the
+                responses of peers have their own.
         """
         self._settings = settings
         self._instances = instances
         self._stopping = asyncio.Event()
         time = clock.BootClock()
-        self._peers = peering.HttpPeers()
+        self._peers = peering.HttpPeers(budget)
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
         feed = changefeed.ChangeFeed(time, region_id)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oriolefold_core import data, errors
+from oriolefold_core import bytebudget, data, errors
 from oriolefold_direct import messages, ports
 from oriolefold_http import connections
 from oriolefold_store import ports as store_ports
@@ -55,8 +55,16 @@
 class HttpPeers(ports.Peers):
     """Client of the status servers of other VMs."""
 
-    def __init__(self):
-        self._pool = connections.ConnectionPool(MAX_ANSWER_BYTES)
+    def __init__(self, budget: bytebudget.ByteBudget | None = None):
+        """Initializes the client.
+
+        Args:
+            budget: Budget of the bytes of all responses; by default this
+                client has its own.
+        """
+        self._pool = connections.ConnectionPool(
+            MAX_ANSWER_BYTES, budget=budget, essential=True
+        )
 
     async def report(
         self, address: str, report: messages.LoadReport
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -16,7 +16,7 @@
 
 from tornado import http1connection, httputil, iostream, netutil
 
-from oriolefold_core import data, errors
+from oriolefold_core import bytebudget, data, errors
 from oriolefold_http import idlelimit
 
 KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
@@ -25,6 +25,8 @@
 USER_TIMEOUT_MS = 3000  # Limit on the time that sent bytes stay unacknowledged.
 CHUNK_BYTES = 16384
 MAX_HEADER_BYTES = 65536
+# Size of a pool's own budget, in responses of the largest size.
+DEFAULT_BUDGET_RESPONSES = 4
 MAX_UNRELATED_RESPONSES = 3  # Skipped before the connection is closed.
 DEFAULT_IDLE_S = 4.0  # Longest idle time of a connection that is reused.
 IDLE_TIMEOUT_FRACTION = 0.6  # Fraction of the announced keep-alive timeout.
@@ -59,44 +61,73 @@
         status: HTTP status code.
         headers: Headers by case-insensitive name.
         body: The complete body.
+        hold: Its memory, counted until the response is dropped.
     """
 
     status: int
     headers: httputil.HTTPHeaders
     body: bytes
+    hold: bytebudget.Hold
 
 
 class _PooledStream(iostream.IOStream):
-    """Stream that closes itself when bytes arrive while it is idle."""
+    """Stream that counts what it reads.
+
+    It closes itself when bytes arrive while it is idle, or when the budget of
+    buffered bytes needs the room.
+
+    Attributes:
+        idle: Whether no exchange uses the stream.
+        hold: Counts the bytes of the present exchange.
+    """
 
     idle = False
+    hold: bytebudget.Hold | None = None
 
     def read_from_fd(self, buf):
         """Reads from the socket; bytes received while idle are unexpected."""
         count = super().read_from_fd(buf)
-        if self.idle and count:
+        if not count:
+            return count
+        if self.idle:
             self.close()
-            return None
-        return count
+        elif self.hold is not None:
+            self.hold.grow(count)
+        return None if self.closed() else count
+
+    def abort(self) -> None:
+        """Closes the stream in favor of other responses."""
+        text = 'the budget of buffered response bytes is exhausted'
+        self.close(exc_info=iostream.StreamBufferFullError(text))
 
 
 class _ResponseCollector(httputil.HTTPMessageDelegate):
     """Collects one response."""
 
-    def __init__(self):
+    def __init__(self, hold: bytebudget.Hold):
+        self._hold = hold
+        self.reset()
+
+    def reset(self) -> None:
+        """Drops what was collected."""
         self.status = 0
         self.headers: httputil.HTTPHeaders | None = None
-        self.chunks: list[bytes] = []
+        # One buffer, since a list of many tiny chunks takes far more memory
+        # than their bytes.
+        self.body = bytearray()
         self.complete = False
 
     def headers_received(self, start_line, headers):
         """Stores status and headers."""
         self.status = start_line.code
         self.headers = headers
+        length = headers.get('Content-Length', '')
+        if length.isdecimal():
+            self._hold.announced_size = int(length)
 
     def data_received(self, chunk):
         """Stores a part of the body."""
-        self.chunks.append(chunk)
+        self.body += chunk
 
     def finish(self):
         """Marks the response as complete."""
@@ -132,13 +163,27 @@
         opened: Number of connections opened so far.
     """
 
-    def __init__(self, max_body_bytes: int, idle_s: float = DEFAULT_IDLE_S):
+    def __init__(
+        self,
+        max_body_bytes: int,
+        idle_s: float = DEFAULT_IDLE_S,
+        budget: bytebudget.ByteBudget | None = None,
+        essential: bool = False,
+    ):
         """Initializes an empty pool.
 
         Args:
             max_body_bytes: Largest accepted body of a response.
             idle_s: Longest time that an idle connection is kept.
+            budget: Budget of the bytes of all responses, shared with other
+                users of the same memory; by default the pool has its own.
+            essential: Whether responses of other pools are given up first when
+                the budget is exhausted.
         """
+        self._budget = budget or bytebudget.ByteBudget(
+            DEFAULT_BUDGET_RESPONSES * max_body_bytes
+        )
+        self._essential = essential
         self._params = http1connection.HTTP1ConnectionParameters(
             chunk_size=CHUNK_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -189,6 +234,9 @@
             self._return_to_pool(address, connection, None)
             raise errors.UnreachableError('the permission to send has expired')
         started_s = loop.time()
+        stream = connection.stream
+        hold = stream.hold = self._budget.open(stream.abort, self._essential)
+        incoming = None
         try:
             async with asyncio.timeout_at(ends_at_s):
                 incoming = await self._send_and_receive(
@@ -204,6 +252,11 @@
         except BaseException:
             connection.stream.close()
             raise
+        finally:
+            stream.hold = None
+            if incoming is None:
+                hold.release()
+        hold.settle(min(hold.size, len(incoming.body) + MAX_HEADER_BYTES))
         self._return_to_pool(address, connection, incoming.headers)
         return incoming
 
@@ -286,16 +339,17 @@
         start = httputil.RequestStartLine(
             outgoing.method, outgoing.target, 'HTTP/1.1'
         )
+        collector = _ResponseCollector(stream.hold)
         try:
             writing = http.write_headers(start, headers, outgoing.body or None)
             writing.add_done_callback(_retrieve_exception)
             http.finish()
             for _ in range(MAX_UNRELATED_RESPONSES):
-                collector = _ResponseCollector()
                 await http.read_response(collector)
                 incoming = _complete_response(collector, stream)
                 if is_own_response is None or is_own_response(incoming.headers):
                     return incoming
+                collector.reset()
         except (
             iostream.StreamClosedError,
             iostream.UnsatisfiableReadError,
@@ -305,6 +359,9 @@
         ) as error:
             text = f'the connection failed: {stream.error or error!r}'
             raise errors.OutcomeUnknownError(text) from error
+        finally:
+            # The traceback of an error refers to the collector.
+            collector.reset()
         raise errors.OutcomeUnknownError(
             'only responses to other requests were received'
         )
@@ -376,7 +433,10 @@
             'the connection was reset before the end of the response'
         )
     return IncomingResponse(
-        collector.status, collector.headers, b''.join(collector.chunks)
+        collector.status,
+        collector.headers,
+        bytes(collector.body),
+        stream.hold,
     )
 
 
