Close a connection that has unread bytes after a response

What callers saw: a request whose outcome was unknown although its instance was well: it had been written on a connection on which the instance had sent bytes after its previous response. Such a connection also held up to 64 KiB and the kernel's buffer for as long as it was idle.

Cause: a pooled stream closes itself when it reads bytes while it is idle, but bytes that were read together with the response stayed in its buffer, and tornado does not watch a stream whose buffer is not empty.

Evidence: test_bytes_after_a_response_end_the_connection_at_once failed before on the second of ten requests: OutcomeUnknownError, "delimiter not found within 65536 bytes, on a connection idle for 0.000 s".

Change: a connection with unread bytes is not usable, so it is closed instead of returned to the pool.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -84,6 +84,11 @@
     idle = False
     hold: bytebudget.Hold | None = None
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were received that no read has returned."""
+        return self._read_buffer_size > 0
+
     def read_from_fd(self, buf):
         """Reads from the socket; bytes received while idle are unexpected."""
         count = super().read_from_fd(buf)
@@ -152,8 +157,13 @@
 
     @property
     def usable(self) -> bool:
-        """Whether a request may be written now."""
-        return not self.stream.closed() and not self.stream.writing()
+        """Whether a request may be written now.
+
+        Tornado does not watch a stream with unread bytes, so it would also stay
+        open after the server has closed it.
+        """
+        stream = self.stream
+        return not (stream.closed() or stream.writing() or stream.has_unread)
 
 
 class ConnectionPool:
