End a peer connection whose frame trickles

What callers saw: a peer that announces a long frame and then sends a byte now and then kept its link occupied, with all calls on it, and pings could not notice it. On the listening side a Hello could take as long.

Cause: each read of a part of a frame had the silence limit, and any byte was a part. With one byte a second, a frame of MAX_FRAME_BYTES ends after two years.

Evidence: test_a_frame_that_trickles_ends_the_link and test_a_hello_that_trickles_ends_the_connection failed before: no end within 3 s, three times the silence limit.

Change: a long frame is read in parts of 64 KiB, each of which has to arrive within the silence limit. A frame makes progress or the connection ends; it is collected in one buffer instead of a list of parts.

Measured after: the tests pass; a frame of 5 parts that takes 2 s still arrives (test_a_large_frame_may_take_longer_than_the_silence_limit).

--- a/libs/peer/src/oriolefold_peer/codec.py
+++ b/libs/peer/src/oriolefold_peer/codec.py
@@ -52,7 +52,7 @@
             )
         return LENGTH_PREFIX.pack(len(frame)) + frame
 
-    def decode(self, frame: bytes) -> tuple[int, Any]:
+    def decode(self, frame: bytes | bytearray) -> tuple[int, Any]:
         """Returns the call number and the message of a frame.
 
         Args:
--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -14,6 +14,8 @@
 PING_INTERVAL_S = 0.25
 SILENCE_LIMIT_S = 1.0  # Time without data after which the peer counts as lost.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
+# Bytes of a long frame that have to arrive within the silence limit.
+PART_BYTES = 64 * 1024
 
 
 class Connection:
@@ -50,35 +52,33 @@
             ProtocolError: If the frame is malformed.
         """
         try:
-            async with asyncio.timeout(SILENCE_LIMIT_S):
-                prefix = await self._reader.readexactly(
-                    codec.LENGTH_PREFIX.size
-                )
+            prefix = await self._part(codec.LENGTH_PREFIX.size)
             (length,) = codec.LENGTH_PREFIX.unpack(prefix)
             if length > codec.MAX_FRAME_BYTES:
                 raise errors.ProtocolError(f'frame is too long: {length} bytes')
             return self._codec.decode(await self._body(length))
         except TimeoutError as error:
             raise errors.OutcomeUnknownError(
-                'the peer was silent for too long'
+                'the peer was silent or too slow for too long'
             ) from error
         except (OSError, EOFError) as error:
             raise errors.OutcomeUnknownError(
                 'the connection was closed'
             ) from error
 
-    async def _body(self, length: int) -> bytes:
+    async def _body(self, length: int) -> bytes | bytearray:
+        if length <= PART_BYTES:
+            return await self._part(length)
         # A large body may take longer than the limit, so the timeout applies to
         # each part of it.
-        parts = []
-        while length > 0:
-            async with asyncio.timeout(SILENCE_LIMIT_S):
-                part = await self._reader.read(length)
-            if not part:
-                raise EOFError('connection closed within a frame')
-            parts.append(part)
-            length -= len(part)
-        return parts[0] if len(parts) == 1 else b''.join(parts)
+        body = bytearray()
+        while len(body) < length:
+            body += await self._part(min(length - len(body), PART_BYTES))
+        return body
+
+    async def _part(self, length: int) -> bytes:
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            return await self._reader.readexactly(length)
 
     async def keep_alive(self) -> None:
         """Sends pings at a fixed interval until cancelled."""
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -1,6 +1,7 @@
 """Tests of the peer protocol: codec, link and server."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from oriolefold_core import errors
@@ -114,6 +115,80 @@
             await self.call('x', peer_link=peer_link)
 
 
+class EndlessFrameTest(basecase.AsyncCase):
+    """Frames that do not end are given up, at either side."""
+
+    async def listen(self, send):
+        """Starts a peer that sends its Hello and then something else."""
+        address = basecase.free_address()
+        self.open_connections = 0
+
+        async def accept(reader, writer):
+            self.open_connections += 1
+            writer.write(CODEC.encode(0, messages.Hello('vm1', 'i1')))
+            with contextlib.suppress(ConnectionError):
+                await send(writer)
+            self.open_connections -= 1
+            writer.close()
+
+        listening = await asyncio.start_server(
+            accept, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        return address
+
+    async def start_link(self, address):
+        peer_link = link.PeerLink(
+            'vm1', address, messages.Hello('vm0', 'i0'), CODEC
+        )
+        await self.start(peer_link)
+        return peer_link
+
+    async def test_a_frame_that_trickles_ends_the_link(self):
+        address = await self.listen(trickle)
+        peer_link = await self.start_link(address)
+        async with asyncio.timeout(3 * connection.SILENCE_LIMIT_S):
+            with self.assertRaises(errors.OutcomeUnknownError):
+                await peer_link.ask(messages.CallPeer('vm1', Echo('x')))
+        await self.wait_for(lambda: not self.open_connections)
+
+    async def test_a_hello_that_trickles_ends_the_connection(self):
+        address = basecase.free_address()
+        hello = messages.Hello('vm1', 'i1')
+        await self.start(server.PeerServer(address, hello, CODEC, _Handler()))
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        trickling = asyncio.create_task(trickle(writer))
+        async with asyncio.timeout(3 * connection.SILENCE_LIMIT_S):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        trickling.cancel()
+        writer.close()
+
+    async def test_a_large_frame_may_take_longer_than_the_silence_limit(self):
+        text = 'x' * 5 * connection.PART_BYTES
+
+        async def reply_slowly(writer):
+            frame = CODEC.encode(1, Echo(text))
+            for start in range(0, len(frame), connection.PART_BYTES):
+                writer.write(frame[start : start + connection.PART_BYTES])
+                await asyncio.sleep(0.4 * connection.SILENCE_LIMIT_S)
+            await asyncio.sleep(connection.SILENCE_LIMIT_S)
+
+        peer_link = await self.start_link(await self.listen(reply_slowly))
+        reply = await peer_link.ask(messages.CallPeer('vm1', Echo('x')))
+        self.assertEqual(reply.text, text)
+
+
+async def trickle(writer):
+    writer.write(codec.LENGTH_PREFIX.pack(1_000_000))
+    while True:
+        writer.write(b'x')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+
+
 class CodecTest(basecase.BaseCase):
     """Frames round-trip; malformed ones are rejected."""
 
