Count incomplete frames of peers against a budget of the process

What callers saw: nothing yet; peers in trouble could fill a VM. A frame may have 64 MiB and nothing limited the sum over connections.

Evidence: test_frames_that_grow_share_one_budget.

Change: a long frame is counted in a ByteBudget while it arrives; if the budget is exhausted, the connection with the largest frame is closed, and its calls end with OutcomeUnknownError.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -7,7 +7,7 @@
 from oriolefold_backend import http as backend_http
 from oriolefold_coordination import lease
 from oriolefold_coordination import messages as lease_messages
-from oriolefold_core import clock, data, errors
+from oriolefold_core import bytebudget, clock, data, errors
 from oriolefold_daemon import (
     admin,
     configuration,
@@ -57,7 +57,8 @@
         metrics_recorder = metrics.Metrics()
         self._backend = backend_http.HttpBackend()
         self._store = store_http.HttpStore(values.store_address)
-        self._peers = link.Peers(hello, frame_codec)
+        budget = bytebudget.ByteBudget(values.max_buffer_bytes)
+        self._peers = link.Peers(hello, frame_codec, budget)
         self._shard_manager = shardmanager.ShardManager(
             values.vm_id, boot_clock
         )
@@ -107,6 +108,7 @@
                 self._lease_manager,
                 values.access_log == 'all',
             ),
+            budget,
         )
         self._frontend = frontend.Frontend(
             values.caller_address, self._dispatcher, values.max_body_bytes
--- a/libs/daemon/src/oriolefold_daemon/settings.py
+++ b/libs/daemon/src/oriolefold_daemon/settings.py
@@ -46,6 +46,11 @@
         le=1024 * 1024 * 1024,
         description='maximum size of a request body, in bytes',
     )
+    max_buffer_bytes: int = pydantic.Field(
+        96 * 1024 * 1024,
+        ge=1024 * 1024,
+        description='maximum size of all buffered responses and frames',
+    )
     stop_limit_s: float = pydantic.Field(
         30.0,
         gt=0,
--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -8,7 +8,7 @@
 import contextlib
 from typing import Any
 
-from oriolefold_core import errors
+from oriolefold_core import bytebudget, errors
 from oriolefold_peer import codec, messages
 
 PING_INTERVAL_S = 0.25
@@ -16,6 +16,7 @@
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # Bytes of a long frame that have to arrive within the silence limit.
 PART_BYTES = 64 * 1024
+DEFAULT_BUDGET_BYTES = 2 * codec.MAX_FRAME_BYTES
 
 
 class Connection:
@@ -26,7 +27,17 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         frame_codec: codec.Codec,
+        budget: bytebudget.ByteBudget,
     ):
+        """Initializes an open connection.
+
+        Args:
+            reader: Reader of the connection.
+            writer: Writer of the connection.
+            frame_codec: Codec of the frames.
+            budget: Budget of the bytes of frames that are incomplete.
+        """
+        self._budget = budget
         self._reader = reader
         self._writer = writer
         self._codec = frame_codec
@@ -72,8 +83,19 @@
         # A large body may take longer than the limit, so the timeout applies to
         # each part of it.
         body = bytearray()
-        while len(body) < length:
-            body += await self._part(min(length - len(body), PART_BYTES))
+        hold = self._budget.open(self.close)
+        hold.announced_size = length
+        try:
+            while len(body) < length:
+                part = await self._part(min(length - len(body), PART_BYTES))
+                hold.grow(len(part))
+                body += part
+        except BaseException:
+            # The traceback of the error refers to the buffer.
+            body.clear()
+            raise
+        finally:
+            hold.release()
         return body
 
     async def _part(self, length: int) -> bytes:
--- a/libs/peer/src/oriolefold_peer/link.py
+++ b/libs/peer/src/oriolefold_peer/link.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import Any
 
-from oriolefold_core import data, errors, tasks
+from oriolefold_core import bytebudget, data, errors, tasks
 from oriolefold_peer import codec, connection, messages
 
 CONNECT_TIMEOUT_S = 0.5
@@ -50,8 +50,12 @@
         address: data.Address,
         hello: messages.Hello,
         frame_codec: codec.Codec,
+        budget: bytebudget.ByteBudget | None = None,
     ):
         super().__init__(f'link to {vm_id}')
+        self._budget = budget or bytebudget.ByteBudget(
+            connection.DEFAULT_BUDGET_BYTES
+        )
         self._vm_id = vm_id
         self._address = address
         self._hello = hello
@@ -153,7 +157,7 @@
         reader, writer = await asyncio.open_connection(
             self._address.host, self._address.port
         )
-        conn = connection.Connection(reader, writer, self._codec)
+        conn = connection.Connection(reader, writer, self._codec, self._budget)
         try:
             conn.send(0, self._hello)
             _, hello = await conn.receive()
@@ -193,8 +197,24 @@
 class Peers(tasks.Task):
     """Owns one link for each VM."""
 
-    def __init__(self, hello: messages.Hello, frame_codec: codec.Codec):
+    def __init__(
+        self,
+        hello: messages.Hello,
+        frame_codec: codec.Codec,
+        budget: bytebudget.ByteBudget | None = None,
+    ):
+        """Initializes the task.
+
+        Args:
+            hello: Introduces this VM to its peers.
+            frame_codec: Codec of the frames.
+            budget: Budget of the bytes of incomplete frames; by default the
+                links have one of their own.
+        """
         super().__init__('peers')
+        self._budget = budget or bytebudget.ByteBudget(
+            connection.DEFAULT_BUDGET_BYTES
+        )
         self._hello = hello
         self._codec = frame_codec
         self._links_by_vm_id: dict[str, PeerLink] = {}
@@ -225,7 +245,9 @@
                 await self._links_by_vm_id.pop(vm_id).stop()
         for vm_id, address in addresses_by_vm_id.items():
             if vm_id not in self._links_by_vm_id:
-                link = PeerLink(vm_id, address, self._hello, self._codec)
+                link = PeerLink(
+                    vm_id, address, self._hello, self._codec, self._budget
+                )
                 await link.start()
                 self._links_by_vm_id[vm_id] = link
         self._addresses_by_vm_id = dict(addresses_by_vm_id)
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -4,7 +4,7 @@
 import asyncio
 from typing import Any
 
-from oriolefold_core import data, errors, tasks
+from oriolefold_core import bytebudget, data, errors, tasks
 from oriolefold_peer import codec, connection, messages
 
 
@@ -33,8 +33,22 @@
         hello: messages.Hello,
         frame_codec: codec.Codec,
         handler: PeerHandler,
+        budget: bytebudget.ByteBudget | None = None,
     ):
+        """Initializes the task.
+
+        Args:
+            address: Address to listen on.
+            hello: Introduces this VM to its peers.
+            frame_codec: Codec of the frames.
+            handler: Answers the calls.
+            budget: Budget of the bytes of incomplete frames; by default the
+                server has its own.
+        """
         super().__init__('peer server')
+        self._budget = budget or bytebudget.ByteBudget(
+            connection.DEFAULT_BUDGET_BYTES
+        )
         self._address = address
         self._hello = hello
         self._codec = frame_codec
@@ -61,7 +75,7 @@
         self.post((reader, writer))
 
     async def _serve(self, reader, writer) -> None:
-        conn = connection.Connection(reader, writer, self._codec)
+        conn = connection.Connection(reader, writer, self._codec, self._budget)
         calls_by_id: dict[int, asyncio.Task] = {}
         try:
             _, hello = await conn.receive()
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 
-from oriolefold_core import errors
+from oriolefold_core import bytebudget, errors
 from oriolefold_peer import codec, connection, link, messages, server
 from oriolefold_testbed import basecase
 
@@ -137,9 +137,9 @@
         self.addCleanup(listening.close)
         return address
 
-    async def start_link(self, address):
+    async def start_link(self, address, **changes):
         peer_link = link.PeerLink(
-            'vm1', address, messages.Hello('vm0', 'i0'), CODEC
+            'vm1', address, messages.Hello('vm0', 'i0'), CODEC, **changes
         )
         await self.start(peer_link)
         return peer_link
@@ -180,6 +180,19 @@
         reply = await peer_link.ask(messages.CallPeer('vm1', Echo('x')))
         self.assertEqual(reply.text, text)
 
+    async def test_frames_that_grow_share_one_budget(self):
+        budget = _RecordingBudget(4_000_000)
+        addresses = [await self.listen(flood) for _ in range(4)]
+        links = [await self.start_link(a, budget=budget) for a in addresses]
+        calls = [
+            link_.ask(messages.CallPeer('vm1', Echo('x'))) for link_ in links
+        ]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        for result in results:
+            self.assertIsInstance(result, errors.OutcomeUnknownError)
+        self.assertLess(budget.peak_bytes, 4_200_000)
+        self.assertEqual(budget.held_bytes, 0)
+
 
 async def trickle(writer):
     writer.write(codec.LENGTH_PREFIX.pack(1_000_000))
@@ -189,6 +202,21 @@
         await asyncio.sleep(0.05)
 
 
+async def flood(writer):
+    writer.write(codec.LENGTH_PREFIX.pack(codec.MAX_FRAME_BYTES))
+    for _ in range(codec.MAX_FRAME_BYTES // 65536):
+        writer.write(b'x' * 65536)
+        await writer.drain()
+
+
+class _RecordingBudget(bytebudget.ByteBudget):
+    peak_bytes = 0
+
+    def add(self, hold, count):
+        super().add(hold, count)
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+
 class CodecTest(basecase.BaseCase):
     """Frames round-trip; malformed ones are rejected."""
 
