--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -1,9 +1,10 @@
 """Tests of the peer protocol: codec, link and server."""
 
 import asyncio
+import contextlib
 import dataclasses
 
-from oriolefold_core import errors
+from oriolefold_core import bytebudget, errors
 from oriolefold_peer import codec, connection, link, messages, server
 from oriolefold_testbed import basecase
 
@@ -137,6 +138,108 @@
             await self.call('x', peer_link=peer_link)
 
 
+class EndlessFrameTest(basecase.AsyncCase):
+    """Frames that do not end are given up, at either side."""
+
+    async def listen(self, send):
+        """Starts a peer that sends its Hello and then something else."""
+        address = basecase.free_address()
+        self.open_connections = 0
+
+        async def accept(reader, writer):
+            self.open_connections += 1
+            writer.write(CODEC.encode(0, messages.Hello('vm1', 'i1')))
+            with contextlib.suppress(ConnectionError):
+                await send(writer)
+            self.open_connections -= 1
+            writer.close()
+
+        listening = await asyncio.start_server(
+            accept, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        return address
+
+    async def start_link(self, address, **changes):
+        peer_link = link.PeerLink(
+            'vm1', address, messages.Hello('vm0', 'i0'), CODEC, **changes
+        )
+        await self.start(peer_link)
+        return peer_link
+
+    async def test_a_frame_that_trickles_ends_the_link(self):
+        address = await self.listen(trickle)
+        peer_link = await self.start_link(address)
+        async with asyncio.timeout(3 * connection.SILENCE_LIMIT_S):
+            with self.assertRaises(errors.OutcomeUnknownError):
+                await peer_link.ask(messages.CallPeer('vm1', Echo('x')))
+        await self.wait_for(lambda: not self.open_connections)
+
+    async def test_a_hello_that_trickles_ends_the_connection(self):
+        address = basecase.free_address()
+        hello = messages.Hello('vm1', 'i1')
+        await self.start(server.PeerServer(address, hello, CODEC, _Handler()))
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        trickling = asyncio.create_task(trickle(writer))
+        async with asyncio.timeout(3 * connection.SILENCE_LIMIT_S):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        trickling.cancel()
+        writer.close()
+
+    async def test_a_large_frame_may_take_longer_than_the_silence_limit(self):
+        text = 'x' * 5 * connection.PART_BYTES
+
+        async def reply_slowly(writer):
+            frame = CODEC.encode(1, Echo(text))
+            for start in range(0, len(frame), connection.PART_BYTES):
+                writer.write(frame[start : start + connection.PART_BYTES])
+                await asyncio.sleep(0.4 * connection.SILENCE_LIMIT_S)
+            await asyncio.sleep(connection.SILENCE_LIMIT_S)
+
+        peer_link = await self.start_link(await self.listen(reply_slowly))
+        reply = await peer_link.ask(messages.CallPeer('vm1', Echo('x')))
+        self.assertEqual(reply.text, text)
+
+    async def test_frames_that_grow_share_one_budget(self):
+        budget = _RecordingBudget(4_000_000)
+        addresses = [await self.listen(flood) for _ in range(4)]
+        links = [await self.start_link(a, budget=budget) for a in addresses]
+        calls = [
+            link_.ask(messages.CallPeer('vm1', Echo('x'))) for link_ in links
+        ]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        for result in results:
+            self.assertIsInstance(result, errors.OutcomeUnknownError)
+        self.assertLess(budget.peak_bytes, 4_200_000)
+        self.assertEqual(budget.held_bytes, 0)
+
+
+async def trickle(writer):
+    writer.write(codec.LENGTH_PREFIX.pack(1_000_000))
+    while True:
+        writer.write(b'x')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+
+
+async def flood(writer):
+    writer.write(codec.LENGTH_PREFIX.pack(codec.MAX_FRAME_BYTES))
+    for _ in range(codec.MAX_FRAME_BYTES // 65536):
+        writer.write(b'x' * 65536)
+        await writer.drain()
+
+
+class _RecordingBudget(bytebudget.ByteBudget):
+    peak_bytes = 0
+
+    def add(self, hold, count):
+        super().add(hold, count)
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+
 class CodecTest(basecase.BaseCase):
     """Frames round-trip; malformed ones are rejected."""
 
