Answer a request whose answer cannot be written

What callers saw: nothing, until their own deadline or the end of the connection.

Cause: an exception outside the tree while an answer is written (a header that is not latin-1 or has a line break, a 204 with a Content-Length) ended in a callback of asyncio; one before the dispatch was logged by tornado, which closes the connection. A reply that was cancelled while the caller still waited was taken for a caller that had left. A Content-Length that int() does not take (a superscript digit, 5000 digits) was such an exception too.

Evidence, on: test_an_answer_that_cannot_be_written_ends_as_unknown (three values) and test_a_reply_that_is_cancelled_ends_as_unknown: no answer within 5 s; test_an_answer_without_content_has_no_length: cut after a head with Content-Length: 5; test_an_exception_before_the_dispatch_ends_as_not_run and test_a_length_that_is_no_number_gets_an_answer: cut after b''.

Change: if nothing was written yet, the caller gets a complete failure, 500 and outcome unknown, and answer.unwritable is logged; if a part was written, the connection is closed at once, so the answer does not look complete. An exception before the dispatch is answered 503, not run, with request.unreadable. A cancelled reply is answered 502, outcome unknown, while the connection is open. A 204 goes out without Content-Length. A Content-Length that is no number is left to tornado, which answers 400.

--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -109,9 +109,7 @@
         if _head_size(start_line, headers) > self._max_header_bytes:
             text = f'the headers have more than {self._max_header_bytes} bytes'
             self._refuse_unread(errors.HeadersTooLargeError(text))
-            return
-        length = headers.get('Content-Length', '0')
-        if length.isdigit() and int(length) > self._max_body_bytes:
+        elif _announced_bytes(headers) > self._max_body_bytes:
             self._refuse_body()
 
     def data_received(self, chunk):
@@ -137,6 +135,11 @@
         except errors.RequestError as error:
             self._write_failure(error)
             return
+        except Exception as error:
+            self._log_failure('request.unreadable', error)
+            text = f'the request cannot be handled: {error!r}'
+            self._write_failure(errors.NotRunError(text))
+            return
         self._stage = Stage.WAITING
         self._reply = dispatch.reply
         self._reply.add_done_callback(self._on_reply)
@@ -209,11 +212,22 @@
             return
         # Every kind of exception is reported to the caller with an outcome.
         if reply.cancelled():
-            return
-        if reply.exception() is None:
-            self._write_answer(reply.result())
-        else:
+            text = 'the request was cancelled'
+            self._write_failure(errors.OutcomeUnknownError(text))
+        elif reply.exception() is not None:
             self._write_failure(reply.exception())
+        else:
+            try:
+                self._write_answer(reply.result())
+            except Exception as error:
+                self._log_failure('answer.unwritable', error)
+                if self._stage is Stage.WAITING:
+                    self._write_failure(error)
+                else:
+                    self._stream.abort()
+
+    def _log_failure(self, event: str, error: Exception) -> None:
+        logs.event(event, request=self._request_id, error=repr(error))
 
     def _log_cut(self, closed_by: str) -> None:
         """Logs a cut request once; a caller may leave while it waits."""
@@ -294,6 +308,8 @@
         )
         if status in _NO_BODY_STATUS or is_head:
             body = b''
+        if status == 204:
+            response_headers.pop('Content-Length', None)
         if self._frontend.draining:
             response_headers['Connection'] = 'close'
         if status not in _NO_BODY_STATUS and not is_head:
@@ -335,6 +351,14 @@
     return size + sum(len(n) + len(v) + 4 for n, v in headers.get_all())
 
 
+def _announced_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Returns the announced size of a body; Tornado refuses invalid ones."""
+    try:
+        return int(headers.get('Content-Length', '0'))
+    except ValueError:
+        return 0
+
+
 def _retry_after_s(error: BaseException) -> float:
     """Returns the value of the Retry-After header, in seconds."""
     if isinstance(error, errors.NotRunError):
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -5,6 +5,7 @@
 import socket
 from unittest import mock
 
+from oriolefold_backend import headers as backend_headers
 from oriolefold_core import data, tasks
 from oriolefold_gateway import frontend
 from oriolefold_telemetry import logs
@@ -396,6 +397,75 @@
                     await asyncio.sleep(PIECE_INTERVAL_S)
 
 
+class ExceptionTest(ConnectionCase):
+    """Exceptions outside the tree leave no caller without an answer."""
+
+    async def test_an_answer_that_cannot_be_written_ends_as_unknown(self):
+        for name, value in (('X', '\u20ac'), ('X', 'a\r\nb'), ('X', None)):
+            with self.subTest(value=value):
+                self.log.reset_mock()
+                self.dispatcher.answer = data.Answer(
+                    200, ((name, value),), b'ok', 's0'
+                )
+                status, headers, body = await self.exchange(GET)
+                self.assertEqual(status, 500)
+                self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+                self.assertEqual(json.loads(body)['request_id'], 'a1')
+                (call,) = self.log.call_args_list
+                self.assertEqual(call.args, ('answer.unwritable',))
+                await self.wait_for(lambda: not self.frontend.in_flight)
+
+    async def test_an_answer_without_content_has_no_length(self):
+        self.dispatcher.answer = data.Answer(
+            204, (('Content-Length', '5'),), b'', 's0'
+        )
+        caller = await self.connect_204()
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def connect_204(self) -> Caller:
+        caller = self.connect()
+        caller.send(GET)
+        status, headers, _ = await caller.read_answer()
+        self.assertEqual(status, 204)
+        self.assertNotIn('Content-Length', headers)
+        return caller
+
+    async def test_a_reply_that_is_cancelled_ends_as_unknown(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        self.dispatcher.dispatches[0].reply.cancel()
+        status, headers, _ = await caller.read_answer()
+        self.assertEqual(status, 502)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+
+    async def test_an_exception_before_the_dispatch_ends_as_not_run(self):
+        with mock.patch.object(
+            backend_headers, 'forwarded', side_effect=ValueError('x')
+        ):
+            status, headers, _ = await self.exchange(GET)
+        self.assertEqual(status, 503)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'not-run')
+        self.assertEqual(self.dispatcher.dispatches, [])
+        (call,) = self.log.call_args_list
+        self.assertEqual(call.args, ('request.unreadable',))
+
+    async def test_a_length_that_is_no_number_gets_an_answer(self):
+        for length in (b'\xb2', b'9' * 5000):
+            with self.subTest(length=length[:5]):
+                caller = self.connect()
+                caller.send(
+                    b'POST /svc/a HTTP/1.1\r\nHost: x\r\nContent-Length: '
+                    + length
+                    + b'\r\n\r\n'
+                )
+                received = await caller.read_to_end()
+                self.assertEqual(received.split()[1], b'400')
+
+
 class CutTest(ConnectionCase):
     """Each connection that ends inside a request leaves a line."""
 
