Limit the time of a request's head apart from the idle time

What callers saw: a head that took longer than what was left of the idle time was cut without an answer, and a slow head was otherwise allowed the whole idle time. When the operator raised the idle time-out, connections that were idle already were closed after the old one, with requests of callers that relied on the new one on their way.

Cause: tornado has one time-out for the wait for a request and for its head, fixed when the wait begins.

Evidence, on (without the argument that is new): test_the_idle_timeout_does_not_cut_a_head_under_way and test_a_longer_idle_timeout_holds_for_idle_connections: cut after b''; test_a_head_that_is_too_slow_gets_408: no answer within 5 s.

Change: the idle time-out ends at the first byte of a request, and is looked up again when it is due. From the first byte on, header-timeout-s of the policy holds for the head, which had been read but not used; a head that takes longer gets 408, not run (new category request-timeout), and the connection ends. Before either time-out acts, what has arrived during a pause of the process is read.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -22,6 +22,7 @@
     MISSING_KEY = 'missing-key'
     BODY_TOO_LARGE = 'body-too-large'
     HEADERS_TOO_LARGE = 'headers-too-large'
+    REQUEST_TIMEOUT = 'request-timeout'
     NO_OWNER = 'no-owner'
     NOT_HOME = 'not-home'
     MISDIRECTED = 'misdirected'
@@ -89,6 +90,12 @@
     category = Category.HEADERS_TOO_LARGE
 
 
+class RequestTimeoutError(RequestError):
+    """The request did not arrive in time."""
+
+    category = Category.REQUEST_TIMEOUT
+
+
 class NotRunError(OriolefoldError):
     """The request was refused and is known not to have run.
 
@@ -223,6 +230,7 @@
         Category.MISSING_KEY,
         Category.BODY_TOO_LARGE,
         Category.HEADERS_TOO_LARGE,
+        Category.REQUEST_TIMEOUT,
         Category.NO_OWNER,
         Category.NOT_HOME,
         Category.MISDIRECTED,
@@ -242,6 +250,7 @@
         MissingKeyError,
         BodyTooLargeError,
         HeadersTooLargeError,
+        RequestTimeoutError,
         NoOwnerError,
         NotHomeError,
         MisdirectedError,
--- a/libs/core/src/oriolefold_core/results.py
+++ b/libs/core/src/oriolefold_core/results.py
@@ -26,6 +26,7 @@
     errors.Category.MISSING_KEY: 400,
     errors.Category.BODY_TOO_LARGE: 413,
     errors.Category.HEADERS_TOO_LARGE: 431,
+    errors.Category.REQUEST_TIMEOUT: 408,
     errors.Category.DEADLINE_EXPIRED: 504,
     errors.Category.OUTCOME_UNKNOWN: 502,
     errors.Category.INTERNAL: 500,
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -84,6 +84,7 @@
             limits.header_bytes,
             limits.body_bytes,
             limits.idle_timeout_s * IDLE_MARGIN,
+            limits.header_timeout_s,
         )
         logs.event(
             'policy.in_force',
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -7,7 +7,7 @@
 
 from tornado import http1connection, iostream
 
-from oriolefold_core import tasks
+from oriolefold_core import errors, tasks
 from oriolefold_gateway import callerstream, exchange
 
 LINGER_S = 1.0  # Time to read on after the output of a connection has ended.
@@ -36,6 +36,7 @@
             accepted, self._on_input, self._on_output_ended
         )
         self._accepted_at_s = self._loop.time()
+        self._idle_since_s = self._accepted_at_s
         self._has_received = False
         self._has_next = False  # Bytes of the next request have arrived.
         self._has_late_input = False
@@ -103,10 +104,13 @@
             self._frontend, self._dispatcher, http, self._stream
         )
         self._exchange = current
+        self._idle_since_s = self._loop.time()
         if self._has_next:
             self._has_next = False
-            current.begin()
-        self._set_timer(self._frontend.idle_timeout_s, self._on_idle_timeout)
+            self._begin(current)
+        else:
+            idle_timeout_s = self._frontend.idle_timeout_s
+            self._set_timer(idle_timeout_s, self._on_idle_timeout)
         try:
             # Returns when the answer is written or the connection has ended.
             await http.read_response(current)
@@ -135,15 +139,43 @@
         elif current is None or current.is_read:
             self._has_next = True
         elif not current.has_begun:
-            current.begin()
+            self._begin(current)
+
+    def _begin(self, current: exchange.Exchange) -> None:
+        current.begin()
+        self._set_timer(
+            self._frontend.header_timeout_s, self._on_header_timeout
+        )
 
     def _on_output_ended(self) -> None:
         self._set_timer(LINGER_S, self._stream.abort)
 
     def _on_idle_timeout(self) -> None:
-        if self._exchange is not None and not self._exchange.has_head:
+        if self._exchange is None or self._exchange.has_begun:
+            return
+        # The timeout may have been changed since the connection became idle.
+        idle_s = self._loop.time() - self._idle_since_s
+        remaining_s = self._frontend.idle_timeout_s - idle_s
+        if remaining_s > 0:
+            self._set_timer(remaining_s, self._on_idle_timeout)
+        elif not self._stream.has_unread_input():
             self._end_idle()
 
+    def _on_header_timeout(self) -> None:
+        # After a pause of this process, the headers may have been read without
+        # having been handled yet.
+        self._loop.call_soon(self._check_head)
+
+    def _check_head(self) -> None:
+        current = self._exchange
+        if current is None or current.has_head or self._stream.output_ended:
+            return
+        if self._stream.has_unread_input():
+            self._set_timer(0, self._on_header_timeout)
+            return
+        text = f'the headers took over {self._frontend.header_timeout_s:g} s'
+        current.cut_reading(errors.RequestTimeoutError(text))
+
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -11,6 +11,7 @@
 from oriolefold_telemetry import logs
 
 IDLE_TIMEOUT_S = 75.0
+HEADER_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
 MAX_QUEUED_CONNECTIONS = 1024  # Accepted when the listening socket closes.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
@@ -25,6 +26,8 @@
         refusing: Whether new requests are refused.
         max_header_bytes: Largest size of the headers of a request.
         max_body_bytes: Largest body of a request.
+        header_timeout_s: Time in which the headers of a request have to
+            arrive, from their first byte, in seconds.
         idle_timeout_s: Time that a connection may stay idle, in seconds.
         deadline_header: Header with the time that a caller is willing to wait,
             in milliseconds.
@@ -121,7 +124,11 @@
             )
 
     def set_limits(
-        self, header_bytes: int, body_bytes: int, idle_timeout_s: float
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        idle_timeout_s: float,
+        header_timeout_s: float = HEADER_TIMEOUT_S,
     ) -> None:
         """Sets the limits for callers.
 
@@ -131,10 +138,13 @@
                 without an answer.
             body_bytes: Largest body of a request.
             idle_timeout_s: Time that a connection may stay idle, in seconds.
+            header_timeout_s: Time in which the headers of a request have to
+                arrive, from their first byte, in seconds.
         """
         self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
         self.idle_timeout_s = idle_timeout_s
+        self.header_timeout_s = header_timeout_s
         # Exchanges enforce the actual limits and answer with a clear error.
         # Tornado's limits are larger, so that they do not apply first.
         parameters = self.http_parameters
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 from unittest import mock
 
 from oriolefold_backend import headers as backend_headers
@@ -466,6 +467,82 @@
                 self.assertEqual(received.split()[1], b'400')
 
 
+class TimeoutTest(ConnectionCase):
+    """The limits on idle time and on slow heads do not mix."""
+
+    def set_timeouts(self, header_timeout_s: float, idle_timeout_s: float):
+        self.frontend.set_limits(
+            16384,
+            MAX_BODY_BYTES,
+            idle_timeout_s,
+            header_timeout_s=header_timeout_s,
+        )
+
+    async def test_a_head_that_is_too_slow_gets_408(self):
+        self.set_timeouts(0.2, 30.0)
+        caller = self.connect()
+        caller.send(GET[:30])
+        self.assert_refused(parse(await caller.read_to_end()), 408)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_the_rest_of_a_head_that_was_refused_is_not_dispatched(self):
+        self.set_timeouts(0.2, 30.0)
+        caller = self.connect()
+        caller.send(GET[:30])
+        answer = await caller.read_answer()
+        caller.send(GET[30:])
+        self.assertEqual(await caller.read_to_end(), b'')
+        self.assert_refused(answer, 408)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_the_idle_timeout_does_not_cut_a_head_under_way(self):
+        self.set_timeouts(5.0, 0.2)
+        caller = self.connect()
+        caller.send(GET[:30])
+        await asyncio.sleep(0.1)
+        self.set_timeouts(5.0, 0.1)
+        await asyncio.sleep(0.3)
+        caller.send(GET[30:])
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_longer_idle_timeout_holds_for_idle_connections(self):
+        self.set_timeouts(5.0, 0.2)
+        caller = await self.connect_used()
+        self.set_timeouts(5.0, 30.0)
+        await asyncio.sleep(0.4)
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_no_timeout_cuts_a_request_that_has_arrived(self):
+        self.set_timeouts(0.2, 0.2)
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(POST)
+        await asyncio.sleep(0.4)
+        caller.send(b'x' * 10)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        await asyncio.sleep(0.4)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_pause_of_the_process_cuts_nothing_that_has_arrived(self):
+        self.set_timeouts(0.2, 0.2)
+        caller = await self.connect_used()
+        for part in (b'', GET[:30]):
+            with self.subTest(part=part):
+                if part:
+                    caller.send(part)
+                    await asyncio.sleep(0.05)
+                caller.send(GET[len(part) :])
+                time.sleep(0.4)  # noqa: ASYNC251
+                self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_an_idle_connection_ends_after_its_timeout(self):
+        self.set_timeouts(5.0, 0.2)
+        for caller in (self.connect(), await self.connect_used()):
+            self.assertEqual(await caller.read_to_end(), b'')
+
+
 class CutTest(ConnectionCase):
     """Each connection that ends inside a request leaves a line."""
 
