Deliver an answer that becomes ready at the moment of a stop

What callers saw: 502, outcome unknown, in place of the answer of their instance, if the answer came in the same turn of the event loop as the stop.

Cause: the stop looked at the stage of the request only, which changes when the callback of the reply runs, one turn later.

Evidence: test_an_answer_that_is_ready_is_delivered_by_a_stop: 502 != 200.

Change: a request with a reply is left to its callback. The exception of a reply is fetched also when the caller has left, so that asyncio does not report it. The stop asks the kernel for unread bytes once per connection.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -67,6 +67,8 @@
 
         What has arrived in the kernel is read first.
         """
+        if self._stream.output_ended:
+            return
         if self._exchange is not None and self._exchange.has_begun:
             self._exchange.stop()
         elif not self._stream.has_unread_input():
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -160,7 +160,7 @@
         """Answers a request in progress without waiting for its result."""
         if self._stage is Stage.READING:
             self.cut_reading(errors.StoppingError('this VM is stopping'))
-        elif self._stage is Stage.WAITING:
+        elif self._stage is Stage.WAITING and not self._reply.done():
             self._log_cut('vm')
             self._write_failure(
                 errors.OutcomeUnknownError('this VM stopped before the answer')
@@ -208,14 +208,15 @@
         return uuid.uuid4().hex
 
     def _on_reply(self, reply: asyncio.Future) -> None:
+        if reply.cancelled():
+            error = errors.OutcomeUnknownError('the request was cancelled')
+        else:
+            error = reply.exception()
         if self._stage is not Stage.WAITING or self._stream.closed():
             return
         # Every kind of exception is reported to the caller with an outcome.
-        if reply.cancelled():
-            text = 'the request was cancelled'
-            self._write_failure(errors.OutcomeUnknownError(text))
-        elif reply.exception() is not None:
-            self._write_failure(reply.exception())
+        if error is not None:
+            self._write_failure(error)
         else:
             try:
                 self._write_answer(reply.result())
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -17,6 +17,7 @@
 PIECE_BYTES = 256 * 1024
 PIECE_INTERVAL_S = 0.002
 ANSWER_LIMIT_S = 5.0
+CONNECT_LIMIT_S = 0.5
 QUEUED_CONNECTIONS = 20
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
 POST = (
@@ -54,6 +55,7 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
             )
         # The kernel completes the handshake before the server accepts.
+        self.socket.settimeout(CONNECT_LIMIT_S)
         self.socket.connect((address.host, address.port))
         self.socket.setblocking(False)
 
@@ -270,6 +272,18 @@
         (cut,) = self.cuts()
         self.assertEqual((cut['stage'], cut['closed_by']), ('waiting', 'vm'))
 
+    async def test_an_answer_that_is_ready_is_delivered_by_a_stop(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        answer = data.Answer(200, (), b'ok', 's0')
+        self.dispatcher.dispatches[0].answer(answer)
+        await self.frontend.stop()
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(self.cuts(), [])
+
     async def test_a_stop_waits_no_longer_than_its_limit_for_a_slow_reader(
         self,
     ):
