Let the kernel queue 1024 connections that are not accepted yet

What callers saw: connections that time out, or are reset once the VM stops, when many connect while its event loop is busy.

Cause: the listening socket had tornado's backlog of 128. Beyond it the kernel drops the handshake; a caller tries again after one second, or takes the connection for open and is reset when the socket closes.

Evidence: test_a_burst_of_connections_fits_the_queue_of_the_kernel: the connection after the 129th of 300 timed out at 0.5 s.

Change: a backlog of 1024; the kernel caps it at somaxconn, 4096 here. The queue that is emptied before the socket closes has the same size.

--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -13,7 +13,7 @@
 IDLE_TIMEOUT_S = 75.0
 HEADER_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
-MAX_QUEUED_CONNECTIONS = 1024  # Accepted when the listening socket closes.
+MAX_QUEUED_CONNECTIONS = 1024  # Held by the kernel until they are accepted.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
 CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
 
@@ -117,7 +117,10 @@
     def start(self, reuse_port: bool) -> None:
         """Opens the listening socket."""
         for listening in netutil.bind_sockets(
-            self._address.port, self._address.host, reuse_port=reuse_port
+            self._address.port,
+            self._address.host,
+            backlog=MAX_QUEUED_CONNECTIONS,
+            reuse_port=reuse_port,
         ):
             self._stop_accepting_by_socket[listening] = (
                 netutil.add_accept_handler(listening, self._on_accepted)
@@ -196,7 +199,7 @@
         self._stop_accepting_by_socket.clear()
 
     def _accept_queued(self, listening: socket.socket) -> None:
-        for _ in range(MAX_QUEUED_CONNECTIONS):
+        for _ in range(MAX_QUEUED_CONNECTIONS + 1):
             try:
                 self._on_accepted(*listening.accept())
             except BlockingIOError:
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -19,6 +19,7 @@
 ANSWER_LIMIT_S = 5.0
 CONNECT_LIMIT_S = 0.5
 QUEUED_CONNECTIONS = 20
+BURST_CONNECTIONS = 300
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
 POST = (
     b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
@@ -207,6 +208,14 @@
         for caller in callers:
             self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_burst_of_connections_fits_the_queue_of_the_kernel(self):
+        # Nothing is accepted until this coroutine waits.
+        callers = [self.connect() for _ in range(BURST_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        for caller in callers:
+            self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_connections_not_yet_accepted_are_refused_by_a_stop(self):
         callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
         for caller in callers:
