--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 import socket
+import time
 from unittest import mock
 
+from oriolefold_backend import headers as backend_headers
 from oriolefold_core import data, tasks
 from oriolefold_gateway import frontend
 from oriolefold_telemetry import logs
@@ -15,7 +17,9 @@
 PIECE_BYTES = 256 * 1024
 PIECE_INTERVAL_S = 0.002
 ANSWER_LIMIT_S = 5.0
+CONNECT_LIMIT_S = 0.5
 QUEUED_CONNECTIONS = 20
+BURST_CONNECTIONS = 300
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
 POST = (
     b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
@@ -52,6 +56,7 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
             )
         # The kernel completes the handshake before the server accepts.
+        self.socket.settimeout(CONNECT_LIMIT_S)
         self.socket.connect((address.host, address.port))
         self.socket.setblocking(False)
 
@@ -203,6 +208,14 @@
         for caller in callers:
             self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_burst_of_connections_fits_the_queue_of_the_kernel(self):
+        # Nothing is accepted until this coroutine waits.
+        callers = [self.connect() for _ in range(BURST_CONNECTIONS)]
+        for caller in callers:
+            caller.send(GET)
+        for caller in callers:
+            self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_connections_not_yet_accepted_are_refused_by_a_stop(self):
         callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
         for caller in callers:
@@ -268,6 +281,18 @@
         (cut,) = self.cuts()
         self.assertEqual((cut['stage'], cut['closed_by']), ('waiting', 'vm'))
 
+    async def test_an_answer_that_is_ready_is_delivered_by_a_stop(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        answer = data.Answer(200, (), b'ok', 's0')
+        self.dispatcher.dispatches[0].answer(answer)
+        await self.frontend.stop()
+        status, _, body = parse(await caller.read_to_end())
+        self.assertEqual((status, body), (200, b'ok'))
+        self.assertEqual(self.cuts(), [])
+
     async def test_a_stop_waits_no_longer_than_its_limit_for_a_slow_reader(
         self,
     ):
@@ -396,6 +421,151 @@
                     await asyncio.sleep(PIECE_INTERVAL_S)
 
 
+class ExceptionTest(ConnectionCase):
+    """Exceptions outside the tree leave no caller without an answer."""
+
+    async def test_an_answer_that_cannot_be_written_ends_as_unknown(self):
+        for name, value in (('X', '\u20ac'), ('X', 'a\r\nb'), ('X', None)):
+            with self.subTest(value=value):
+                self.log.reset_mock()
+                self.dispatcher.answer = data.Answer(
+                    200, ((name, value),), b'ok', 's0'
+                )
+                status, headers, body = await self.exchange(GET)
+                self.assertEqual(status, 500)
+                self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+                self.assertEqual(json.loads(body)['request_id'], 'a1')
+                (call,) = self.log.call_args_list
+                self.assertEqual(call.args, ('answer.unwritable',))
+                await self.wait_for(lambda: not self.frontend.in_flight)
+
+    async def test_an_answer_without_content_has_no_length(self):
+        self.dispatcher.answer = data.Answer(
+            204, (('Content-Length', '5'),), b'', 's0'
+        )
+        caller = await self.connect_204()
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def connect_204(self) -> Caller:
+        caller = self.connect()
+        caller.send(GET)
+        status, headers, _ = await caller.read_answer()
+        self.assertEqual(status, 204)
+        self.assertNotIn('Content-Length', headers)
+        return caller
+
+    async def test_a_reply_that_is_cancelled_ends_as_unknown(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        self.dispatcher.dispatches[0].reply.cancel()
+        status, headers, _ = await caller.read_answer()
+        self.assertEqual(status, 502)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'unknown')
+
+    async def test_an_exception_before_the_dispatch_ends_as_not_run(self):
+        with mock.patch.object(
+            backend_headers, 'forwarded', side_effect=ValueError('x')
+        ):
+            status, headers, _ = await self.exchange(GET)
+        self.assertEqual(status, 503)
+        self.assertEqual(headers['Oriolefold-Outcome'], 'not-run')
+        self.assertEqual(self.dispatcher.dispatches, [])
+        (call,) = self.log.call_args_list
+        self.assertEqual(call.args, ('request.unreadable',))
+
+    async def test_a_length_that_is_no_number_gets_an_answer(self):
+        for length in (b'\xb2', b'9' * 5000):
+            with self.subTest(length=length[:5]):
+                caller = self.connect()
+                caller.send(
+                    b'POST /svc/a HTTP/1.1\r\nHost: x\r\nContent-Length: '
+                    + length
+                    + b'\r\n\r\n'
+                )
+                received = await caller.read_to_end()
+                self.assertEqual(received.split()[1], b'400')
+
+
+class TimeoutTest(ConnectionCase):
+    """The limits on idle time and on slow heads do not mix."""
+
+    def set_timeouts(self, header_timeout_s: float, idle_timeout_s: float):
+        self.frontend.set_limits(
+            16384,
+            MAX_BODY_BYTES,
+            idle_timeout_s,
+            header_timeout_s=header_timeout_s,
+        )
+
+    async def test_a_head_that_is_too_slow_gets_408(self):
+        self.set_timeouts(0.2, 30.0)
+        caller = self.connect()
+        caller.send(GET[:30])
+        self.assert_refused(parse(await caller.read_to_end()), 408)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_the_rest_of_a_head_that_was_refused_is_not_dispatched(self):
+        self.set_timeouts(0.2, 30.0)
+        caller = self.connect()
+        caller.send(GET[:30])
+        answer = await caller.read_answer()
+        caller.send(GET[30:])
+        self.assertEqual(await caller.read_to_end(), b'')
+        self.assert_refused(answer, 408)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_the_idle_timeout_does_not_cut_a_head_under_way(self):
+        self.set_timeouts(5.0, 0.2)
+        caller = self.connect()
+        caller.send(GET[:30])
+        await asyncio.sleep(0.1)
+        self.set_timeouts(5.0, 0.1)
+        await asyncio.sleep(0.3)
+        caller.send(GET[30:])
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_longer_idle_timeout_holds_for_idle_connections(self):
+        self.set_timeouts(5.0, 0.2)
+        caller = await self.connect_used()
+        self.set_timeouts(5.0, 30.0)
+        await asyncio.sleep(0.4)
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_no_timeout_cuts_a_request_that_has_arrived(self):
+        self.set_timeouts(0.2, 0.2)
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(POST)
+        await asyncio.sleep(0.4)
+        caller.send(b'x' * 10)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        await asyncio.sleep(0.4)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_pause_of_the_process_cuts_nothing_that_has_arrived(self):
+        self.set_timeouts(0.2, 0.2)
+        caller = await self.connect_used()
+        for part in (b'', GET[:30]):
+            with self.subTest(part=part):
+                if part:
+                    caller.send(part)
+                    await asyncio.sleep(0.05)
+                caller.send(GET[len(part) :])
+                time.sleep(0.4)  # noqa: ASYNC251
+                self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_an_idle_connection_ends_after_its_timeout(self):
+        self.set_timeouts(5.0, 0.2)
+        for caller in (self.connect(), await self.connect_used()):
+            self.assertEqual(await caller.read_to_end(), b'')
+
+
 class CutTest(ConnectionCase):
     """Each connection that ends inside a request leaves a line."""
 
