Leave no call between tasks and peers without its reply

What callers saw: a request that waited for its deadline though its work had ended, in the own interface.

Causes, each with the test that shows it (before: no reply within 1 s): - sender: a send that raised anything but a project error. The child now owes the reply (test_unexpected_error_in_a_send_is_reported). - peer server: a reply that could not be encoded; the exception ended the child. The peer now gets an unknown outcome (test_reply_that_cannot_be_sent_is_outcome_unknown). - peer server: a reply while too many bytes to that peer were unsent was dropped. It now waits for room (test_reply_waits_for_a_peer_that_reads_ slowly; before: OutcomeUnknownError, the connection was closed). - peer link: any unexpected error while connecting left the link "connecting" for good, with all its calls; one while reading left it with a closed connection. Both now count as a lost connection (test_unexpected_error_while_connecting_fails_the_call, test_unexpected_error_while_reading_fails_the_call).

--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -36,7 +36,7 @@
             OverloadedError: If the peer reads too slowly.
             ProtocolError: If the message cannot be encoded.
         """
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if self._unsent_bytes() > MAX_UNSENT_BYTES:
             raise errors.OverloadedError(
                 'too many unsent bytes: the peer reads too slowly'
             )
@@ -87,12 +87,21 @@
             with contextlib.suppress(errors.OverloadedError):
                 self.send(0, messages.Ping())
 
+    async def wait_for_room(self) -> None:
+        """Waits until another frame can be written."""
+        with contextlib.suppress(ConnectionError):
+            while self._unsent_bytes() > MAX_UNSENT_BYTES:
+                await self._writer.drain()
+
     async def flush(self) -> None:
         """Waits until all frames are handed to the kernel."""
         self._writer.transport.set_write_buffer_limits(high=0)
         with contextlib.suppress(ConnectionError):
             await self._writer.drain()
 
+    def _unsent_bytes(self) -> int:
+        return self._writer.transport.get_write_buffer_size()
+
     def close(self) -> None:
         """Aborts the connection without sending what is buffered."""
         self._writer.transport.abort()
--- a/libs/peer/src/oriolefold_peer/link.py
+++ b/libs/peer/src/oriolefold_peer/link.py
@@ -130,7 +130,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 conn = await self._open()
-        except (OSError, TimeoutError, errors.OriolefoldError) as error:
+        except Exception as error:  # pylint: disable=broad-except
+            # Whatever has failed, the waiting calls were not sent.
             unreachable = errors.UnreachableError(f'{self._vm_id}: {error!r}')
             self.post(_Disconnected(unreachable))
             return
@@ -141,7 +142,8 @@
                 call_id, body = await conn.receive()
                 if call_id:
                     self.post(_Received(call_id, body))
-        except errors.OriolefoldError as error:
+        except Exception as error:  # pylint: disable=broad-except
+            # Whatever has failed, the calls get no replies any more.
             self.post(_Disconnected(errors.OutcomeUnknownError(str(error))))
         finally:
             pinging.cancel()
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -3,11 +3,14 @@
 import abc
 import asyncio
 import dataclasses
+import logging
 from typing import Any
 
 from oriolefold_core import data, errors, tasks
 from oriolefold_peer import codec, connection, messages
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class PeerHandler(abc.ABC):
     """Handles the calls of peers."""
@@ -137,4 +140,12 @@
         except Exception as error:  # pylint: disable=broad-except
             # Any error is sent to the caller, with its category.
             reply = errors.failure_of(error)
-        conn.send(call_id, reply)
+        await conn.wait_for_room()
+        try:
+            conn.send(call_id, reply)
+        except Exception as error:  # pylint: disable=broad-except
+            # The call has run, whatever category says why its reply is not
+            # sent.
+            _LOGGER.exception('reply to call %d was not sent', call_id)
+            unknown = errors.OutcomeUnknownError(f'no reply: {error}')
+            conn.send(call_id, errors.failure_of(unknown))
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
-from oriolefold_core import errors
+from oriolefold_core import data, errors
 from oriolefold_peer import codec, connection, link, messages, server
 from oriolefold_testbed import basecase
 
@@ -31,14 +32,28 @@
         self.started += 1
         if body.text == 'refuse':
             raise errors.NotHomeError('not here')
+        if body.text == 'unregistered':
+            return object()
         try:
             await asyncio.sleep(body.delay_s)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if body.text == 'long':
+            return Echo(LONG_TEXT)
         return Echo(f'{caller.vm_id} said {body.text}')
 
 
+class _FaultyCodec(codec.Codec):
+    """Codec that fails on an echo in a way that it should not."""
+
+    def decode(self, frame):
+        call_id, message = super().decode(frame)
+        if isinstance(message, Echo):
+            raise ValueError('unexpected')
+        return call_id, message
+
+
 class LinkTest(basecase.AsyncCase):
     """Calls reach the peer; errors tell whether a failed call was sent."""
 
@@ -52,9 +67,9 @@
         await self.start(self.server)
         self.link = await self.connect('vm1', self.address)
 
-    async def connect(self, vm_id, address):
+    async def connect(self, vm_id, address, frame_codec=CODEC):
         hello = messages.Hello('vm0', 'i0')
-        peer_link = link.PeerLink(vm_id, address, hello, CODEC)
+        peer_link = link.PeerLink(vm_id, address, hello, frame_codec)
         await self.start(peer_link)
         return peer_link
 
@@ -88,12 +103,42 @@
         with self.assertRaises(errors.OutcomeUnknownError):
             await calling
 
+    async def test_reply_that_cannot_be_sent_is_outcome_unknown(self):
+        async with asyncio.timeout(1):
+            with self.assertRaises(errors.OutcomeUnknownError):
+                await self.call('unregistered')
+        self.assertEqual((await self.call('next')).text, 'vm0 said next')
+
+    async def test_reply_waits_for_a_peer_that_reads_slowly(self):
+        with mock.patch.object(connection, 'MAX_UNSENT_BYTES', 1_000_000):
+            async with asyncio.timeout(3):
+                replies = await asyncio.gather(
+                    *(self.call('long', 0.2) for _ in range(2))
+                )
+        self.assertEqual(len(replies), 2)
+
+    async def test_unexpected_error_while_connecting_fails_the_call(self):
+        invalid = data.Address('\0', 1)
+        peer_link = await self.connect('vm1', invalid)
+        for _ in range(2):
+            async with asyncio.timeout(1):
+                with self.assertRaises(errors.UnreachableError):
+                    await self.call('x', peer_link=peer_link)
+
+    async def test_unexpected_error_while_reading_fails_the_call(self):
+        faulty = _FaultyCodec((*messages.CONNECTION_MESSAGES, Echo))
+        peer_link = await self.connect('vm1', self.address, faulty)
+        for _ in range(2):
+            async with asyncio.timeout(1):
+                with self.assertRaises(errors.OutcomeUnknownError):
+                    await self.call('x', peer_link=peer_link)
+
     async def test_calls_in_progress_get_their_replies_before_the_stop(self):
-        calling = asyncio.create_task(self.call(LONG_TEXT, 0.2))
+        calling = asyncio.create_task(self.call('long', 0.2))
         await self.wait_for(lambda: self.handler.started)
         await self.server.ask(messages.DrainCalls())
         await self.server.stop()
-        self.assertEqual(len((await calling).text), len(LONG_TEXT) + 9)
+        self.assertEqual((await calling).text, LONG_TEXT)
 
     async def test_call_while_draining_is_refused_as_not_run(self):
         calling = asyncio.create_task(self.call('slow', 0.3))
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -173,7 +173,7 @@
     def _start_send(self, job: _Job) -> None:
         self._loads_by_id[job.instance_id].in_flight += 1
         self._jobs_by_instance_id.setdefault(job.instance_id, set()).add(job)
-        child = self.spawn(self._send(job))
+        child = self.spawn(self._send(job), job.ask)
         # A child that is cancelled before its first step runs none of its code,
         # so the slot is released by a callback and not inside the child.
         child.add_done_callback(lambda _: self.post(_Finished(job)))
--- a/libs/sending/tests/test_sender.py
+++ b/libs/sending/tests/test_sender.py
@@ -93,3 +93,13 @@
         ask = messages.SendTo('absent', self.request(), permit)
         with self.assertRaises(errors.NoOwnerError):
             await self.sender.ask(ask)
+
+    async def test_unexpected_error_in_a_send_is_reported(self):
+        async def send(*_):
+            raise ValueError('unexpected')
+
+        self.backend.send = send
+        with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+            async with asyncio.timeout(1):
+                with self.assertRaises(ValueError):
+                    await self.sender.ask(self.make_send())
