Let no unexpected exception end a loop that others rely on

What it causes: an entry VM that keeps an old configuration, never leads again or never publishes another key map, with one log line.

Change: Task.spawn_loop runs a coroutine function again, 0.5 s after it has failed; the watchers and the election use it. A leader goes on at once rather than after the delay of the first election. The end of a publication is posted whatever ends it; as after a lost answer, the next write is based on the same version, so it conflicts if this one took effect. The status server answers 500.

The coordinator's grants and releases already posted their end in any case.

--- a/libs/core/src/oriolefold_core/tasks.py
+++ b/libs/core/src/oriolefold_core/tasks.py
@@ -15,11 +15,13 @@
 import dataclasses
 import functools
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from oriolefold_core import errors
 
+RESTART_DELAY_S = 0.5  # Before a loop that has failed runs again.
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -121,6 +123,25 @@
         child.add_done_callback(functools.partial(self._on_child_done, ask))
         return child
 
+    def spawn_loop(self, run: Callable[[], Coroutine]) -> asyncio.Task:
+        """Runs a coroutine function as a child, again whenever it fails.
+
+        Others rely on such a loop without asking, so its end would go
+        unnoticed.
+        """
+        return self.spawn(self._repeat_until_it_succeeds(run))
+
+    async def _repeat_until_it_succeeds(
+        self, run: Callable[[], Coroutine]
+    ) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception:  # pylint: disable=broad-except
+                _LOGGER.exception('loop of task %s failed', self.name)
+            await asyncio.sleep(RESTART_DELAY_S)
+
     def _on_child_done(self, ask: Ask | None, child: asyncio.Task) -> None:
         self._children.discard(child)
         if child.cancelled():
--- a/libs/core/tests/test_tasks.py
+++ b/libs/core/tests/test_tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 from oriolefold_core import errors, tasks
 from oriolefold_testbed import basecase
@@ -131,3 +132,18 @@
         await asyncio.sleep(0)
         await self.start(task)
         self.assertEqual(await asking, 8)
+
+    async def test_loop_goes_on_after_an_unexpected_error(self):
+        task = _Doubler()
+        await self.start(task)
+        runs = []
+
+        async def run():
+            runs.append(len(runs))
+            if len(runs) == 1:
+                raise ValueError('unexpected')
+
+        with mock.patch.object(tasks, 'RESTART_DELAY_S', 0.01):
+            with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+                await task.spawn_loop(run)
+        self.assertEqual(runs, [0, 1])
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -58,7 +58,7 @@
 class _PublishEnded:
     document: updates.Document | None
     key_map: ranges.KeyMap
-    error: errors.StoreError | None
+    error: Exception | None
 
 
 class Coordinator(tasks.Task):
@@ -136,7 +136,7 @@
 
     async def on_start(self) -> None:
         """Starts the election loop."""
-        self.spawn(self._run_election())
+        self.spawn_loop(self._run_election)
 
     async def resign(self) -> None:
         """Resigns leadership, so that another VM can take over at once."""
@@ -189,8 +189,9 @@
         self._step()
 
     async def _run_election(self) -> None:
-        first_delay_s = MAX_FIRST_READ_DELAY_S * self._random.random()
-        await asyncio.sleep(self._takeover_delay_s + first_delay_s)
+        if self._lease_manager is None:
+            first_delay_s = MAX_FIRST_READ_DELAY_S * self._random.random()
+            await asyncio.sleep(self._takeover_delay_s + first_delay_s)
         while not self._resigning:
             if self._lease_manager is None:
                 became_leader = await self._try_to_lead()
@@ -497,7 +498,12 @@
             )
         except errors.StoreError as error:
             publish_error = error
-        self.post(_PublishEnded(document, key_map, publish_error))
+        except Exception as error:
+            publish_error = error
+            raise
+        finally:
+            # No other map is published until this one has ended.
+            self.post(_PublishEnded(document, key_map, publish_error))
 
     def _handle_grant_ended(self, ended: _GrantEnded) -> None:
         if self._lease_manager is None:
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -1,6 +1,7 @@
 """HTTP server for readiness, metrics and requests from peer VMs."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from tornado import httpserver, httputil, netutil
@@ -9,6 +10,8 @@
 from oriolefold_direct import changefeed, peering
 from oriolefold_telemetry import counters, logs
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class StatusServer:
     """Serves readiness, metrics, load reports and change feed polls."""
@@ -81,11 +84,15 @@
             return
 
         async def answer_when_changed() -> None:
-            reply = await self._feed.changes(follower, revisions)
-            if reply is None:
-                _write(request, 503, b'')
-            else:
-                _write(request, 200, peering.encode_changes(reply))
+            try:
+                reply = await self._feed.changes(follower, revisions)
+                body = b'' if reply is None else peering.encode_changes(reply)
+            except Exception:  # pylint: disable=broad-except
+                # Without an answer the follower would wait for its time-out.
+                _LOGGER.exception('a poll of %s failed', follower.address)
+                _write(request, 500, b'')
+                return
+            _write(request, 200 if body else 503, body)
 
         poll_task = asyncio.create_task(answer_when_changed())
         self._poll_tasks.add(poll_task)
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -101,7 +101,7 @@
 
     async def on_start(self) -> None:
         """Starts the watch loop."""
-        self.spawn(self._watch_continuously())
+        self.spawn_loop(self._watch_continuously)
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -163,6 +163,36 @@
         document = await updates.read(self.store, name)
         self.assertEqual(document.write_ids[0], 'other')
 
+    def fail_once(self, method, prefix):
+        """Makes the next call of a store method for a prefix fail."""
+        call = getattr(self.store, method)
+        failed = []
+
+        async def call_and_fail(name, *arguments):
+            if name.startswith(prefix) and not failed:
+                failed.append(name)
+                raise ValueError('unexpected')
+            return await call(name, *arguments)
+
+        setattr(self.store, method, call_and_fail)
+        return failed
+
+    async def test_key_map_is_published_after_an_unexpected_error(self):
+        failed = self.fail_once('write', documents.KEY_MAP_PREFIX)
+        await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.assertTrue(failed)
+
+    async def test_election_goes_on_after_an_unexpected_error(self):
+        for method in ('read', 'write'):
+            with self.subTest(method):
+                self.instances.grants.clear()
+                self.store = memory.MemoryStore()
+                failed = self.fail_once(method, documents.LEADER_PREFIX)
+                await self.start_coordinator('one', fakes.endpoint('a'))
+                await self.wait_for(lambda: self.instances.grants)
+                self.assertTrue(failed)
+
     async def test_grants_are_renewed_during_a_store_outage(self):
         await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -67,6 +67,11 @@
         self.assertEqual(set(await self.deliver(again, 3)), {'k/c'})
         await self.wait_for(lambda: self.store.revisions[-1] == 9)
 
+    async def test_watch_goes_on_after_an_unexpected_error(self):
+        self.store.script.put_nowait(ValueError('unexpected'))
+        first = ports.Changes(3, (stored('a', 1),), complete=True)
+        self.assertEqual(set(await self.deliver(first, 1)), {'k/a'})
+
     async def test_older_and_invalid_objects(self):
         await self.deliver(ports.Changes(3, (stored('a', 5, b'new'),)), 1)
         old = ports.Changes(4, (stored('a', 4, b'old'), stored('b', 4)))
