Report the end of each call to the lease protocol

What it causes (own interface): the lease protocol waits for the end of each call. One that ended with an unexpected exception was never reported, so a vote that was asked for was never asked again (the home is not taken over), and a hand-back was not repeated (the home does not get its lease back). A peer or the application waited for a reply that did not come.

Change: the end of a call is posted whatever ends it; children that owe a reply are spawned with the ask; reading the guard record, the acquisition of shards, the watch of the store and the poll of the VM list are loops that go on. The granter already posted the end of each call.

Not tested by themselves: the loops of the watcher, of the guard record and of the VM list poll.

--- a/libs/daemon/src/oriolefold_daemon/vmlist.py
+++ b/libs/daemon/src/oriolefold_daemon/vmlist.py
@@ -32,7 +32,7 @@
 
     async def on_start(self) -> None:
         """Starts polling."""
-        self.spawn(self._poll())
+        self.spawn_loop(self._poll)
 
     async def on_stop(self) -> None:
         """Closes the connection."""
--- a/libs/ownership/src/oriolefold_ownership/guardrecorder.py
+++ b/libs/ownership/src/oriolefold_ownership/guardrecorder.py
@@ -35,9 +35,9 @@
                 )
                 if registered and not self._has_started:
                     self._has_started = True
-                    self.spawn(self._start())
+                    self.spawn_loop(self._start)
             case messages.RecordGuard():
-                self.spawn(self._record_and_answer(message))
+                self.spawn(self._record_and_answer(message), message)
 
     async def _start(self) -> None:
         while True:
--- a/libs/ownership/src/oriolefold_ownership/leasemanager.py
+++ b/libs/ownership/src/oriolefold_ownership/leasemanager.py
@@ -144,7 +144,12 @@
         self._shard_manager.post(messages.LeaseUpdated(send_lease))
 
     async def _call_and_post(self, call: protocol.Call) -> None:
-        self.post(_Replied(call, await self._call(call)))
+        reply = None
+        try:
+            reply = await self._call(call)
+        finally:
+            # The protocol waits for the end of each call.
+            self.post(_Replied(call, reply))
 
     async def _call(self, call: protocol.Call) -> Any:
         try:
@@ -215,7 +220,7 @@
         if reply is not None:
             call.answer(reply)
         else:
-            self.spawn(self._drain_and_answer(call))
+            self.spawn(self._drain_and_answer(call), call)
 
     async def _drain_and_answer(
         self, call: messages.HandleLeaseMessage
@@ -234,7 +239,7 @@
         logs.event('right.stepping_down', home=self._vm_id)
         self._protocol.step_down()
         self._publish_lease()
-        self.spawn(self._finish_step_down(ask))
+        self.spawn(self._finish_step_down(ask), ask)
 
     async def _finish_step_down(self, ask: messages.StepDown) -> None:
         while not await self._shard_manager.ask(messages.CheckAllDrained()):
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -201,8 +201,10 @@
         epochs_by_shard = {
             shard: shard_map.rows[shard].epoch for shard in shards
         }
-        child = self.spawn(
-            self._acquirer.acquire(shard_map, epochs_by_shard, self)
+        child = self.spawn_loop(
+            functools.partial(
+                self._acquirer.acquire, shard_map, epochs_by_shard, self
+            )
         )
         child.add_done_callback(lambda _: self._acquiring_maps.discard(map_key))
 
--- a/libs/ownership/src/oriolefold_ownership/watcher.py
+++ b/libs/ownership/src/oriolefold_ownership/watcher.py
@@ -77,7 +77,7 @@
 
     async def on_start(self) -> None:
         """Starts the watch."""
-        self.spawn(self._watch())
+        self.spawn_loop(self._watch)
 
     async def handle(self, message: Any) -> None:
         """Handles objects from the watch and maps written by the planner."""
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -21,12 +21,15 @@
 
     def __init__(self):
         self.requested_epochs = []
+        self.errors = []
 
     def update_guards(self, guards):
         """Ignores the guards."""
 
     async def acquire(self, shard_map, epochs_by_shard, shard_manager):
         self.requested_epochs.append(epochs_by_shard)
+        if self.errors:
+            raise self.errors.pop()
 
 
 class ShardManagerTest(basecase.AsyncCase):
@@ -174,6 +177,12 @@
         self.shard_manager.post(messages.ShardsAcquired('svc', epochs))
         self.assertEqual((await self.send()).status, 200)
 
+    async def test_acquisition_goes_on_after_an_unexpected_error(self):
+        self.renew_lease()
+        self.acquirer.errors = [ValueError('unexpected')]
+        self.change_map(prior_home_ids=('vm9',))
+        await self.wait_for(lambda: len(self.acquirer.requested_epochs) > 1)
+
     async def test_release_is_authoritative_only_under_a_held_lease(self):
         request = lease_messages.ReleaseRequest('svc', 1, 'vm0', (0,))
 
