Fall back to the store when polling a peer fails unexpectedly

What it causes: a VM that follows the change feed of another one would keep waiting for changes of a poll that has ended, and act on old configuration, instances and key maps.

Cause: only errors of the project's tree ended the following; after any other exception the finished poll still counted as one in progress. Found by reading; no run has shown such an exception.

Evidence: test_unexpected_error_ends_following (a reply with a prefix that is not watched here, KeyError). Before: the watch got nothing within 1 s. After: it goes on from the store, and the exception is logged with its traceback.

--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import dataclasses
+import logging
 
 from oriolefold_core import clock, errors
 from oriolefold_direct import messages, ports, relaying
@@ -26,6 +27,8 @@
 MIN_CONTACT_ADVANCE_S = 0.4
 MAX_LOG_ENTRIES = 256  # Changes kept for each prefix.
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class ChangeLog:
     """Current objects and recent changes of one prefix."""
@@ -371,7 +374,10 @@
                 polled_address = await self._poll_one(
                     polled_address, polled_address == address
                 )
-        except errors.OriolefoldError as error:
+        except Exception as error:  # pylint: disable=broad-except
+            # The watches rely on this loop, so they have to learn of its end.
+            if not isinstance(error, errors.OriolefoldError):
+                _LOGGER.exception('the poll of %s failed', polled_address)
             logs.event('feed.failed', address=polled_address, error=str(error))
             self._failed_at_s = self._clock.now_s()
             if polled_address == address:
--- a/libs/direct/tests/test_changefeed.py
+++ b/libs/direct/tests/test_changefeed.py
@@ -216,6 +216,19 @@
         self.store.follow('10.0.0.1:80')
         self.assertTrue(self.store.is_following)
 
+    async def test_unexpected_error_ends_following(self):
+        waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        self.store.follow('10.0.0.1:80')
+        # The leader replies for a prefix that nobody here watches.
+        change = ports.Changes(6, (stored('b', 6),))
+        self.peers.answers.put_nowait({'unknown/': change})
+        async with asyncio.timeout(1):
+            self.assertEqual((await waiting).revision, 5)
+            waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+            self.inner_store.script.put_nowait(change)
+            self.assertEqual(await waiting, change)
+        self.assertFalse(self.store.is_following)
+
     async def test_redirect_to_a_relay_is_followed(self):
         self.store.follow('10.0.0.1:80')
         relay = messages.ChangesReply({}, relay_address='10.0.0.2:80')
