Bound the resignation of a leader that stops

What was seen: a leader whose store was silent stayed until the stop limit, 0.6 s before the end of the grace period, and its listening socket stayed open until then. An unexpected exception while it resigned ended the stop before the drain, and with it the process: requests in progress were cut.

Cause: the drain waited for the resignation, which writes to the store for one service after the other; a write that gets no answer is resolved by up to eight reads of 1 s.

Change: all services resign at once, beside the drain, for 2 s at most; then other VMs find out by the missing heartbeats. A failed resignation is logged.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -31,6 +31,8 @@
 READY_CHECK_S = 0.05  # Interval of readiness checks.
 # Time after the stop limit in which the last answers are written.
 WRITE_LIMIT_S = 0.2
+# Other VMs elect a leader without a resignation, too, only later.
+RESIGN_LIMIT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -257,9 +259,7 @@
         self._dispatcher.post(gateway_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._settings.stop_limit_s):
-                drain_delay = asyncio.sleep(self._settings.drain_delay_s)
-                await asyncio.gather(self._coordinators.resign(), drain_delay)
-                await self._frontend.drain()
+                await asyncio.gather(self._resign(), self._drain())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
@@ -272,6 +272,19 @@
         self._peers.close()
         logs.event('daemon.stopped', vm=self._settings.vm_id)
 
+    async def _resign(self) -> None:
+        """Resigns leadership, as far as the store answers in time."""
+        try:
+            async with asyncio.timeout(RESIGN_LIMIT_S):
+                await self._coordinators.resign()
+        except TimeoutError:
+            logs.event('leadership.resign_failed', error='the store is silent')
+
+    async def _drain(self) -> None:
+        """Serves callers until none arrive any more, then ends requests."""
+        await asyncio.sleep(self._settings.drain_delay_s)
+        await self._frontend.drain()
+
     async def _end_requests(self) -> None:
         """Answers the requests in progress and waits until that is written."""
         await self._dispatcher.ask(gateway_messages.EndRequests())
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -1,11 +1,15 @@
 """Supervisor that runs one coordinator for each keyed service."""
 
+import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from oriolefold_core import tasks
 from oriolefold_direct import coordinator, messages
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class Coordinators(tasks.Task):
     """Starts and stops coordinators and routes messages to them."""
@@ -51,8 +55,14 @@
 
     async def resign(self) -> None:
         """Resigns leadership of all services."""
-        for running in self._by_service_id.values():
-            await running.resign()
+        outcomes = await asyncio.gather(
+            *(running.resign() for running in self._by_service_id.values()),
+            return_exceptions=True,
+        )
+        for error in outcomes:
+            if isinstance(error, Exception):
+                # The stop goes on: other VMs notice that the leader is gone.
+                _LOGGER.error('a coordinator did not resign', exc_info=error)
 
     async def on_stop(self) -> None:
         """Stops the coordinators."""
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -3,11 +3,12 @@
 import asyncio
 import re
 import time
+from unittest import mock
 
 import fakes
 
 from oriolefold_core import errors
-from oriolefold_direct import application, watching
+from oriolefold_direct import application, documents, watching
 from oriolefold_routing import attempts, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
@@ -28,7 +29,7 @@
     """
 
     def __init__(self):
-        self.error: errors.StoreError | None = None
+        self.error: Exception | None = None
         self.silent = False
         self.versions_by_name: dict[str, int] = {}
         self.contents_by_name: dict[str, bytes] = {}
@@ -208,3 +209,37 @@
         )
         self.assertIn(' 503 ', queued)
         self.assertEqual(len(self.sent_ids()), 2)
+
+    async def lead(self):
+        """Starts an entry VM that leads the keyed service."""
+        await self.start_entry(fakes.route(timeout_s=5.0), keyed=True)
+        name = documents.LEADER_PREFIX + 'svc'
+        await self.wait_for(lambda: name in self.store.contents_by_name)
+        # Until it has read the key map, there is nothing to resign.
+        await asyncio.sleep(0.1)
+
+    async def test_stop_does_not_wait_for_a_silent_store(self):
+        await self.lead()
+        self.store.silent = True
+        started_s = time.monotonic()
+        with mock.patch.object(application, 'RESIGN_LIMIT_S', 0.1):
+            await self.stop_entry()
+        self.assertLess(time.monotonic() - started_s, STOP_LIMIT_S - 0.2)
+
+    async def test_listening_ends_after_the_drain_delay_with_a_silent_store(
+        self,
+    ):
+        await self.lead()
+        self.store.silent = True
+        self.entry.request_stop()
+        await asyncio.sleep(DRAIN_DELAY_S + 0.2)
+        with self.assertRaises(OSError):
+            await self.connect()
+
+    async def test_failed_resignation_does_not_end_the_drain(self):
+        await self.lead()
+        self.store.error = ValueError('unexpected')
+        started_s = time.monotonic()
+        with self.assertLogs('oriolefold_direct', 'ERROR'):
+            await self.stop_entry()
+        self.assertGreater(time.monotonic() - started_s, DRAIN_DELAY_S)
