Refuse queued requests as not run when a daemon stops

What callers saw (own interface): a request that waited in a queue at the stop limit, so was sent nowhere, would end as unknown with 502.

Cause: only the sender and the shard manager know which requests wait.

Change: the application asks both to refuse what waits, before the dispatcher answers the rest: RefuseQueued for the queues of the instances, RefuseWaiting for requests whose shard has no owner yet.

Evidence: test_queued_requests_are_refused_before_a_stop (8 sends, 6 slots: 6 answers, 2 StoppingError), test_waiting_requests_are_refused_before_a_stop. The messages are new, so the tests could not fail before; the 502 was read from the code, not played.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -31,6 +31,7 @@
 from oriolefold_peer import codec, link, server
 from oriolefold_peer import messages as peer_messages
 from oriolefold_routing import balance, draining
+from oriolefold_sending import messages as sending_messages
 from oriolefold_sending import sender
 from oriolefold_store import http as store_http
 from oriolefold_telemetry import logs, metrics
@@ -221,6 +222,8 @@
 
     async def _end_requests(self) -> None:
         """Answers the requests in progress and waits until that is written."""
+        await self._sender.ask(sending_messages.RefuseQueued())
+        await self._shard_manager.ask(ownership_messages.RefuseWaiting())
         await self._dispatcher.ask(gateway_messages.EndRequests())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(WRITE_LIMIT_S):
--- a/libs/gateway/tests/test_dispatcher.py
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from unittest import mock
 
 from oriolefold_core import clock, data, errors, notices, tasks
 from oriolefold_gateway import dispatcher, messages
+from oriolefold_routing import retries
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
 
@@ -75,19 +77,21 @@
             ('at an instance', [None], errors.OutcomeUnknownError),
             (
                 'sent nowhere',
-                [errors.UnreachableError('down')] * 9,
-                errors.NotRunError,
+                [errors.UnreachableError('down')],
+                errors.StoppingError,
             ),
         ]
         for name, outcomes, error_class in cases:
             with self.subTest(name):
                 self.sender.outcomes = outcomes
                 sends = self.sender.sends
-                asking = asyncio.create_task(self.ask())
-                await self.wait_for(lambda n=sends: self.sender.sends > n)
-                await self.dispatcher.ask(messages.EndRequests())
-                with self.assertRaises(error_class):
-                    await asking
+                # Longer than the test, so that it waits for its retry.
+                with mock.patch.object(retries, 'backoff_s', return_value=5.0):
+                    asking = asyncio.create_task(self.ask())
+                    await self.wait_for(lambda n=sends: self.sender.sends > n)
+                    await self.dispatcher.ask(messages.EndRequests())
+                    with self.assertRaises(error_class):
+                        await asking
 
     async def test_unexpected_error_in_a_request_is_answered(self):
         self.sender.outcomes = [ValueError('unexpected')]
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -30,6 +30,14 @@
     schedule: draining.Schedule
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class RefuseWaiting(tasks.Ask):
+    """Refuses the requests that wait for an owner as not run, before a stop.
+
+    The reply is None.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseUpdated:
     """The send lease of this VM was renewed, or what it covers has changed."""
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -107,6 +107,7 @@
                 | messages.CheckHomeDrained()
                 | messages.CheckAllDrained()
                 | messages.DescribeLoads()
+                | messages.RefuseWaiting()
             ):
                 message.answer(self._reply_to(message))
             case messages.ShardsAcquired():
@@ -126,6 +127,11 @@
                 return self._is_drained(ask.home_id)
             case messages.DescribeLoads():
                 return self._describe_loads(ask.service_id)
+            case messages.RefuseWaiting():
+                text = f'{self._vm_id} stops before the request was sent'
+                for key in list(self._waiting_by_shard):
+                    self._refuse_waiting(key, errors.StoppingError, text)
+                return None
         return self._all_drained()
 
     def _configure(self, configuration) -> None:
@@ -230,7 +236,8 @@
                 messages.EndGrant(instance_id, service_id, shard)
             )
         if state.target is None:
-            self._reject_waiting(key)
+            text = f'{self._vm_id} is no longer the home of the shard'
+            self._refuse_waiting(key, errors.NotHomeError, text)
 
     def _dispatch(self, ask: messages.SendKeyed) -> None:
         if ask.reply.done():
@@ -283,13 +290,11 @@
                 max(0.0, left_s), ask.fail, errors.DeadlineExpiredError(text)
             )
 
-    def _reject_waiting(self, key: ShardKey) -> None:
+    def _refuse_waiting(
+        self, key: ShardKey, error_class: type[errors.NotRunError], text: str
+    ) -> None:
         for ask in self._waiting_by_shard.pop(key, ()):
-            ask.fail(
-                errors.NotHomeError(
-                    f'{self._vm_id} is no longer the home of the shard'
-                )
-            )
+            ask.fail(error_class(text))
 
     def _describe_loads(self, service_id: str) -> lease_messages.LoadReply:
         known = self._loads_by_service_id.get(service_id)
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -130,6 +130,18 @@
         owner = self.backend.instance(self.map.rows[0].owner_id)
         self.assertNotIn('late', owner.ran)
 
+    async def test_waiting_requests_are_refused_before_a_stop(self):
+        for name in ('s0', 's1', 's2'):
+            # No owner accepts its grant, so the request waits.
+            self.backend.instance(name).up = False
+        self.renew_lease()
+        sending = asyncio.create_task(self.send())
+        await asyncio.sleep(0.05)
+        await self.shard_manager.ask(messages.RefuseWaiting())
+        async with asyncio.timeout(1):
+            with self.assertRaises(errors.StoppingError):
+                await sending
+
     async def test_move_waits_for_requests_in_flight(self):
         self.renew_lease()
         await self.send()
--- a/libs/sending/src/oriolefold_sending/messages.py
+++ b/libs/sending/src/oriolefold_sending/messages.py
@@ -28,6 +28,14 @@
     instance_id: str
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class RefuseQueued(tasks.Ask):
+    """Refuses the queued requests as not run, before a stop.
+
+    The reply is None.
+    """
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class SendBalanced(tasks.Ask):
     """Asks the sender to choose an instance; the reply is an `Answer`.
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -90,6 +90,9 @@
                 self._admit_balanced(message)
             case messages.AbandonInstance():
                 self._abandon(message.instance_id)
+            case messages.RefuseQueued():
+                self._refuse_queued()
+                message.answer(None)
             case _Finished():
                 self._finish(message)
             case _RequestEnded():
@@ -206,6 +209,12 @@
             text = f'{instance_id} was declared lost while it had the request'
             job.ask.fail(errors.OutcomeUnknownError(text))
 
+    def _refuse_queued(self) -> None:
+        for queue in self._queues_by_id.values():
+            for waiter in queue.pop_all():
+                text = 'this VM stops before the request was sent'
+                waiter.payload.ask.fail(errors.StoppingError(text))
+
     def _finish(self, finished: _Finished) -> None:
         instance_id = finished.job.instance_id
         self._jobs_by_instance_id[instance_id].discard(finished.job)
--- a/libs/sending/tests/test_sender.py
+++ b/libs/sending/tests/test_sender.py
@@ -4,7 +4,7 @@
 import random
 
 from oriolefold_backend import memory, ports
-from oriolefold_core import clock, errors, notices
+from oriolefold_core import clock, data, errors, notices
 from oriolefold_routing import balance
 from oriolefold_sending import messages, sender
 from oriolefold_telemetry import metrics
@@ -80,6 +80,20 @@
         self.assertEqual(kinds.count(errors.OutcomeUnknownError), 6)
         self.assertEqual(kinds.count(errors.NoOwnerError), 2)
 
+    async def test_queued_requests_are_refused_before_a_stop(self):
+        self.backend.instance('s0').delay_s = 0.2
+        asks = [self.make_send(str(i)) for i in range(8)]
+        for ask in asks:
+            self.sender.post(ask)
+        await self.wait_for(lambda: len(self.backend.instance('s0').ran) == 6)
+        await self.sender.ask(messages.RefuseQueued())
+        outcomes = await asyncio.gather(
+            *(ask.reply for ask in asks), return_exceptions=True
+        )
+        kinds = [type(outcome) for outcome in outcomes]
+        self.assertEqual(kinds.count(data.Answer), 6)
+        self.assertEqual(kinds.count(errors.StoppingError), 2)
+
     async def test_leaving_instances_get_no_new_requests(self):
         leaving = frozenset({'s0', 's1'})
         self.sender.post(notices.InstancesLeaving(leaving))
