Keep the connection of a peer that reads slowly

What callers saw (own interface): all calls on a connection between two VMs ended as unknown when one of them read slowly.

Cause: the answer to a ping was refused while more than MAX_UNSENT_BYTES were unsent, and that error ended the connection. The side that pings already left its ping out then.

Change: the answer to a ping is left out, too; the unsent frames show that this VM is alive. A call while draining is refused in the child that answers it, which waits for room like other replies.

--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 import dataclasses
 import logging
 from typing import Any
@@ -121,13 +122,12 @@
     def _on_message(self, client: _Client, hello, call_id, body) -> None:
         calls_by_id = client.calls_by_id
         if isinstance(body, messages.Ping):
-            client.conn.send(0, messages.Pong())
+            # Frames that are still unsent show that this VM is alive, too.
+            with contextlib.suppress(errors.OverloadedError):
+                client.conn.send(0, messages.Pong())
         elif isinstance(body, messages.Cancel):
             if call_id in calls_by_id:
                 calls_by_id[call_id].cancel()
-        elif self._draining:
-            refusal = errors.StoppingError('the process is stopping')
-            client.conn.send(call_id, errors.failure_of(refusal))
         else:
             answering = self._answer(client.conn, hello, call_id, body)
             call = self.spawn(answering)
@@ -136,6 +136,8 @@
 
     async def _answer(self, conn, hello, call_id, body) -> None:
         try:
+            if self._draining:
+                raise errors.StoppingError('the process is stopping')
             reply = await self._handler.answer(hello, body)
         except Exception as error:  # pylint: disable=broad-except
             # Any error is sent to the caller, with its category.
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -113,9 +113,9 @@
         with mock.patch.object(connection, 'MAX_UNSENT_BYTES', 1_000_000):
             async with asyncio.timeout(3):
                 replies = await asyncio.gather(
-                    *(self.call('long', 0.2) for _ in range(2))
+                    *(self.call('long', 0.2) for _ in range(4))
                 )
-        self.assertEqual(len(replies), 2)
+        self.assertEqual(len(replies), 4)
 
     async def test_unexpected_error_while_connecting_fails_the_call(self):
         invalid = data.Address('\0', 1)
