--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -2,12 +2,16 @@
 
 import abc
 import asyncio
+import contextlib
 import dataclasses
+import logging
 from typing import Any
 
 from oriolefold_core import bytebudget, data, errors, tasks
 from oriolefold_peer import codec, connection, messages
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class PeerHandler(abc.ABC):
     """Handles the calls of peers."""
@@ -134,13 +138,12 @@
     def _on_message(self, client: _Client, hello, call_id, body) -> None:
         calls_by_id = client.calls_by_id
         if isinstance(body, messages.Ping):
-            client.conn.send(0, messages.Pong())
+            # Frames that are still unsent show that this VM is alive, too.
+            with contextlib.suppress(errors.OverloadedError):
+                client.conn.send(0, messages.Pong())
         elif isinstance(body, messages.Cancel):
             if call_id in calls_by_id:
                 calls_by_id[call_id].cancel()
-        elif self._draining:
-            refusal = errors.StoppingError('the process is stopping')
-            client.conn.send(call_id, errors.failure_of(refusal))
         else:
             answering = self._answer(client.conn, hello, call_id, body)
             call = self.spawn(answering)
@@ -149,8 +152,18 @@
 
     async def _answer(self, conn, hello, call_id, body) -> None:
         try:
+            if self._draining:
+                raise errors.StoppingError('the process is stopping')
             reply = await self._handler.answer(hello, body)
         except Exception as error:  # pylint: disable=broad-except
             # Any error is sent to the caller, with its category.
             reply = errors.failure_of(error)
-        conn.send(call_id, reply)
+        await conn.wait_for_room()
+        try:
+            conn.send(call_id, reply)
+        except Exception as error:  # pylint: disable=broad-except
+            # The call has run, whatever category says why its reply is not
+            # sent.
+            _LOGGER.exception('reply to call %d was not sent', call_id)
+            unknown = errors.OutcomeUnknownError(f'no reply: {error}')
+            conn.send(call_id, errors.failure_of(unknown))
