Bound the memory of responses that curl receives

What callers saw: nothing yet; servers or a store in trouble could fill a VM of the daemon. Tornado's curl client accepts bodies of 100 MB, and nothing limited their sum.

Evidence: test_endless_bodies_share_one_budget calls a server with an endless body eight times at once.

Change: HttpClient counts the parts of a body in a ByteBudget and ends the transfer that the budget aborts. The daemon passes its budget to the clients of servers and store. A response is counted until its call returns.

--- a/libs/backend/src/oriolefold_backend/http.py
+++ b/libs/backend/src/oriolefold_backend/http.py
@@ -5,7 +5,7 @@
 from tornado import httputil
 
 from oriolefold_backend import headers, ports
-from oriolefold_core import data, errors, results
+from oriolefold_core import bytebudget, data, errors, results
 from oriolefold_http import client
 
 CONNECT_TIMEOUT_S = 0.5
@@ -21,11 +21,17 @@
 class HttpBackend(ports.Backend):
     """Sends requests, grants and health checks over HTTP."""
 
-    def __init__(self):
-        self._client = client.HttpClient(MAX_SENDS)
+    def __init__(self, budget: bytebudget.ByteBudget | None = None):
+        """Initializes the adapter.
+
+        Args:
+            budget: Budget of the bytes of incomplete responses; by default
+                each client has its own.
+        """
+        self._client = client.HttpClient(MAX_SENDS, budget)
         # A separate client, so that grants and probes do not queue behind the
         # requests of callers.
-        self._control_client = client.HttpClient(MAX_CONTROL_CALLS)
+        self._control_client = client.HttpClient(MAX_CONTROL_CALLS, budget)
 
     async def send(
         self,
--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -55,9 +55,9 @@
         hello = peer_messages.Hello(values.vm_id, incarnation)
         frame_codec = codec.Codec(WIRE_MESSAGES)
         metrics_recorder = metrics.Metrics()
-        self._backend = backend_http.HttpBackend()
-        self._store = store_http.HttpStore(values.store_address)
         budget = bytebudget.ByteBudget(values.max_buffer_bytes)
+        self._backend = backend_http.HttpBackend(budget)
+        self._store = store_http.HttpStore(values.store_address, budget)
         self._peers = link.Peers(hello, frame_codec, budget)
         self._shard_manager = shardmanager.ShardManager(
             values.vm_id, boot_clock
--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -12,8 +12,9 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from oriolefold_core import errors
+from oriolefold_core import bytebudget, errors
 
+DEFAULT_BUDGET_BYTES = 100_000_000
 _NOTHING_SENT_CODES = frozenset(
     {
         pycurl.E_COULDNT_CONNECT,
@@ -39,12 +40,17 @@
     and paths are sent without normalization.
     """
 
-    def __init__(self, max_clients: int):
+    def __init__(
+        self, max_clients: int, budget: bytebudget.ByteBudget | None = None
+    ):
         """Initializes the client.
 
         Args:
             max_clients: Largest number of concurrent calls; further calls wait.
+            budget: Budget of the bytes of incomplete responses; by default the
+                client has its own.
         """
+        self._budget = budget or bytebudget.ByteBudget(DEFAULT_BUDGET_BYTES)
         self._client = _CurlClient(force_instance=True, max_clients=max_clients)
 
     async def call(
@@ -92,10 +98,32 @@
             return pycurl.PREREQFUNC_OK
 
         handle: pycurl.Curl | None = None
+        loop = asyncio.get_running_loop()
+
+        def abort() -> None:
+            # Curl cannot be called from its callback, which may have led here.
+            loop.call_soon(shut_down)
+
+        def shut_down() -> None:
+            if not fetching.done() and handle is not None:
+                _shut_down(handle)
+
+        hold = self._budget.open(abort)
 
         def prepare(curl: pycurl.Curl) -> None:
             nonlocal handle
             handle = curl
+            buffer = curl.info['buffer']
+
+            def receive(part: bytes) -> int:
+                hold.grow(len(part))
+                if not hold.size:
+                    # The call was aborted or cancelled: end the transfer.
+                    buffer.truncate(0)
+                    return 0
+                return buffer.write(part)
+
+            curl.setopt(pycurl.WRITEFUNCTION, receive)
             curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.PATH_AS_IS, 1)
             curl.setopt(pycurl.FRESH_CONNECT, 1 if at_most_once else 0)
@@ -117,8 +145,7 @@
         try:
             return await asyncio.shield(fetching)
         except asyncio.CancelledError:
-            if not fetching.done() and handle is not None:
-                _shut_down(handle)
+            shut_down()
             fetching.add_done_callback(_retrieve_exception)
             raise
         except curl_httpclient.CurlError as error:
@@ -128,6 +155,8 @@
             if error.errno in _NOTHING_SENT_CODES and not written:
                 raise errors.UnreachableError(str(error)) from error
             raise errors.OutcomeUnknownError(str(error)) from error
+        finally:
+            hold.release()
 
     def close(self) -> None:
         """Closes the connections."""
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -1,11 +1,14 @@
 """Tests of oriolefold_http.client."""
 
 import asyncio
+import contextlib
 
-from oriolefold_core import errors
+from oriolefold_core import bytebudget, errors
 from oriolefold_http import client
 from oriolefold_testbed import basecase
 
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNK = b'Transfer-Encoding: chunked\r\n\r\nfffffff0\r\n'
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -70,3 +73,77 @@
         with self.assertRaises(errors.OutcomeUnknownError):
             await self.call(at_most_once=True)
         self.assertEqual(self.received, 2)
+
+
+class EndlessResponseTest(basecase.AsyncCase):
+    """Responses without an end are bounded in size and time."""
+
+    async def start_server(self, first, repeated, interval_s=0.0):
+        """Starts a server that repeats bytes after each request."""
+        address = basecase.free_address()
+        self.written = 0
+
+        async def serve(reader, writer):
+            with contextlib.suppress(EOFError, ConnectionError):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(first)
+                while True:
+                    writer.write(repeated)
+                    self.written += len(repeated)
+                    await writer.drain()
+                    await asyncio.sleep(interval_s)
+            writer.transport.abort()
+
+        listening = await asyncio.start_server(
+            serve, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        return address
+
+    async def call(self, address, budget, timeout_s):
+        http_client = client.HttpClient(max_clients=8, budget=budget)
+        self.addCleanup(http_client.close)
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await http_client.call('GET', f'http://{address}/', timeout_s, 1.0)
+
+    async def test_endless_bodies_share_one_budget(self):
+        budget = bytebudget.ByteBudget(4_000_000)
+        for first in (HEAD + b'\r\n', HEAD + CHUNK):
+            with self.subTest(first):
+                address = await self.start_server(first, b'x' * 65536)
+                await asyncio.gather(
+                    *(self.call(address, budget, 20.0) for _ in range(8))
+                )
+                self.assertLess(self.written, 100_000_000)
+                self.assertEqual(budget.held_bytes, 0)
+
+    async def test_endless_heads_end(self):
+        for first, repeated in (
+            (HEAD, b'A: ' + b'b' * 1000 + b'\r\n'),
+            (b'', b'HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n' * 100),
+            (HEAD + CHUNK[:-10], b'0' * 1000),
+        ):
+            with self.subTest(repeated[:40]):
+                address = await self.start_server(first, repeated)
+                budget = bytebudget.ByteBudget(4_000_000)
+                await self.call(address, budget, 20.0)
+                self.assertLess(self.written, 100_000_000)
+
+    async def test_a_response_that_trickles_ends_at_its_timeout(self):
+        for first in (b'', HEAD, HEAD + b'\r\n', HEAD + CHUNK):
+            with self.subTest(first):
+                address = await self.start_server(first, b'A', 0.02)
+                budget = bytebudget.ByteBudget(4_000_000)
+                async with asyncio.timeout(2.0):
+                    await self.call(address, budget, 0.5)
+
+    async def test_a_large_response_passes(self):
+        body = b'x' * 3_000_000
+        length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        address = await self.start_server(HEAD + length + body, b'', 0.1)
+        budget = bytebudget.ByteBudget(10_000_000)
+        http_client = client.HttpClient(max_clients=1, budget=budget)
+        self.addCleanup(http_client.close)
+        response = await http_client.call('GET', f'http://{address}/', 5.0, 1.0)
+        self.assertEqual(response.body, body)
+        self.assertEqual(budget.held_bytes, 0)
--- a/libs/store/src/oriolefold_store/http.py
+++ b/libs/store/src/oriolefold_store/http.py
@@ -4,7 +4,7 @@
 import json
 from urllib import parse
 
-from oriolefold_core import data, errors
+from oriolefold_core import bytebudget, data, errors
 from oriolefold_http import client
 from oriolefold_store import ports
 
@@ -17,9 +17,20 @@
 class HttpStore(ports.Store):
     """Client of the store's HTTP interface."""
 
-    def __init__(self, address: data.Address):
+    def __init__(
+        self,
+        address: data.Address,
+        budget: bytebudget.ByteBudget | None = None,
+    ):
+        """Initializes the client.
+
+        Args:
+            address: Address of the store.
+            budget: Budget of the bytes of incomplete responses; by default
+                this client has its own.
+        """
         self._base = f'http://{address}'
-        self._client = client.HttpClient(MAX_CLIENTS)
+        self._client = client.HttpClient(MAX_CLIENTS, budget)
 
     async def read(self, name: str) -> ports.StoredObject:
         """Reads an object."""
