--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -45,12 +45,15 @@
         target: Path and query, sent without normalization.
         headers: Names and values.
         body: The complete body.
+        max_response_bytes: Largest accepted body of the response, if it is to
+            be smaller than the limit of the pool.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes = b''
+    max_response_bytes: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -339,6 +342,8 @@
             raise errors.UnreachableError('the connection was closed')
         connection.uses += 1
         http = http1connection.HTTP1Connection(stream, True, self._params)
+        if outgoing.max_response_bytes is not None:
+            http.set_max_body_size(outgoing.max_response_bytes)
         headers = httputil.HTTPHeaders()
         for name, value in outgoing.headers:
             headers.add(name, value)
