Bound the requests that the status server reads

What callers saw: nothing yet; a peer in trouble that sends a body without end to /load or /changes could fill a VM, or hold a connection for ever.

Cause: the server had tornado's default limits: bodies of 100 MB, and no time-out for a body.

Evidence: test_endless_bodies_are_cut_off could send 104.9 MB before its connection was closed; test_bodies_that_trickle_end saw no end within 10 s.

Change: bodies have at most 1 MiB and 2 s; headers have 10 s from the end of the previous request, more than peers keep an idle connection.

Measured after: both tests pass, and a poll of 430 kB is still read. Headers that trickle were not tried.

--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -9,6 +9,12 @@
 from oriolefold_direct import changefeed, peering
 from oriolefold_telemetry import counters, logs
 
+MAX_BODY_BYTES = 1024 * 1024  # Several times the largest report.
+BODY_TIMEOUT_S = 2.0
+# For the next request to arrive with its headers. Peers reuse connections that
+# were idle for up to 4 s.
+HEADER_TIMEOUT_S = 10.0
+
 
 class StatusServer:
     """Serves readiness, metrics, load reports and change feed polls."""
@@ -46,7 +52,12 @@
 
     def start(self) -> None:
         """Opens the listening socket."""
-        self._server = httpserver.HTTPServer(self._answer)
+        self._server = httpserver.HTTPServer(
+            self._answer,
+            max_body_size=MAX_BODY_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=HEADER_TIMEOUT_S,
+        )
         self._server.add_sockets(
             netutil.bind_sockets(self._address.port, self._address.host)
         )
--- /dev/null
+++ b/libs/direct/tests/test_status.py
@@ -0,0 +1,74 @@
+"""Tests of oriolefold_direct.status against peers in trouble."""
+
+import asyncio
+import contextlib
+import time
+
+import fakes
+
+from oriolefold_core import clock
+from oriolefold_direct import changefeed, peering, status
+from oriolefold_telemetry import counters
+from oriolefold_testbed import basecase
+
+MAX_BODY_BYTES = 2 * 1024 * 1024  # More than any report or poll has.
+PART = b'x' * 65536
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+class EndlessRequestTest(basecase.AsyncCase):
+    """Requests of peers that have no end are cut off."""
+
+    async def asyncSetUp(self):
+        self.address = basecase.free_address()
+        self.server = status.StatusServer(
+            self.address,
+            '/ready',
+            '/metrics',
+            lambda: True,
+            counters.Counters(),
+            basecase.RecordingTask(),
+            changefeed.ChangeFeed(clock.BootClock()),
+        )
+        self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def send(self, path, first, repeated, interval_s=0.0):
+        """Sends bytes until the connection is closed; returns their number."""
+        _, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        writer.write(f'POST {path} HTTP/1.1\r\nHost: h\r\n'.encode() + first)
+        sent = 0
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+                sent += len(repeated)
+                await asyncio.sleep(interval_s)
+        writer.transport.abort()
+        return sent
+
+    async def test_endless_bodies_are_cut_off(self):
+        for path in (peering.REPORT_PATH, peering.CHANGES_PATH):
+            with self.subTest(path):
+                repeated = b'10000\r\n' + PART + b'\r\n'
+                sent = await self.send(path, CHUNKED, repeated)
+                # Beside the limit, the kernel buffers some megabytes.
+                self.assertLess(sent, MAX_BODY_BYTES + 10_000_000)
+
+    async def test_bodies_that_trickle_end(self):
+        for first in (CHUNKED + b'100\r\n', b'Content-Length: 100\r\n\r\n'):
+            with self.subTest(first):
+                started_s = time.monotonic()
+                async with asyncio.timeout(10):
+                    await self.send(peering.REPORT_PATH, first, b'x', 0.1)
+                self.assertLess(time.monotonic() - started_s, 5)
+
+    async def test_a_large_report_is_accepted(self):
+        peers = peering.HttpPeers()
+        self.addCleanup(peers.close)
+        follower = fakes.follower()
+        revisions = {f'{i:0100}': i for i in range(4000)}
+        with self.assertRaisesRegex(Exception, 'status 503'):
+            await peers.changes(str(self.address), follower, revisions)
