Keep idle connections when a response fails after it has begun

What callers saw: requests that waited for a new connection. A response that failed midway within 0.15 s, for example one that was too large, counted as sign that servers drop idle connections; for 8 s no connection to any server was reused after half of that idle time.

Evidence: test_a_response_that_fails_midway_retires_no_idle_connection opened 3 connections before, where 2 were open and one of them idle.

Change: a loss lowers the idle limit only if no byte of a response had arrived.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -81,10 +81,12 @@
 
     Attributes:
         idle: Whether no exchange uses the stream.
+        has_received: Whether bytes arrived in the present exchange.
         hold: Counts the bytes of the present exchange.
     """
 
     idle = False
+    has_received = False
     hold: bytebudget.Hold | None = None
 
     @property
@@ -97,6 +99,7 @@
         count = super().read_from_fd(buf)
         if not count:
             return count
+        self.has_received = True
         if self.idle:
             self.close()
         elif self.hold is not None:
@@ -248,6 +251,7 @@
             raise errors.UnreachableError('the permission to send has expired')
         started_s = loop.time()
         stream = connection.stream
+        stream.has_received = False
         hold = stream.hold = self._budget.open(stream.abort, self._essential)
         incoming = None
         try:
@@ -307,10 +311,10 @@
     ) -> errors.OutcomeUnknownError:
         """Updates the idle limit and adds the idle time to the error.
 
-        On its first use a connection was not idle before, so the error is
-        returned unchanged.
+        On its first use a connection was not idle before, and one on which a
+        response has begun was open, so the error is returned unchanged.
         """
-        if connection.uses < 2:
+        if connection.uses < 2 or connection.stream.has_received:
             return error
         now_s = asyncio.get_running_loop().time()
         idle_for_s = started_s - connection.idle_since_s
