Abort responses that outgrow their announced length like unknown ones

What callers saw: nothing; found by reading. When a response to another request is skipped, its announced length stays with the hold of the exchange, so a response without an end that follows it counted as one of known length, and was aborted after proper responses that had announced a larger one.

Evidence: test_a_hold_that_outgrows_its_announcement_is_of_unknown_length: the budget aborted the proper one of 7.5 MB before.

Change: a hold that is larger than announced counts as one of unknown length. ByteBudget.aborted, which nothing read, is gone.

Measured after: the test passes, with those of test_endless.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -66,12 +66,11 @@
 
     When the budget is exhausted, the largest hold that still grows is aborted,
     since a response without an end outgrows proper ones sooner or later. Those
-    of unknown length come first, unless they are small, since one with an
-    announced length has an end.
+    of unknown length come first, unless they are small, since one that keeps to
+    an announced length has an end.
 
     Attributes:
         held_bytes: Number of bytes counted now.
-        aborted: Number of holds that were aborted so far.
     """
 
     def __init__(self, max_bytes: int):
@@ -84,7 +83,6 @@
         self._max_unreserved_bytes = int(max_bytes * (1 - RESERVE_FRACTION))
         self._growing: set[Hold] = set()
         self.held_bytes = 0
-        self.aborted = 0
 
     def open(self, abort: Callable[[], None], essential: bool = False) -> Hold:
         """Returns a new hold that may grow.
@@ -106,9 +104,7 @@
             else self._max_unreserved_bytes
         )
         while self.held_bytes > limit and hold in self._growing:
-            largest = max(self._growing, key=_precedence)
-            self.aborted += 1
-            largest.abort()
+            max(self._growing, key=_precedence).abort()
 
     def settle(self, hold: Hold, change: int) -> None:
         """Changes the size of a hold for the last time."""
@@ -124,6 +120,6 @@
 def _precedence(hold: Hold) -> tuple[bool, bool, int]:
     return (
         not hold.essential,
-        not hold.announced_size and hold.size > SMALL_BYTES,
+        hold.size > hold.announced_size + SMALL_BYTES,
         max(hold.size, hold.announced_size),
     )
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -46,6 +46,15 @@
         announced.grow(3_000_000)
         self.assertEqual(self.aborted_names, ['unknown', 'announced'])
 
+    def test_a_hold_that_outgrows_its_announcement_is_of_unknown_length(self):
+        false = self.open('false')
+        false.announced_size = 5
+        false.grow(1_000_000)
+        announced = self.open('announced')
+        announced.announced_size = 8_000_000
+        announced.grow(7_500_000)
+        self.assertEqual(self.aborted_names, ['false'])
+
     def test_complete_responses_are_never_aborted(self):
         complete = self.open('complete', 5_000_000)
         complete.settle(5_000_000)
