Send a fencing token again only where no later incarnation can take it

An instance that started again under its name took a renewal with the token of its earlier incarnation, until the registry told of the new one. Never two holders, but a key must move to another life with a higher token.

Cause: a renewal went over whatever connection the pool had, or over a new one, and the call names the instance, not its incarnation. No answer of an instance names its incarnation either.

Change: the pool numbers connections in the order of opening. A token that was sent once is sent again only over a connection that was open when it was last sent or accepted. Whatever started after that is not at its other end. All connections of the pool to the address count, so requests keep them open. Where none is left the owner is granted the same range with a new token out of 4,096 that each map write reserves: no further call, no write, no notice to the other VMs. Connections in use are waited for, 0.5 s at most; idle limits do not close the way to a renewal. A new leader writes the map once, which reserves tokens above its predecessors' and makes their map writes fail, before its first grant.

What it costs: during a store outage an owner is not renewed once all connections to it are lost.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -7,6 +7,13 @@
 leases have expired. Leaders that act on the same map send the same calls, which
 is harmless. A leader that was superseded stops within `AUTHORITY_S` of its last
 heartbeat, which bounds the end of its leases.
+
+An instance that starts again under its name must not take a token that its
+earlier incarnation had. A token is therefore sent again only over connections
+that were open when it was last sent or accepted: a later incarnation is not at
+their other end. Without such a connection the range gets a new token, one of
+those that the leader has reserved in the stored map. A new leader has no such
+connections and reserves tokens before its first grant.
 """
 
 import dataclasses
@@ -25,6 +32,8 @@
 BATCH_S = 0.06  # Window in which completed grants share one map write.
 REBALANCE_INTERVAL_S = 1.0  # Minimum time between voluntary moves.
 PLAN_INTERVAL_S = 0.1  # Between plans without events; planning is costly.
+RESERVED_TOKENS = 4096  # Reserved by each map write; at least one a range.
+BUSY_LIMIT_S = 0.5  # Longest wait for a connection that may carry a renewal.
 PUBLISH_RETRY_S = 0.5  # Delay after a failed write; failed calls are billed.
 
 
@@ -33,12 +42,20 @@
     """Action: grant or renew a range.
 
     Attributes:
-        key_range: The range with its owner and token.
+        key_range: The range with its owner and the token in the stored map.
         handover: State handed over by the last holder, or an empty string.
+        token: The token to send; it replaces that of the map if higher.
+        newest_connection: Number of the newest connection that may carry it,
+            or None if any may, since the token was never sent before.
+        sole_leader_only: Whether it may be sent only while no other VM can have
+            become the leader.
     """
 
     key_range: ranges.KeyRange
     handover: str
+    token: int
+    newest_connection: int | None = None
+    sole_leader_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +147,15 @@
         self._calls_in_flight: set[tuple] = set()
         self._next_call_at_s: dict[tuple, float] = {}
         self._unanswered_since_s: dict[tuple, float] = {}
+        self._busy_since_s: dict[tuple, float] = {}
+        # Earlier leaders may have sent all tokens below.
+        self._first_own_token = key_map.next_token
+        self._reserved_tokens: range = range(0)
+        self._replacements_by_token: dict[int, int] = {}
+        self._newest_connections_by_token: dict[int, int] = {}
+        self._unusable_tokens: set[int] = set()
+        # Tokens of grants in flight that any connection may carry.
+        self._first_sends: set[int] = set()
         self._excluded_until_s: dict[tuple, float] = {}
         self._publishing: ranges.KeyMap | None = None
         self._rebalance_not_before_s = 0.0
@@ -156,12 +182,18 @@
         self._holders_by_address = {h.address: h for h in ordered}
         self._born_ms_by_id = {h.instance_id: h.born_ms for h in ordered}
 
-    def step(self, now_s: float, profile: keyload.Profile) -> list:
+    def step(
+        self,
+        now_s: float,
+        profile: keyload.Profile,
+        is_sole_leader: bool = True,
+    ) -> list:
         """Returns the actions that are due: grants, releases, a map write.
 
         Args:
             now_s: Current time.
             profile: Load of the keys.
+            is_sole_leader: Whether no other VM can have become the leader yet.
         """
         actions = []
         plan_at_s = max(self._plan_not_before_s, self._publish_not_before_s)
@@ -172,7 +204,9 @@
                 self._publishing = changed
                 actions.append(Publish(changed))
         for key_range in self.key_map.ranges:
-            actions.extend(self._range_actions(key_range, now_s))
+            actions.extend(
+                self._range_actions(key_range, now_s, is_sole_leader)
+            )
         return actions
 
     def inherited_s(self, now_s: float) -> float:
@@ -189,6 +223,10 @@
         self._batch_started_s = None
         self._plan_not_before_s = float('-inf')
         self.key_map = key_map
+        self._reserved_tokens = range(
+            key_map.next_token - RESERVED_TOKENS, key_map.next_token
+        )
+        self._forget_unused_tokens()
         range_ids = {_range_id(r) for r in key_map.ranges}
         self._granted &= range_ids
         self._handovers = {
@@ -206,6 +244,7 @@
         accepted: bool,
         stale: bool,
         now_s: float,
+        newest_connection: int | None = None,
     ) -> None:
         """Handles the outcome of a grant.
 
@@ -214,11 +253,20 @@
             accepted: Whether the instance accepted it.
             stale: Whether the instance has seen a higher token.
             now_s: Current time.
+            newest_connection: Number of the newest connection at the time at
+                which the grant was written, or None if nothing was written.
         """
         key_range = grant.key_range
         range_id = _range_id(key_range)
         incarnation = _incarnation(key_range.owner)
         self._calls_in_flight.discard(('grant', range_id))
+        self._busy_since_s.pop(range_id, None)
+        if grant.newest_connection is None:
+            self._first_sends.discard(grant.token)
+        if newest_connection is not None and (
+            accepted or grant.newest_connection is None
+        ):
+            self._newest_connections_by_token[grant.token] = newest_connection
         if not stale:
             self._extend_lease(key_range, lease_end_s(now_s))
         pause_s = RENEW_INTERVAL_S if accepted else RETRY_INTERVAL_S
@@ -236,6 +284,29 @@
             if now_s - since_s > UNREACHABLE_AFTER_S:
                 self._excluded_until_s[incarnation] = now_s + EXCLUSION_S
 
+    def grant_not_sent(self, grant: Grant, busy: bool, now_s: float) -> bool:
+        """Handles a grant for which no permitted connection was free.
+
+        Args:
+            grant: The call.
+            busy: Whether a permitted connection is open and in use.
+            now_s: Current time.
+
+        Returns:
+            Whether the range gets a new token.
+        """
+        range_id = _range_id(grant.key_range)
+        self._calls_in_flight.discard(('grant', range_id))
+        if grant.token in self._unusable_tokens:
+            self._next_call_at_s[range_id] = now_s + RETRY_INTERVAL_S
+            return False
+        since_s = self._busy_since_s.setdefault(range_id, now_s)
+        if busy and now_s - since_s < BUSY_LIMIT_S:
+            return False
+        del self._busy_since_s[range_id]
+        self._unusable_tokens.add(grant.token)
+        return True
+
     def release_ended(
         self, release: Release, handover: str | None, now_s: float
     ) -> None:
@@ -272,9 +343,12 @@
         changed = assignment.assign(cleared, candidates, profile, may_balance)
         if may_balance and changed is not self.key_map:
             self._rebalance_not_before_s = now_s + REBALANCE_INTERVAL_S
-        if changed == self.key_map:
+        is_short = len(self._reserved_tokens) < len(self.key_map.ranges)
+        if changed == self.key_map and not is_short:
             return self.key_map
-        return changed
+        return dataclasses.replace(
+            changed, next_token=changed.next_token + RESERVED_TOKENS
+        )
 
     def _clear_priors(self, now_s: float) -> ranges.KeyMap:
         """Returns the map without the priors of ranges that are granted.
@@ -296,7 +370,9 @@
         )
         return dataclasses.replace(self.key_map, ranges=cleared)
 
-    def _range_actions(self, key_range: ranges.KeyRange, now_s: float) -> list:
+    def _range_actions(
+        self, key_range: ranges.KeyRange, now_s: float, is_sole_leader: bool
+    ) -> list:
         range_id = _range_id(key_range)
         actions = []
         released = True
@@ -316,10 +392,60 @@
         call = ('grant', range_id)
         due_s = self._next_call_at_s.get(range_id, 0.0)
         if released and call not in self._calls_in_flight and now_s >= due_s:
-            self._calls_in_flight.add(call)
-            actions.append(Grant(key_range, self._handover_for(key_range)))
+            grant = self._grant(key_range, is_sole_leader)
+            if grant is not None:
+                self._calls_in_flight.add(call)
+                actions.append(grant)
         return actions
 
+    def _grant(
+        self, key_range: ranges.KeyRange, is_sole_leader: bool
+    ) -> Grant | None:
+        """Returns the grant of a range, or None if no token may be sent."""
+        token = self._replacements_by_token.get(
+            key_range.token, key_range.token
+        )
+        if token < self._first_own_token or token in self._unusable_tokens:
+            if self._reserved_tokens and is_sole_leader:
+                token = self._reserved_tokens[0]
+                self._reserved_tokens = self._reserved_tokens[1:]
+                self._replacements_by_token[key_range.token] = token
+            elif token < self._first_own_token:
+                return None
+        newest_connection = self._newest_connections_by_token.get(token)
+        sole_leader_only = (
+            newest_connection is None and token != key_range.token
+        )
+        if sole_leader_only and not is_sole_leader:
+            return None
+        if newest_connection is None:
+            # Parts of a range that was split share a token.
+            if token in self._first_sends:
+                return None
+            self._first_sends.add(token)
+        return Grant(
+            key_range,
+            self._handover_for(key_range),
+            token,
+            newest_connection,
+            sole_leader_only,
+        )
+
+    def _forget_unused_tokens(self) -> None:
+        self._replacements_by_token = {
+            r.token: self._replacements_by_token[r.token]
+            for r in self.key_map.ranges
+            if r.token in self._replacements_by_token
+        }
+        used = {r.token for r in self.key_map.ranges}
+        used.update(self._replacements_by_token.values())
+        self._newest_connections_by_token = {
+            token: number
+            for token, number in self._newest_connections_by_token.items()
+            if token in used
+        }
+        self._unusable_tokens &= used
+
     def _is_released(
         self, key_range, prior: ranges.Holder, now_s: float
     ) -> bool:
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -45,7 +45,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _GrantEnded:
     grant: rangeleases.Grant
-    result: ports.GrantResult
+    outcome: ports.GrantOutcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +122,7 @@
         self._leader_document: updates.Document | None = None
         self._heartbeat_number = 0
         self._authority_until_s = 0.0
+        self._sole_leader_until_s = 0.0
         self._lease_manager: rangeleases.RangeLeaseManager | None = None
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[topology.Endpoint, ...] = ()
@@ -295,7 +296,7 @@
         self._store.stop_following()
         self._feed.record_contact()
         self._feed.start_leading(self._service_id)
-        self._authority_until_s = now_s + rangeleases.AUTHORITY_S
+        self._extend_authority(now_s)
         self._lease_manager = rangeleases.RangeLeaseManager(
             key_map, self._inherited_until_s(key_map, previous)
         )
@@ -362,7 +363,14 @@
         else:
             self._heartbeat_number += 1
             self._feed.record_contact()
-            self._authority_until_s = sent_at_s + rangeleases.AUTHORITY_S
+            self._extend_authority(sent_at_s)
+
+    def _extend_authority(self, heartbeat_sent_at_s: float) -> None:
+        self._authority_until_s = heartbeat_sent_at_s + rangeleases.AUTHORITY_S
+        # No other VM takes over sooner.
+        self._sole_leader_until_s = (
+            heartbeat_sent_at_s + leaderelection.SUSPECTED_TAKEOVER_S
+        )
 
     def _step_down(self, reason: str) -> None:
         if self._lease_manager is not None:
@@ -376,6 +384,12 @@
             and self._clock.now_s() < self._authority_until_s
         )
 
+    def _is_sole_leader(self) -> bool:
+        return (
+            self._lease_manager is not None
+            and self._clock.now_s() < self._sole_leader_until_s
+        )
+
     def _update_candidates(self) -> None:
         if self._lease_manager is None:
             return
@@ -453,7 +467,7 @@
         if now_s < self._settle_deadline_s and quiet_s < SETTLE_S:
             return
         for action in self._lease_manager.step(
-            now_s, self._load_tracker.profile(now_s)
+            now_s, self._load_tracker.profile(now_s), self._is_sole_leader()
         ):
             match action:
                 case rangeleases.Grant():
@@ -464,17 +478,20 @@
                     self.spawn(self._publish(action.key_map))
 
     async def _grant(self, grant: rangeleases.Grant) -> None:
-        result = ports.GrantResult.UNKNOWN
+        outcome = ports.GrantOutcome(ports.GrantResult.UNKNOWN)
         try:
-            result = await self._instances.grant(
-                grant.key_range,
+            outcome = await self._instances.grant(
+                dataclasses.replace(grant.key_range, token=grant.token),
                 rangeleases.LEASE_S,
                 grant.handover,
-                self._has_authority,
+                self._is_sole_leader
+                if grant.sole_leader_only
+                else self._has_authority,
+                grant.newest_connection,
             )
         finally:
-            self._metrics.count_grant('grant', result.value)
-            self.post(_GrantEnded(grant, result))
+            self._metrics.count_grant('grant', outcome.result.value)
+            self.post(_GrantEnded(grant, outcome))
 
     async def _release(self, release: rangeleases.Release) -> None:
         result = ports.ReleaseResult(False)
@@ -502,21 +519,28 @@
     def _handle_grant_ended(self, ended: _GrantEnded) -> None:
         if self._lease_manager is None:
             return
-        result = ended.result
+        result = ended.outcome.result
+        now_s = self._clock.now_s()
+        sent = dataclasses.replace(
+            ended.grant.key_range, token=ended.grant.token
+        )
+        if result in (ports.GrantResult.BUSY, ports.GrantResult.NO_CONNECTION):
+            is_busy = result is ports.GrantResult.BUSY
+            if self._lease_manager.grant_not_sent(ended.grant, is_busy, now_s):
+                self._log_key_range('grant.token_retired', sent, result.value)
+                self._step()
+            return
         self._lease_manager.grant_ended(
             ended.grant,
             result is ports.GrantResult.ACCEPTED,
             result is ports.GrantResult.STALE,
-            self._clock.now_s(),
+            now_s,
+            ended.outcome.newest_connection,
         )
         if result is not ports.GrantResult.ACCEPTED:
-            self._log_key_range(
-                'grant.failed', ended.grant.key_range, result.value
-            )
-        elif ended.grant.key_range.priors:
-            self._log_key_range(
-                'grant.accepted', ended.grant.key_range, result.value
-            )
+            self._log_key_range('grant.failed', sent, result.value)
+        elif sent.priors:
+            self._log_key_range('grant.accepted', sent, result.value)
             # Renewals have no priors: they are frequent and need no step.
             self._step()
 
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -39,6 +39,8 @@
         REFUSED: It refused the grant for another reason.
         OTHER_INSTANCE: Another instance has the address.
         UNKNOWN: Nothing was sent, or no answer came back.
+        BUSY: Nothing was sent; the permitted connections are in use.
+        NO_CONNECTION: Nothing was sent; no permitted connection is open.
     """
 
     ACCEPTED = 'taken'
@@ -46,6 +48,22 @@
     REFUSED = 'refused'
     OTHER_INSTANCE = 'other-instance'
     UNKNOWN = 'unknown'
+    BUSY = 'busy'
+    NO_CONNECTION = 'no-connection'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantOutcome:
+    """Outcome of a grant.
+
+    Attributes:
+        result: How the instance responded.
+        newest_connection: Number of the newest connection when the grant was
+            written, or None if nothing was written.
+    """
+
+    result: GrantResult
+    newest_connection: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,15 +144,19 @@
         lease_s: float,
         handover: str,
         may_send: Callable[[], bool],
-    ) -> GrantResult:
+        newest_connection: int | None = None,
+    ) -> GrantOutcome:
         """Grants a key range to its owner or renews the grant.
 
         Args:
-            key_range: The range with its owner and token.
+            key_range: The range with its owner and the token to send.
             lease_s: Duration of the lease from its arrival, in seconds.
             handover: State from the previous holder, or an empty string.
             may_send: Called right before the grant is written to the socket;
                 if it returns false, nothing is sent.
+            newest_connection: If given, the grant may go only over connections
+                up to this number. They lead to no incarnation that started
+                after this one was opened.
         """
 
     @abc.abstractmethod
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -108,13 +108,15 @@
 
     Attributes:
         stream: Stream of the connection.
+        number: Its place in the order in which the pool opened connections.
         idle_until_s: Time from which the idle connection is not reused.
         idle_since_s: When it was last returned to the pool.
         uses: Number of requests written so far.
     """
 
-    def __init__(self, stream: _PooledStream):
+    def __init__(self, stream: _PooledStream, number: int):
         self.stream = stream
+        self.number = number
         self.idle_until_s = 0.0
         self.idle_since_s = 0.0
         self.uses = 0
@@ -149,6 +151,7 @@
         self._idle_by_address: dict[
             data.Address, collections.deque[_Connection]
         ] = {}
+        self._busy_by_address: dict[data.Address, set[_Connection]] = {}
         self.opened = 0
 
     async def exchange(
@@ -159,6 +162,7 @@
         connect_timeout_s: float,
         is_own_response: Callable[[httputil.HTTPHeaders], bool] | None = None,
         may_send: Callable[[], bool] | None = None,
+        newest_number: int | None = None,
     ) -> IncomingResponse:
         """Sends a request once and returns the complete response.
 
@@ -174,6 +178,8 @@
                 to this request; by default every response does.
             may_send: Called right before the request is written; nothing is
                 sent if it returns false.
+            newest_number: If given, only a connection that was open when
+                `opened` had this value may carry the request.
 
         Raises:
             UnreachableError: If nothing was sent.
@@ -181,10 +187,39 @@
         """
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_s
-        connection = self._take_idle(address, loop.time())
+        if newest_number is not None:
+            connection = self._take_older(address, newest_number)
+        else:
+            connection = self._take_idle(address, loop.time())
         if connection is None:
             connect_s = min(connect_timeout_s, timeout_s)
             connection = await self._connect(address, connect_s)
+        busy = self._busy_by_address.setdefault(address, set())
+        busy.add(connection)
+        try:
+            return await self._exchange_on(
+                connection,
+                address,
+                outgoing,
+                ends_at_s,
+                is_own_response,
+                may_send,
+            )
+        finally:
+            busy.discard(connection)
+            if not busy:
+                self._busy_by_address.pop(address, None)
+
+    async def _exchange_on(
+        self,
+        connection,
+        address,
+        outgoing,
+        ends_at_s: float,
+        is_own_response,
+        may_send,
+    ) -> IncomingResponse:
+        loop = asyncio.get_running_loop()
         if may_send is not None and not may_send():
             self._return_to_pool(address, connection, None)
             raise errors.UnreachableError('the permission to send has expired')
@@ -199,7 +234,8 @@
             raise self._record_loss(connection, started_s, error) from error
         except TimeoutError as error:
             connection.stream.close()
-            text = f'no response from {address} within {timeout_s:.3f} s'
+            waited_s = loop.time() - started_s
+            text = f'no response from {address} within {waited_s:.3f} s'
             raise errors.OutcomeUnknownError(text) from error
         except BaseException:
             connection.stream.close()
@@ -207,6 +243,13 @@
         self._return_to_pool(address, connection, incoming.headers)
         return incoming
 
+    def is_busy(self, address: data.Address, newest_number: int) -> bool:
+        """Whether a connection up to a number is open and in use."""
+        return any(
+            connection.number <= newest_number
+            for connection in self._busy_by_address.get(address, ())
+        )
+
     def close_idle(self, address: data.Address) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle_by_address.pop(address, ()):
@@ -233,6 +276,23 @@
             connection.stream.close()
         return None
 
+    def _take_older(self, address, newest_number: int) -> _Connection:
+        """Takes the connection up to a number that was idle for least time.
+
+        No other connection may replace it, so it is used for as long as it is
+        open, whatever the idle limits.
+        """
+        idle = self._idle_by_address.get(address, collections.deque())
+        for connection in reversed(idle):
+            if connection.number <= newest_number and connection.usable:
+                idle.remove(connection)
+                connection.stream.set_close_callback(None)
+                connection.stream.idle = False
+                return connection
+        raise errors.UnreachableError(
+            f'no connection to {address} up to number {newest_number} is idle'
+        )
+
     def _record_loss(
         self,
         connection: _Connection,
@@ -266,7 +326,7 @@
             raise
         self.opened += 1
         stream.set_nodelay(True)
-        return _Connection(stream)
+        return _Connection(stream, self.opened)
 
     async def _send_and_receive(
         self, address, connection, outgoing, is_own_response
