End a former holder when any service has its address

Cause: addresses of instances that ended go to instances of other services. The lease manager takes a later instance at the address of a former holder as its end, but the coordinator showed it only instances of its own service. A newer life of the former holder at another address hid the later instance, too.

Evidence: test_an_instance_of_another_service_ends_a_former_holder took 6.45 s until the next owner was granted, the rest of a lease; test_a_new_life_elsewhere_does_not_keep_the_old_address_blocked failed.

Change: the coordinator gives the lease manager all registered instances. Changes of other services do not count for the wait for registrations to settle before the first assignment.

Why it is safe: an instance with another id answers calls meant for the former holder with 421, and two processes cannot have one address. What only vanished from the registry is waited for as before.

After: both tests pass, the first within its 2 s; 200 random histories with no two holders.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -172,7 +172,7 @@
 
         Args:
             candidates: Instances that may own keys.
-            registered: All instances in the registry.
+            registered: All instances in the registry, of any service.
         """
         self._candidates = tuple(candidates)
         self._plan_not_before_s = float('-inf')
@@ -467,14 +467,21 @@
     def _is_superseded(self, key_range, prior: ranges.Holder) -> bool:
         """Whether the registry proves that a prior no longer blocks a grant.
 
-        A newer incarnation under the same name may have accepted a renewal
-        meant for its predecessor, so it unblocks only grants to that name.
+        An instance under another name rejects calls meant for the prior. A
+        newer incarnation under the same name may have accepted a grant meant
+        for its predecessor, so it unblocks only grants to that name.
         """
+        at_address = self._holders_by_address.get(prior.address, prior)
+        if (
+            at_address.instance_id != prior.instance_id
+            and at_address.born_ms > prior.born_ms
+        ):
+            return True
         born_ms = self._born_ms_by_id.get(prior.instance_id, prior.born_ms)
-        if born_ms > prior.born_ms:
-            return key_range.owner.instance_id == prior.instance_id
-        at_address = self._holders_by_address.get(prior.address)
-        return at_address is not None and at_address.born_ms > prior.born_ms
+        return (
+            born_ms > prior.born_ms
+            and key_range.owner.instance_id == prior.instance_id
+        )
 
     def _handover_for(self, key_range) -> str:
         handovers = self._handovers.get(_range_id(key_range), {})
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -697,6 +697,18 @@
         (again,) = lease_manager.step(0.2, PROFILE)
         self.assertIsInstance(again, rangeleases.Grant)
 
+    def test_a_new_life_elsewhere_does_not_keep_the_old_address_blocked(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        elsewhere = ranges.Holder('i1', 4, 'a4')
+        later = ranges.Holder('i9', 5, self.one.address)
+        registered = [elsewhere, later, self.two]
+        lease_manager.update([assignment.Candidate(self.two, 4)], registered)
+        self.assigned(lease_manager, 0.2)
+        actions = lease_manager.step(0.2, PROFILE)
+        self.assertTrue(any(isinstance(a, rangeleases.Grant) for a in actions))
+
     def granted(self, lease_manager, newest_connection=1):
         (grant,) = lease_manager.step(0.0, PROFILE)
         lease_manager.grant_ended(grant, True, False, 0.0, newest_connection)
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -126,6 +126,7 @@
         self._lease_manager: rangeleases.RangeLeaseManager | None = None
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[topology.Endpoint, ...] = ()
+        self._all_endpoints: tuple[topology.Endpoint, ...] = ()
         self._load_tracker = loadtracker.LoadTracker(time.now_s())
         self._load_updated_at_s = 0.0
         self._leader_address = ''
@@ -177,15 +178,17 @@
                 self._step()
 
     def _update_endpoints(self, update: messages.EndpointsUpdated) -> None:
+        all_endpoints = tuple(update.endpoints_by_id.values())
+        if all_endpoints == self._all_endpoints:
+            return
+        # Also an instance of another service ends the one whose address it has.
+        self._all_endpoints = all_endpoints
         endpoints = tuple(
-            e
-            for e in update.endpoints_by_id.values()
-            if e.service_id == self._service_id
+            e for e in all_endpoints if e.service_id == self._service_id
         )
-        if endpoints == self._endpoints:
-            return
-        self._endpoints = endpoints
-        self._registry_changed_at_s = self._clock.now_s()
+        if endpoints != self._endpoints:
+            self._endpoints = endpoints
+            self._registry_changed_at_s = self._clock.now_s()
         self._update_candidates()
         self._step()
 
@@ -398,7 +401,7 @@
             for e in self._endpoints
             if not e.draining
         ]
-        registered = [_holder(e) for e in self._endpoints]
+        registered = [_holder(e) for e in self._all_endpoints]
         self._lease_manager.update(candidates, registered)
 
     async def _collect_load(self) -> messages.ObservedLoad:
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -108,6 +108,23 @@
 
         await self.wait_for(settled)
 
+    async def test_an_instance_of_another_service_ends_a_former_holder(self):
+        former = fakes.endpoint('a')
+        started = await self.start_coordinator('one', former)
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.silent_ids.add('a')
+        later = fakes.endpoint(
+            'c', service='other', born_ms=2, address=former.address
+        )
+        before_s = self.clock.now_s()
+        started.post(fakes.endpoints_updated(fakes.endpoint('bb'), later))
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        waited_s = self.clock.now_s() - before_s
+        # Less than the rest of a lease.
+        self.assertLess(waited_s, 2.0)
+
     async def test_takeover_after_resignation_keeps_owners_not_tokens(self):
         first = await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
