Let failed grants extend no lease where they cannot have been applied

Cause: each failed grant extended the lease that is waited for, also one of which nothing was written (connection refused, none open), and one that an instance under another name rejected with 421. An owner that had ended was granted again every 0.25 s until it was given up, and each try began the wait anew.

Change: only a grant that was written extends a lease. A 421 proves that the owner has ended, as it already did for a release: it gets no more calls and no keys, and nobody waits for it, whether or not the registry still has it.

Why it is safe: what was not written cannot arrive, and the call names the instance, so whoever answers 421 is another one at the same address. Grants that were written and got no answer, or another failure, extend the lease as before.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -157,6 +157,7 @@
         # Tokens of grants in flight that any connection may carry.
         self._first_sends: set[int] = set()
         self._excluded_until_s: dict[tuple, float] = {}
+        self._ended: set[tuple] = set()  # Proved by calls, not the registry.
         self._publishing: ranges.KeyMap | None = None
         self._rebalance_not_before_s = 0.0
         self._publish_not_before_s = float('-inf')
@@ -227,6 +228,10 @@
             key_map.next_token - RESERVED_TOKENS, key_map.next_token
         )
         self._forget_unused_tokens()
+        known = [c.holder for c in self._candidates]
+        for key_range in key_map.ranges:
+            known.extend((key_range.owner, *key_range.priors))
+        self._ended &= {_incarnation(holder) for holder in known}
         range_ids = {_range_id(r) for r in key_map.ranges}
         self._granted &= range_ids
         self._handovers = {
@@ -267,7 +272,8 @@
             accepted or grant.newest_connection is None
         ):
             self._newest_connections_by_token[grant.token] = newest_connection
-        if not stale:
+        may_hold = accepted or newest_connection is not None
+        if may_hold and not stale:
             self._extend_lease(key_range, lease_end_s(now_s))
         pause_s = RENEW_INTERVAL_S if accepted else RETRY_INTERVAL_S
         self._next_call_at_s[range_id] = now_s + pause_s
@@ -284,6 +290,13 @@
             if now_s - since_s > UNREACHABLE_AFTER_S:
                 self._excluded_until_s[incarnation] = now_s + EXCLUSION_S
 
+    def owner_has_ended(self, grant: Grant) -> None:
+        """Handles a grant that an instance under another name rejected."""
+        self._calls_in_flight.discard(('grant', _range_id(grant.key_range)))
+        self._first_sends.discard(grant.token)
+        self._ended.add(_incarnation(grant.key_range.owner))
+        self._plan_not_before_s = float('-inf')
+
     def grant_not_sent(self, grant: Grant, busy: bool, now_s: float) -> bool:
         """Handles a grant for which no permitted connection was free.
 
@@ -336,6 +349,7 @@
             c
             for c in self._candidates
             if _incarnation(c.holder) not in self._excluded_until_s
+            and _incarnation(c.holder) not in self._ended
         ]
         cleared = self._clear_priors(now_s)
         stable = all(not r.priors for r in cleared.ranges)
@@ -389,6 +403,8 @@
             if call not in self._calls_in_flight and now_s >= due_s:
                 self._calls_in_flight.add(call)
                 actions.append(Release(key_range, prior))
+        if _incarnation(key_range.owner) in self._ended:
+            return actions
         call = ('grant', range_id)
         due_s = self._next_call_at_s.get(range_id, 0.0)
         if released and call not in self._calls_in_flight and now_s >= due_s:
@@ -465,12 +481,14 @@
         return now_s >= until_s
 
     def _is_superseded(self, key_range, prior: ranges.Holder) -> bool:
-        """Whether the registry proves that a prior no longer blocks a grant.
+        """Whether it is proven that a prior no longer blocks a grant.
 
         An instance under another name rejects calls meant for the prior. A
         newer incarnation under the same name may have accepted a grant meant
         for its predecessor, so it unblocks only grants to that name.
         """
+        if _incarnation(prior) in self._ended:
+            return True
         at_address = self._holders_by_address.get(prior.address, prior)
         if (
             at_address.instance_id != prior.instance_id
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -709,6 +709,55 @@
         actions = lease_manager.step(0.2, PROFILE)
         self.assertTrue(any(isinstance(a, rangeleases.Grant) for a in actions))
 
+    def grants_to_two_at_s(self, lease_manager, from_s):
+        """Moves all keys to the second instance and waits for its grant."""
+        lease_manager.update([assignment.Candidate(self.two, 4)], [self.two])
+        for step in range(2000):
+            now_s = from_s + step * 0.01
+            for action in lease_manager.step(now_s, PROFILE):
+                if isinstance(action, rangeleases.Publish):
+                    lease_manager.published(action.key_map)
+                elif isinstance(action, rangeleases.Grant):
+                    return now_s
+        return None
+
+    def test_a_grant_that_was_not_written_does_not_extend_a_lease(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        for now_s in (2.0, 2.5, 3.0):
+            (renewal,) = lease_manager.step(now_s, PROFILE)
+            lease_manager.grant_ended(renewal, False, False, now_s, None)
+        granted_at_s = self.grants_to_two_at_s(lease_manager, 3.0)
+        self.assertGreaterEqual(granted_at_s, rangeleases.lease_end_s(0.0))
+        self.assertLess(granted_at_s, rangeleases.lease_end_s(0.0) + 0.2)
+
+    def test_another_instance_that_answers_ends_the_owner(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        (renewal,) = lease_manager.step(2.0, PROFILE)
+        lease_manager.owner_has_ended(renewal)
+        self.assertEqual(lease_manager.step(2.3, PROFILE), [])
+        self.assertLess(self.grants_to_two_at_s(lease_manager, 2.4), 2.6)
+
+    def test_an_ended_instance_that_is_still_registered_gets_no_keys(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        lease_manager.owner_has_ended(self.granted(lease_manager))
+        both = [self.one, self.two]
+        lease_manager.update([assignment.Candidate(h, 4) for h in both], both)
+        for step in range(50):
+            for action in lease_manager.step(0.1 * step, PROFILE):
+                if isinstance(action, rangeleases.Publish):
+                    lease_manager.published(action.key_map)
+                elif isinstance(action, rangeleases.Grant):
+                    lease_manager.grant_ended(
+                        action, True, False, 0.1 * step, 1
+                    )
+        owners = {r.owner for r in lease_manager.key_map.ranges}
+        self.assertEqual(owners, {self.two})
+
     def granted(self, lease_manager, newest_connection=1):
         (grant,) = lease_manager.step(0.0, PROFILE)
         lease_manager.grant_ended(grant, True, False, 0.0, newest_connection)
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -533,6 +533,11 @@
                 self._log_key_range('grant.token_retired', sent, result.value)
                 self._step()
             return
+        if result is ports.GrantResult.OTHER_INSTANCE:
+            self._lease_manager.owner_has_ended(ended.grant)
+            self._log_key_range('grant.failed', sent, result.value)
+            self._step()
+            return
         self._lease_manager.grant_ended(
             ended.grant,
             result is ports.GrantResult.ACCEPTED,
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -57,6 +57,9 @@
         grants: Key ranges that were granted.
         releases: Released key ranges with their holders.
         silent_ids: Instances that answer no grant and no release.
+        replaced_ids: Instances whose address another one has; it answers no
+            release here.
+        rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
     """
 
@@ -67,6 +70,8 @@
         self.grants: list[ranges.KeyRange] = []
         self.releases: list[tuple[ranges.KeyRange, str]] = []
         self.silent_ids: set[str] = set()
+        self.replaced_ids: set[str] = set()
+        self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
 
     async def send(self, endpoint, call, remaining_s):
@@ -91,11 +96,14 @@
             return ports.GrantOutcome(ports.GrantResult.UNKNOWN)
         if newest_connection is not None and self.connections_lost:
             return ports.GrantOutcome(ports.GrantResult.NO_CONNECTION)
+        if key_range.owner.instance_id in self.replaced_ids:
+            self.rejected_grants.append(key_range)
+            return ports.GrantOutcome(ports.GrantResult.OTHER_INSTANCE, 1)
         self.grants.append(key_range)
         return ports.GrantOutcome(ports.GrantResult.ACCEPTED, 1)
 
     async def release(self, key_range, holder):
-        if holder.instance_id in self.silent_ids:
+        if holder.instance_id in self.silent_ids | self.replaced_ids:
             return ports.ReleaseResult(False)
         self.releases.append((key_range, holder.instance_id))
         return ports.ReleaseResult(True, 'state')
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -125,6 +125,20 @@
         # Less than the rest of a lease.
         self.assertLess(waited_s, 2.0)
 
+    async def test_another_instance_that_rejects_a_renewal_ends_the_owner(self):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.replaced_ids.add('a')
+        await self.wait_for(lambda: self.instances.rejected_grants)
+        before_s = self.clock.now_s()
+        both = fakes.endpoint('a'), fakes.endpoint('bb')
+        started.post(fakes.endpoints_updated(*both))
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        # Less than the rest of a lease.
+        self.assertLess(self.clock.now_s() - before_s, 2.0)
+
     async def test_takeover_after_resignation_keeps_owners_not_tokens(self):
         first = await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
