Skip test addresses that another program listens on

Cause: `free_address` counts up from a random port and never looked whether the port is free; two runs at a time can meet.

Change: it tries to bind first, and goes on to the next port if that one is in use. A run that takes the port between the probe and the use would still collide.

--- a/testbed/src/oriolefold_testbed/basecase.py
+++ b/testbed/src/oriolefold_testbed/basecase.py
@@ -1,8 +1,10 @@
 """Base test cases and factories of test data, shared by all libraries."""
 
 import asyncio
+import errno
 import itertools
 import random
+import socket
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -77,7 +79,22 @@
 
 def free_address() -> data.Address:
     """Returns a loopback address that is unique within this test run."""
-    return data.Address('127.0.0.1', next(_PORTS))
+    while True:
+        address = data.Address('127.0.0.1', next(_PORTS))
+        if _is_free(address):
+            return address
+
+
+def _is_free(address: data.Address) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((address.host, address.port))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            return False
+    return True
 
 
 def make_register(
