Count a grant that raised as one that may have been written

Since the lease of an unwritten grant is no longer extended, an unexpected exception in the client of the instances, after the grant was written, would have let the next owner in before the lease ended.

After: the test passes.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -481,7 +481,9 @@
                     self.spawn(self._publish(action.key_map))
 
     async def _grant(self, grant: rangeleases.Grant) -> None:
-        outcome = ports.GrantOutcome(ports.GrantResult.UNKNOWN)
+        # An exception does not tell whether the grant was written, and no
+        # connection has the number 0.
+        outcome = ports.GrantOutcome(ports.GrantResult.UNKNOWN, 0)
         try:
             outcome = await self._instances.grant(
                 dataclasses.replace(grant.key_range, token=grant.token),
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -61,6 +61,7 @@
             release here.
         rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
+        grant_error: Raised by grants after they were recorded.
     """
 
     def __init__(self):
@@ -73,6 +74,7 @@
         self.replaced_ids: set[str] = set()
         self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
+        self.grant_error: Exception | None = None
 
     async def send(self, endpoint, call, remaining_s):
         self.sent.append(Sent(endpoint.instance_id, call.request_id))
@@ -100,6 +102,8 @@
             self.rejected_grants.append(key_range)
             return ports.GrantOutcome(ports.GrantResult.OTHER_INSTANCE, 1)
         self.grants.append(key_range)
+        if self.grant_error is not None:
+            raise self.grant_error
         return ports.GrantOutcome(ports.GrantResult.ACCEPTED, 1)
 
     async def release(self, key_range, holder):
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -5,7 +5,7 @@
 
 import fakes
 
-from oriolefold_coordination import leaderelection
+from oriolefold_coordination import leaderelection, rangeleases
 from oriolefold_core import clock, errors
 from oriolefold_direct import (
     availability,
@@ -139,6 +139,22 @@
         # Less than the rest of a lease.
         self.assertLess(self.clock.now_s() - before_s, 2.0)
 
+    async def test_a_grant_that_raises_counts_as_written(self):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.grant_error = RuntimeError('unexpected')
+        count = len(self.instances.grants)
+        with self.assertLogs(level='ERROR'):
+            await self.wait_for(lambda: len(self.instances.grants) > count)
+        failed_at_s = self.clock.now_s()
+        self.instances.silent_ids.add('a')
+        started.post(fakes.endpoints_updated(fakes.endpoint('bb')))
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        waited_s = self.clock.now_s() - failed_at_s
+        self.assertGreater(waited_s, rangeleases.LEASE_S)
+
     async def test_takeover_after_resignation_keeps_owners_not_tokens(self):
         first = await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
