Reserve tokens in proportion to the ranges of a map

With more ranges than the 4,096 tokens of a reservation the map would have been written again at each plan, since too few were left right after it.

Evidence: test_a_map_with_many_ranges_is_reserved_for_once, 8,192 ranges: the second step had 4,097 actions, one of them a map write.

Change: a write reserves four tokens a range, 4,096 at least.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -32,7 +32,8 @@
 BATCH_S = 0.06  # Window in which completed grants share one map write.
 REBALANCE_INTERVAL_S = 1.0  # Minimum time between voluntary moves.
 PLAN_INTERVAL_S = 0.1  # Between plans without events; planning is costly.
-RESERVED_TOKENS = 4096  # Reserved by each map write; at least one a range.
+RESERVED_TOKENS = 4096  # Minimum that each map write reserves.
+RESERVED_TOKENS_PER_RANGE = 4
 BUSY_LIMIT_S = 0.5  # Longest wait for a connection that may carry a renewal.
 PUBLISH_RETRY_S = 0.5  # Delay after a failed write; failed calls are billed.
 
@@ -225,7 +226,7 @@
         self._plan_not_before_s = float('-inf')
         self.key_map = key_map
         self._reserved_tokens = range(
-            key_map.next_token - RESERVED_TOKENS, key_map.next_token
+            key_map.next_token - _reserved_count(key_map), key_map.next_token
         )
         self._forget_unused_tokens()
         known = [c.holder for c in self._candidates]
@@ -361,7 +362,7 @@
         if changed == self.key_map and not is_short:
             return self.key_map
         return dataclasses.replace(
-            changed, next_token=changed.next_token + RESERVED_TOKENS
+            changed, next_token=changed.next_token + _reserved_count(changed)
         )
 
     def _clear_priors(self, now_s: float) -> ranges.KeyMap:
@@ -522,6 +523,11 @@
     return key_range.first, key_range.last, key_range.token
 
 
+def _reserved_count(key_map: ranges.KeyMap) -> int:
+    """Returns the number of tokens that a write of the map reserves."""
+    return max(RESERVED_TOKENS, RESERVED_TOKENS_PER_RANGE * len(key_map.ranges))
+
+
 def _overlap(range_id: tuple, key_range: ranges.KeyRange) -> bool:
     return range_id[0] <= key_range.last and range_id[1] >= key_range.first
 
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -810,6 +810,19 @@
         (again,) = lease_manager.step(2.3, PROFILE)
         self.assertGreater(again.token, first.token)
 
+    def test_a_map_with_many_ranges_is_reserved_for_once(self):
+        count = 2 * rangeleases.RESERVED_TOKENS
+        stored = ranges.KeyMap(
+            'svc',
+            count + 1,
+            tuple(ranges.KeyRange(n, n, self.one, n + 1) for n in range(count)),
+        )
+        lease_manager = self.lease_manager([self.one], stored)
+        self.assigned(lease_manager)
+        actions = lease_manager.step(1.0, PROFILE)
+        self.assertEqual(len(actions), count)
+        self.assertEqual({type(a) for a in actions}, {rangeleases.Grant})
+
     def test_a_new_leader_reserves_tokens_before_its_first_grant(self):
         stored = self.assigned(self.lease_manager([self.one]))
         successor = self.lease_manager([self.one], stored)
