Explain which writes and proofs a move of a range needs

The last write of a move is not needed for safety: a leader grants and renews without it (test_a_moved_range_is_renewed_while_the_last_write_fails, which passed on the code as it was).

--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -840,6 +840,28 @@
         (grant,) = successor.step(0.1, PROFILE, True)
         self.assertTrue(grant.sole_leader_only)
 
+    def test_a_moved_range_is_renewed_while_the_last_write_fails(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        lease_manager.update([assignment.Candidate(self.two, 4)], [self.two])
+        self.assigned(lease_manager, 0.2)
+        grants_at_s = []
+        for step in range(100):
+            now_s = 0.2 + 0.1 * step
+            for action in lease_manager.step(now_s, PROFILE, False):
+                match action:
+                    case rangeleases.Publish():
+                        lease_manager.publishing_failed(now_s)
+                    case rangeleases.Release():
+                        lease_manager.release_ended(action, '', now_s)
+                    case rangeleases.Grant():
+                        lease_manager.grant_ended(action, True, False, now_s, 1)
+                        grants_at_s.append(now_s)
+        self.assertTrue(all(r.priors for r in lease_manager.key_map.ranges))
+        self.assertLess(grants_at_s[0], 1.0)
+        self.assertGreater(grants_at_s[-1], 8.0)
+
     def test_a_failed_write_is_replanned(self):
         lease_manager = self.lease_manager([self.one])
         lease_manager.step(0.0, PROFILE)
