--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -810,6 +810,19 @@
         (again,) = lease_manager.step(2.3, PROFILE)
         self.assertGreater(again.token, first.token)
 
+    def test_a_map_with_many_ranges_is_reserved_for_once(self):
+        count = 2 * rangeleases.RESERVED_TOKENS
+        stored = ranges.KeyMap(
+            'svc',
+            count + 1,
+            tuple(ranges.KeyRange(n, n, self.one, n + 1) for n in range(count)),
+        )
+        lease_manager = self.lease_manager([self.one], stored)
+        self.assigned(lease_manager)
+        actions = lease_manager.step(1.0, PROFILE)
+        self.assertEqual(len(actions), count)
+        self.assertEqual({type(a) for a in actions}, {rangeleases.Grant})
+
     def test_a_new_leader_reserves_tokens_before_its_first_grant(self):
         stored = self.assigned(self.lease_manager([self.one]))
         successor = self.lease_manager([self.one], stored)
@@ -827,6 +840,28 @@
         (grant,) = successor.step(0.1, PROFILE, True)
         self.assertTrue(grant.sole_leader_only)
 
+    def test_a_moved_range_is_renewed_while_the_last_write_fails(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        lease_manager.update([assignment.Candidate(self.two, 4)], [self.two])
+        self.assigned(lease_manager, 0.2)
+        grants_at_s = []
+        for step in range(100):
+            now_s = 0.2 + 0.1 * step
+            for action in lease_manager.step(now_s, PROFILE, False):
+                match action:
+                    case rangeleases.Publish():
+                        lease_manager.publishing_failed(now_s)
+                    case rangeleases.Release():
+                        lease_manager.release_ended(action, '', now_s)
+                    case rangeleases.Grant():
+                        lease_manager.grant_ended(action, True, False, now_s, 1)
+                        grants_at_s.append(now_s)
+        self.assertTrue(all(r.priors for r in lease_manager.key_map.ranges))
+        self.assertLess(grants_at_s[0], 1.0)
+        self.assertGreater(grants_at_s[-1], 8.0)
+
     def test_a_failed_write_is_replanned(self):
         lease_manager = self.lease_manager([self.one])
         lease_manager.step(0.0, PROFILE)
