Let a request that stops arriving hold up no drain

What an operator saw (introduced with counting requests from their first byte, found by reading): a caller that vanishes in the middle of its request, without an end of its connection, made the drain of its VM take the whole time limit of a stop.

Evidence: test_a_request_that_stops_arriving_holds_up_no_drain, half a head and half a body: the drain had not ended after 3 s.

Change: the drain waits for a partial request only while bytes come, with pauses of less than STALL_S, 1 s. The stop then refuses it, 503, not run.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -37,6 +37,7 @@
         )
         self._accepted_at_s = self._loop.time()
         self._idle_since_s = self._accepted_at_s
+        self._last_input_s = self._accepted_at_s
         self._has_received = False
         self._has_next = False  # Bytes of the next request have arrived.
         self._has_late_input = False
@@ -44,10 +45,20 @@
         self._timer: asyncio.TimerHandle | None = None
         self._serving: asyncio.Task | None = None
 
-    @property
-    def is_ending(self) -> bool:
-        """Whether the output has ended and the input is being discarded."""
-        return self._stream.output_ended
+    def is_busy(self, stall_s: float) -> bool:
+        """Returns whether a request is in progress or its end is under way.
+
+        Args:
+            stall_s: Time without input after which a request that has not
+                arrived completely no longer counts, in seconds.
+        """
+        current = self._exchange
+        if self._stream.output_ended:
+            return True
+        if current is None or not current.has_begun:
+            return False
+        pause_s = self._loop.time() - self._last_input_s
+        return current.is_read or pause_s < stall_s
 
     def awaits_first_request(self, limit_s: float) -> bool:
         """Returns whether a first request may still be on its way.
@@ -134,6 +145,7 @@
 
     def _on_input(self) -> None:
         self._has_received = True
+        self._last_input_s = self._loop.time()
         current = self._exchange
         if self._stream.output_ended:
             if current is None or not current.has_begun:
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -14,6 +14,7 @@
 HEADER_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
 MAX_QUEUED_CONNECTIONS = 1024  # Held by the kernel until they are accepted.
+STALL_S = 1.0  # Pause after which a partial request holds up no drain.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
 CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
 
@@ -158,14 +159,17 @@
         """Closes the listening socket and waits for the requests in progress.
 
         Meanwhile, requests on open connections are still served; each answer
-        asks the caller to close the connection. Requests that arrive after the
-        drain are refused, since their connections are about to be closed.
+        asks the caller to close the connection. A request that has stopped
+        arriving is not waited for. Requests that arrive after the drain are
+        refused, since their connections are about to be closed.
         """
         self.draining = True
         self._stop_listening()
         await self._wait_for_first_requests()
-        while self._in_flight or self._are_connections_ending():
-            await self._wait_for_change()
+        while any(
+            connection.is_busy(STALL_S) for connection in self._connections
+        ):
+            await self._wait_for_change(STALL_S)
         self.refusing = True
 
     async def stop(self) -> None:
@@ -179,7 +183,7 @@
                 while self._connections:
                     for connection in list(self._connections):
                         connection.end()
-                    await self._wait_for_change()
+                    await self._wait_for_change(CLOSE_LIMIT_S)
         except TimeoutError:
             pass
         for connection in list(self._connections):
@@ -211,20 +215,21 @@
                 return
 
     async def _wait_for_first_requests(self) -> None:
-        try:
-            async with asyncio.timeout(FIRST_REQUEST_S):
-                while any(
-                    connection.awaits_first_request(FIRST_REQUEST_S)
-                    for connection in self._connections
-                ):
-                    await self._wait_for_change()
-        except TimeoutError:
-            pass
+        while any(
+            connection.awaits_first_request(FIRST_REQUEST_S)
+            for connection in self._connections
+        ):
+            await self._wait_for_change(FIRST_REQUEST_S)
 
-    def _are_connections_ending(self) -> bool:
-        return any(connection.is_ending for connection in self._connections)
+    async def _wait_for_change(self, limit_s: float) -> None:
+        """Waits until a request starts or ends, or a connection ends.
 
-    async def _wait_for_change(self) -> None:
-        """Waits until a request starts or ends, or a connection ends."""
+        Args:
+            limit_s: Longest time to wait, in seconds.
+        """
         self._changed.clear()
-        await self._changed.wait()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -259,6 +259,16 @@
                 self.assertEqual(cut['stage'], 'reading')
                 self.assertEqual(cut['closed_by'], 'vm')
 
+    async def test_a_request_that_stops_arriving_holds_up_no_drain(self):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw)
+                async with asyncio.timeout(3 * frontend.STALL_S):
+                    await self.frontend.drain()
+                await self.frontend.stop()
+                self.assert_refused(parse(await caller.read_to_end()), 503)
+
     async def test_a_request_in_the_kernel_is_answered_by_a_stop(self):
         callers = [await self.connect_used() for _ in range(5)]
         for caller in callers:
