Check a request against the limits in force when it arrives

What callers saw: after a configuration had raised the largest body, the next request on a connection that was idle meanwhile got 413 by the old limit, though every configuration in force allowed it.

Cause: the limits were read when the connection became idle, not when the request came.

Evidence: test_a_raised_limit_holds_for_idle_connections, a body of 200 kB after the limit went from 1 kB to 200 kB: 413 before.

Change: an exchange takes the limits, and gives Tornado its own, when the headers have arrived.

--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -59,8 +59,7 @@
         """
         self._frontend = frontend
         self._dispatcher = dispatcher
-        self._max_header_bytes = frontend.max_header_bytes
-        self._max_body_bytes = frontend.max_body_bytes
+        self._max_body_bytes = 0
         self._http = http
         self._stream = stream
         self._stage = Stage.IDLE
@@ -106,8 +105,14 @@
         self._start_line = start_line
         self._headers = headers
         self._request_id = self._choose_request_id()
-        if _head_size(start_line, headers) > self._max_header_bytes:
-            text = f'the headers have more than {self._max_header_bytes} bytes'
+        # The limits may have been changed since the connection became idle.
+        self._max_body_bytes = self._frontend.max_body_bytes
+        self._http.set_max_body_size(
+            self._frontend.http_parameters.max_body_size
+        )
+        max_header_bytes = self._frontend.max_header_bytes
+        if _head_size(start_line, headers) > max_header_bytes:
+            text = f'the headers have more than {max_header_bytes} bytes'
             self._refuse_unread(errors.HeadersTooLargeError(text))
         elif _announced_bytes(headers) > self._max_body_bytes:
             self._refuse_body()
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -500,6 +500,20 @@
                 self.assertEqual(received.split()[1], b'400')
 
 
+class LimitTest(ConnectionCase):
+    """A request is checked against the limits in force when it arrives."""
+
+    async def test_a_raised_limit_holds_for_idle_connections(self):
+        caller = await self.connect_used()
+        body = b'x' * (200 * MAX_BODY_BYTES)
+        self.frontend.set_limits(16384, len(body), 30.0)
+        head = f'Host: x\r\nContent-Length: {len(body)}\r\n\r\n'
+        caller.send(f'POST /svc/a HTTP/1.1\r\n{head}'.encode() + body)
+        status, _, _ = await caller.read_answer()
+        self.assertEqual(status, 200)
+        self.assertEqual(len(self.dispatcher.dispatches[-1].body), len(body))
+
+
 class TimeoutTest(ConnectionCase):
     """The limits on idle time and on slow heads do not mix."""
 
