--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,8 @@
 SEEDS ?= 50
 ARGS ?=
 
-# Real processes under faults from outside; 25 s a seed. ARGS=--planned leaves out
-# unplanned faults; --vms=24 --instances=12 --callers=60 makes a larger cluster.
+# Real processes under faults from outside; 25 s a seed. ARGS=--mix=planned leaves
+# out unplanned faults; --vms=24 --instances=12 --callers=60 makes a larger cluster.
 fault-soak: setup
 	cd platform/tests && ../../$(BIN)/python -m soak --seed=$(SEED) --seeds=$(SEEDS) $(ARGS)
 
