Say not run of an expired deadline only while the request waits

What callers saw: a POST that waited for the owner of its key, was sent and ran longer than its deadline got DeadlineExpiredError, which says that it was not run (`not_run` true).

Cause: the shard manager set a timer that failed the ask of a waiting request at its deadline, and nobody cancelled the timer once the request was sent.

Change: the timer posts a message to the shard manager, which refuses the request only if it still waits. It also leaves the list of waiting requests then.

--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -40,6 +40,19 @@
         self.stale = stale
 
 
+class _DeadlinePassed:
+    """Message: the deadline of a request that had to wait has passed.
+
+    Attributes:
+        key: Shard of the request.
+        ask: The request, which may have been sent meanwhile.
+    """
+
+    def __init__(self, key: ShardKey, ask: messages.SendKeyed):
+        self.key = key
+        self.ask = ask
+
+
 class ShardManager(tasks.Task):
     """Owns the states of the shards that this VM sends for.
 
@@ -87,6 +100,8 @@
                 self._dispatch(message)
             case _SendDone():
                 self._on_send_done(message)
+            case _DeadlinePassed():
+                self._on_deadline_passed(message)
             case messages.Drain():
                 self._drain_schedule = message.schedule
             case messages.LeaseUpdated():
@@ -285,10 +300,14 @@
         else:
             waiting.append(ask)
             left_s = ask.request.expires_at_s - self._clock.now_s()
+            self.post_later(max(0.0, left_s), _DeadlinePassed(key, ask))
+
+    def _on_deadline_passed(self, passed: _DeadlinePassed) -> None:
+        waiting = self._waiting_by_shard.get(passed.key, [])
+        if passed.ask in waiting:
+            waiting.remove(passed.ask)
             text = 'deadline expired while waiting for the owner of the key'
-            asyncio.get_running_loop().call_later(
-                max(0.0, left_s), ask.fail, errors.DeadlineExpiredError(text)
-            )
+            passed.ask.fail(errors.DeadlineExpiredError(text))
 
     def _refuse_waiting(
         self, key: ShardKey, error_class: type[errors.NotRunError], text: str
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -142,6 +142,31 @@
             with self.assertRaises(errors.StoppingError):
                 await sending
 
+    async def test_deadline_of_a_waiting_request_says_not_run(self):
+        for name in ('s0', 's1', 's2'):
+            # No owner accepts its grant, so the request waits.
+            self.backend.instance(name).up = False
+        self.renew_lease()
+        request = basecase.make_request(expires_at_s=self.time.now_s() + 0.1)
+        async with asyncio.timeout(1):
+            with self.assertRaises(errors.DeadlineExpiredError):
+                await self.shard_manager.ask(messages.SendKeyed(request, 0))
+
+    async def test_deadline_of_a_request_that_was_sent_is_no_refusal(self):
+        """A request waits for its owner, then runs beyond its deadline."""
+        owner = self.backend.instance(self.map.rows[0].owner_id)
+        owner.delay_s = 0.6
+        self.renew_lease()
+        request = basecase.make_request(
+            'POST', expires_at_s=self.time.now_s() + 0.3
+        )
+        ask = messages.SendKeyed(request, 0)
+        self.shard_manager.post(ask)
+        await self.wait_for(lambda: owner.ran)
+        self.assertLess(self.time.now_s(), request.expires_at_s)
+        async with asyncio.timeout(5):
+            self.assertEqual((await ask.reply).status, 200)
+
     async def test_move_waits_for_requests_in_flight(self):
         self.renew_lease()
         await self.send()
