Refuse queued requests that outlast a stop when the drain begins

What callers saw: POSTs that were queued for a busy instance at SIGTERM, or waited for the owner of their key, stayed queued. When a slot became free 1.7 s after a SIGTERM with the stop at 2.0 s, they were sent and cut at the stop, so their outcome was unknown.

Cause: only the dispatcher and the entrance of the shard manager looked at the times of the stop; the queue of the sender knew nothing of them, and the requests that waited in the shard manager were looked at again only when a grant came.

Change: the sender gets the schedule by a message, like the dispatcher and the shard manager. Both refuse at once, as not run, what waits and cannot end in time; the sender looks again before each send from a queue, and at each new request. The question is asked in one place, draining.may_send_request.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -207,6 +207,7 @@
         schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
         self._dispatcher.post(gateway_messages.Drain(schedule))
         self._shard_manager.post(ownership_messages.Drain(schedule))
+        self._sender.post(sending_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -103,7 +103,7 @@
             case _DeadlinePassed():
                 self._on_deadline_passed(message)
             case messages.Drain():
-                self._drain_schedule = message.schedule
+                self._drain(message.schedule)
             case messages.LeaseUpdated():
                 self._on_lease_updated(message.lease)
             case messages.Granted():
@@ -269,8 +269,7 @@
             text = f'{self._vm_id}: the send lease has expired'
             ask.fail(errors.NoOwnerError(text))
         elif not self._may_send(ask.request):
-            text = f'{self._vm_id} stops before the request is sure to end'
-            ask.fail(errors.StoppingError(text))
+            ask.fail(self._stopping_error())
         elif state.phase is shardstate.Phase.SERVING:
             self._send(key, state, ask)
         else:
@@ -278,15 +277,23 @@
 
     def _may_send(self, request: data.Request) -> bool:
         """Whether a request can end before this VM stops."""
-        if self._drain_schedule is None:
-            return True
-        prospect = draining.Prospect(
-            request.expires_at_s, request.idempotent, None
-        )
-        return draining.may_send(
-            self._drain_schedule, prospect, self._clock.now_s()
+        return draining.may_send_request(
+            self._drain_schedule, request, self._clock.now_s()
         )
 
+    def _drain(self, schedule: draining.Schedule) -> None:
+        """Refuses the waiting requests that cannot end before the stop."""
+        self._drain_schedule = schedule
+        for waiting in self._waiting_by_shard.values():
+            late = [ask for ask in waiting if not self._may_send(ask.request)]
+            for ask in late:
+                waiting.remove(ask)
+                ask.fail(self._stopping_error())
+
+    def _stopping_error(self) -> errors.StoppingError:
+        text = f'{self._vm_id} stops before the request is sure to end'
+        return errors.StoppingError(text)
+
     def _enqueue(self, key: ShardKey, ask: messages.SendKeyed) -> None:
         waiting = self._waiting_by_shard.setdefault(key, [])
         if len(waiting) >= MAX_WAITING_PER_SHARD:
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -142,6 +142,22 @@
             with self.assertRaises(errors.StoppingError):
                 await sending
 
+    async def test_waiting_request_that_outlasts_a_stop_is_refused_at_once(
+        self,
+    ):
+        for name in ('s0', 's1', 's2'):
+            # No owner accepts its grant, so the request waits.
+            self.backend.instance(name).up = False
+        self.renew_lease()
+        sending = asyncio.create_task(self.send())
+        await asyncio.sleep(0.05)
+        now_s = self.time.now_s()
+        schedule = draining.Schedule(now_s, now_s + 2.0)
+        self.shard_manager.post(messages.Drain(schedule))
+        async with asyncio.timeout(1):
+            with self.assertRaises(errors.StoppingError):
+                await sending
+
     async def test_deadline_of_a_waiting_request_says_not_run(self):
         for name in ('s0', 's1', 's2'):
             # No owner accepts its grant, so the request waits.
--- a/libs/routing/src/oriolefold_routing/admission.py
+++ b/libs/routing/src/oriolefold_routing/admission.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 from oriolefold_core import errors
@@ -128,6 +129,13 @@
         waiting, self._waiting = self._waiting, []
         return waiting
 
+    def pop_where(self, condition: Callable[[Waiter], bool]) -> list[Waiter]:
+        """Removes and returns the queued requests that meet a condition."""
+        popped = [w for w in self._waiting if condition(w)]
+        if popped:
+            self._waiting = [w for w in self._waiting if w not in popped]
+        return popped
+
     def discard(self, waiter: Waiter) -> None:
         """Removes a request from the queue, if it is there."""
         if waiter in self._waiting:
--- a/libs/routing/src/oriolefold_routing/draining.py
+++ b/libs/routing/src/oriolefold_routing/draining.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from oriolefold_core import data
+
 ANSWER_MARGIN_S = 0.1  # Time to write an answer before the stop.
 # Time left over the expected service time that makes an answer likely.
 MIN_TIME_RATIO = 4.0
@@ -53,3 +55,19 @@
     if now_s >= schedule.announced_at_s:
         return False
     return ends_by_s - now_s >= MIN_TIME_RATIO * prospect.expected_time_s
+
+
+def may_send_request(
+    schedule: Schedule | None, request: data.Request, now_s: float
+) -> bool:
+    """Returns whether a request of unknown expected time may be sent.
+
+    Args:
+        schedule: Times of the stop, or None if the VM is not about to stop.
+        request: The request.
+        now_s: Current time.
+    """
+    if schedule is None:
+        return True
+    prospect = Prospect(request.expires_at_s, request.idempotent, None)
+    return may_send(schedule, prospect, now_s)
--- a/libs/sending/src/oriolefold_sending/messages.py
+++ b/libs/sending/src/oriolefold_sending/messages.py
@@ -4,6 +4,7 @@
 
 from oriolefold_backend import ports
 from oriolefold_core import data, tasks
+from oriolefold_routing import draining
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -28,6 +29,17 @@
     instance_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Tells the sender to send only what can end before the stop.
+
+    Attributes:
+        schedule: Times of the stop, by the clock of the sender.
+    """
+
+    schedule: draining.Schedule
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class RefuseQueued(tasks.Ask):
     """Refuses the queued requests as not run, before a stop.
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -8,7 +8,7 @@
 
 from oriolefold_backend import ports
 from oriolefold_core import clock, data, errors, notices, tasks
-from oriolefold_routing import admission, balance, deadlines
+from oriolefold_routing import admission, balance, deadlines, draining
 from oriolefold_sending import messages
 from oriolefold_telemetry import metrics
 
@@ -76,6 +76,7 @@
         self._ids_by_service_id: dict[str, tuple[str, ...]] = {}
         self._jobs_by_instance_id: dict[str, set[_Job]] = {}
         self._leaving_ids: frozenset[str] = frozenset()
+        self._drain_schedule: draining.Schedule | None = None
 
     async def on_stop(self) -> None:
         """Closes the connections."""
@@ -90,6 +91,10 @@
                 self._admit_balanced(message)
             case messages.AbandonInstance():
                 self._abandon(message.instance_id)
+            case messages.Drain():
+                self._drain_schedule = message.schedule
+                for queue in self._queues_by_id.values():
+                    self._refuse_late(queue)
             case messages.RefuseQueued():
                 self._refuse_queued()
                 message.answer(None)
@@ -154,6 +159,9 @@
             ask.fail(errors.NoOwnerError(text))
             return
         request = ask.request
+        if not self._may_send(request):
+            ask.fail(_stopping_error())
+            return
         job = _Job(ask, instance_id, permit)
         waiter = admission.Waiter(job, request.importance, request.expires_at_s)
         try:
@@ -209,6 +217,21 @@
             text = f'{instance_id} was declared lost while it had the request'
             job.ask.fail(errors.OutcomeUnknownError(text))
 
+    def _may_send(self, request: data.Request) -> bool:
+        """Whether a request can end before this VM stops."""
+        return draining.may_send_request(
+            self._drain_schedule, request, self._clock.now_s()
+        )
+
+    def _refuse_late(self, queue: admission.AdmissionQueue) -> None:
+        """Refuses the queued requests that cannot end before the stop."""
+        if self._drain_schedule is None:
+            return
+        for waiter in queue.pop_where(
+            lambda waiter: not self._may_send(waiter.payload.ask.request)
+        ):
+            waiter.payload.ask.fail(_stopping_error())
+
     def _refuse_queued(self) -> None:
         for queue in self._queues_by_id.values():
             for waiter in queue.pop_all():
@@ -224,6 +247,7 @@
             return
         load.in_flight -= 1
         load.record(finished.job.failed)
+        self._refuse_late(queue)
         next_waiter, expired = queue.release(
             self._clock.now_s(), finished.job.took_s
         )
@@ -232,3 +256,9 @@
             waiter.payload.ask.fail(errors.DeadlineExpiredError(text))
         if next_waiter is not None:
             self._start_send(next_waiter.payload)
+
+
+def _stopping_error() -> errors.StoppingError:
+    return errors.StoppingError(
+        'this VM stops before the request is sure to end'
+    )
--- a/libs/sending/tests/test_sender.py
+++ b/libs/sending/tests/test_sender.py
@@ -5,7 +5,7 @@
 
 from oriolefold_backend import memory, ports
 from oriolefold_core import clock, data, errors, notices
-from oriolefold_routing import balance
+from oriolefold_routing import balance, draining
 from oriolefold_sending import messages, sender
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
@@ -29,13 +29,21 @@
         configuration = basecase.make_configuration(register)
         self.sender.post(notices.ConfigurationUpdated(configuration))
 
-    def request(self, name='r'):
-        expires_at_s = self.time.now_s() + 5
-        return basecase.make_request(request_id=name, expires_at_s=expires_at_s)
+    def request(self, name='r', deadline_s=5.0, importance=50):
+        return basecase.make_request(
+            request_id=name,
+            expires_at_s=self.time.now_s() + deadline_s,
+            importance=importance,
+        )
 
-    def make_send(self, name='r'):
+    def make_send(self, name='r', **values):
         permit = ports.Permit(self.time, self.time.now_s() + 5)
-        return messages.SendTo('s0', self.request(name), permit)
+        return messages.SendTo('s0', self.request(name, **values), permit)
+
+    def drain(self, stop_in_s):
+        now_s = self.time.now_s()
+        schedule = draining.Schedule(now_s, now_s + stop_in_s)
+        self.sender.post(messages.Drain(schedule))
 
     async def test_requests_in_flight_are_limited_to_the_slots(self):
         state = self.backend.instance('s0')
@@ -94,6 +102,33 @@
         self.assertEqual(kinds.count(data.Answer), 6)
         self.assertEqual(kinds.count(errors.StoppingError), 2)
 
+    async def test_queued_request_is_not_sent_shortly_before_a_stop(self):
+        state = self.backend.instance('s0')
+        state.delay_s = 0.3
+        asks = [self.make_send(str(i)) for i in range(6)]
+        late = self.make_send('late', importance=90)
+        in_time = self.make_send('in time', deadline_s=1.0)
+        for ask in (*asks, late, in_time):
+            self.sender.post(ask)
+        await self.wait_for(lambda: len(state.ran) == 6)
+        self.drain(stop_in_s=2.0)
+        with self.subTest('refused before a slot is free'):
+            with self.assertRaises(errors.StoppingError):
+                async with asyncio.timeout(0.1):
+                    await late.reply
+        self.assertEqual((await in_time.reply).status, 200)
+        self.assertNotIn('late', state.ran)
+
+    async def test_nothing_that_outlasts_the_stop_is_sent(self):
+        self.drain(stop_in_s=2.0)
+        balanced = messages.SendBalanced(self.request(), set())
+        for ask in (self.make_send(), balanced):
+            with self.assertRaises(errors.StoppingError):
+                await self.sender.ask(ask)
+        ask = self.make_send('in time', deadline_s=1.0)
+        self.assertEqual((await self.sender.ask(ask)).status, 200)
+        self.assertEqual(self.backend.instance('s0').ran, ['in time'])
+
     async def test_leaving_instances_get_no_new_requests(self):
         leaving = frozenset({'s0', 's1'})
         self.sender.post(notices.InstancesLeaving(leaving))
