--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -40,6 +40,19 @@
         self.stale = stale
 
 
+class _DeadlinePassed:
+    """Message: the deadline of a request that had to wait has passed.
+
+    Attributes:
+        key: Shard of the request.
+        ask: The request, which may have been sent meanwhile.
+    """
+
+    def __init__(self, key: ShardKey, ask: messages.SendKeyed):
+        self.key = key
+        self.ask = ask
+
+
 class ShardManager(tasks.Task):
     """Owns the states of the shards that this VM sends for.
 
@@ -87,8 +100,10 @@
                 self._dispatch(message)
             case _SendDone():
                 self._on_send_done(message)
+            case _DeadlinePassed():
+                self._on_deadline_passed(message)
             case messages.Drain():
-                self._drain_schedule = message.schedule
+                self._drain(message.schedule)
             case messages.LeaseUpdated():
                 self._on_lease_updated(message.lease)
             case messages.Granted():
@@ -254,8 +269,7 @@
             text = f'{self._vm_id}: the send lease has expired'
             ask.fail(errors.NoOwnerError(text))
         elif not self._may_send(ask.request):
-            text = f'{self._vm_id} stops before the request is sure to end'
-            ask.fail(errors.StoppingError(text))
+            ask.fail(self._stopping_error())
         elif state.phase is shardstate.Phase.SERVING:
             self._send(key, state, ask)
         else:
@@ -263,15 +277,23 @@
 
     def _may_send(self, request: data.Request) -> bool:
         """Whether a request can end before this VM stops."""
-        if self._drain_schedule is None:
-            return True
-        prospect = draining.Prospect(
-            request.expires_at_s, request.idempotent, None
-        )
-        return draining.may_send(
-            self._drain_schedule, prospect, self._clock.now_s()
+        return draining.may_send_request(
+            self._drain_schedule, request, self._clock.now_s()
         )
 
+    def _drain(self, schedule: draining.Schedule) -> None:
+        """Refuses the waiting requests that cannot end before the stop."""
+        self._drain_schedule = schedule
+        for waiting in self._waiting_by_shard.values():
+            late = [ask for ask in waiting if not self._may_send(ask.request)]
+            for ask in late:
+                waiting.remove(ask)
+                ask.fail(self._stopping_error())
+
+    def _stopping_error(self) -> errors.StoppingError:
+        text = f'{self._vm_id} stops before the request is sure to end'
+        return errors.StoppingError(text)
+
     def _enqueue(self, key: ShardKey, ask: messages.SendKeyed) -> None:
         waiting = self._waiting_by_shard.setdefault(key, [])
         if len(waiting) >= MAX_WAITING_PER_SHARD:
@@ -285,10 +307,14 @@
         else:
             waiting.append(ask)
             left_s = ask.request.expires_at_s - self._clock.now_s()
+            self.post_later(max(0.0, left_s), _DeadlinePassed(key, ask))
+
+    def _on_deadline_passed(self, passed: _DeadlinePassed) -> None:
+        waiting = self._waiting_by_shard.get(passed.key, [])
+        if passed.ask in waiting:
+            waiting.remove(passed.ask)
             text = 'deadline expired while waiting for the owner of the key'
-            asyncio.get_running_loop().call_later(
-                max(0.0, left_s), ask.fail, errors.DeadlineExpiredError(text)
-            )
+            passed.ask.fail(errors.DeadlineExpiredError(text))
 
     def _refuse_waiting(
         self, key: ShardKey, error_class: type[errors.NotRunError], text: str
