Judge by measured latencies what a draining VM may still take, and stop in time

Cause: four times the average time is no bound where long and short requests share a service. After the stop limit the application waited 0.2 s for connections that had ended their output, and the front end then waited 0.2 s for the same ones.

Change: such a request is taken if 99 in 100 requests of its service ended in the time that is left, by the latencies that the VM has measured. The application asks the dispatcher to answer and lets the front end write, within the one limit that the front end has.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -1,7 +1,6 @@
 """Composition root of a direct entry VM: wires, starts and stops its tasks."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import uuid
@@ -29,8 +28,6 @@
 FIRST_BODY_BYTES = 64 * 1024 * 1024  # Limit until a policy has been loaded.
 IDLE_MARGIN = 1.2  # Idle timeout, relative to the configured limit.
 READY_CHECK_S = 0.05  # Interval of readiness checks.
-# Time after the stop limit in which the last answers are written.
-WRITE_LIMIT_S = 0.2
 # Other VMs elect a leader without a resignation, too, only later.
 RESIGN_LIMIT_S = 2.0
 
@@ -266,7 +263,7 @@
                 await asyncio.gather(self._resign(), self._drain())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
-            await self._end_requests()
+            await self._dispatcher.ask(gateway_messages.EndRequests())
         await self._frontend.stop()
         await self._status.stop()
         for task in reversed(self._tasks):
@@ -288,10 +285,3 @@
         """Serves callers until none arrive any more, then ends requests."""
         await asyncio.sleep(self._settings.drain_delay_s)
         await self._frontend.drain()
-
-    async def _end_requests(self) -> None:
-        """Answers the requests in progress and waits until that is written."""
-        await self._dispatcher.ask(gateway_messages.EndRequests())
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(WRITE_LIMIT_S):
-                await self._frontend.drain()
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -27,6 +27,7 @@
 MAX_SENDS = 3  # Sends of one request, including refused ones.
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
+LIKELY_PERCENT = 99.0  # Of the latencies, for what ends before a stop.
 WAKE_INTERVAL_S = 0.05  # Interval of capacity checks while requests wait.
 
 _RESULTS_BY_CATEGORY = {
@@ -77,6 +78,7 @@
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
         self._drain_schedule: draining.Schedule | None = None
+        self._likely_times_s_by_service_id: dict[str, float | None] = {}
         self._children_by_request: dict[
             pending.PendingRequest, asyncio.Task
         ] = {}
@@ -105,6 +107,7 @@
                         known.set_quota(share, now_s)
             case gateway_messages.Drain():
                 self._drain_schedule = message.schedule
+                self._likely_times_s_by_service_id.clear()
                 self._wake_all()
             case gateway_messages.EndRequests():
                 self._end_requests()
@@ -200,7 +203,7 @@
         prospect = draining.Prospect(
             request.expires_at_s,
             request.route.idempotent,
-            self._measured_time_s(request),
+            self._likely_time_s(request.service_id),
         )
         if not draining.may_send(schedule, prospect, now_s):
             self._reporter.refused_while_draining(request, schedule, prospect)
@@ -208,6 +211,14 @@
                 'this VM stops before the request is sure to end'
             )
 
+    def _likely_time_s(self, service_id: str) -> float | None:
+        """Returns the time that was enough when the drain began."""
+        if service_id not in self._likely_times_s_by_service_id:
+            self._likely_times_s_by_service_id[service_id] = (
+                self._reporter.latency_s(service_id, LIKELY_PERCENT)
+            )
+        return self._likely_times_s_by_service_id[service_id]
+
     def _key(self, dispatch: gateway_messages.Dispatch) -> int:
         text = dispatch.headers.get(self._key_header, '').strip()
         if not text:
@@ -396,16 +407,10 @@
 
     def _expected_time_s(self, request: pending.PendingRequest) -> float:
         """Returns the expected time from sending to the answer."""
-        return self._measured_time_s(
-            request
-        ) or self._instance_table.typical_time_s(request.service_id)
-
-    def _measured_time_s(self, request: pending.PendingRequest) -> float | None:
-        """Returns the expected time, or None before the first answer."""
         owner = self._owner(request) if request.key is not None else None
         if owner is not None and owner.service_time_s:
             return owner.service_time_s
-        return self._instance_table.measured_time_s(request.service_id)
+        return self._instance_table.typical_time_s(request.service_id)
 
     def _release_instance(self, assignment: asyncio.Future) -> None:
         """Undoes the assignment of an instance to an abandoned request."""
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -82,6 +82,15 @@
             error=str(error),
         )
 
+    def latency_s(self, service_id: str, percent: float) -> float | None:
+        """Returns a percentile of the latency of a service, None before any.
+
+        Args:
+            service_id: The service.
+            percent: The percentile, in percent.
+        """
+        return self._metrics.latency_s(service_id, percent)
+
     def refused_while_draining(
         self,
         request: PendingRequest,
@@ -90,7 +99,7 @@
     ) -> None:
         """Logs why a request may not be sent before this VM stops."""
         now_s = self._clock.now_s()
-        expected_s = prospect.expected_time_s
+        likely_s = prospect.likely_time_s
         logs.event(
             'drain.refused',
             request=request.call.request_id,
@@ -102,9 +111,7 @@
             announcement_left_ms=round(
                 (schedule.announced_at_s - now_s) * 1000
             ),
-            expected_ms=(
-                None if expected_s is None else round(expected_s * 1000)
-            ),
+            likely_ms=None if likely_s is None else round(likely_s * 1000),
         )
 
     def sent(
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -9,6 +9,7 @@
 
 from oriolefold_core import errors
 from oriolefold_direct import application, documents, watching
+from oriolefold_gateway import frontend
 from oriolefold_routing import attempts, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
@@ -187,6 +188,17 @@
         self.assertGreater(time.monotonic() - started_s, STOP_LIMIT_S - 0.05)
         await self.wait_for(lambda: self.instances.cancelled_ids)
 
+    async def test_stop_limit_is_kept_though_callers_keep_their_connections(
+        self,
+    ):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        await self.occupy(4.0)
+        started_s = time.monotonic()
+        await self.stop_entry()
+        took_s = time.monotonic() - started_s
+        self.assertLess(took_s - STOP_LIMIT_S, frontend.CLOSE_LIMIT_S + 0.1)
+        self.assertIn(' 502 ', await self.busy)
+
     async def test_queued_request_is_refused_while_draining(self):
         await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
         await self.occupy(4.0)
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -213,18 +213,14 @@
         """Returns the instances of a service."""
         return self._by_service_id.get(service_id, [])
 
-    def measured_time_s(self, service_id: str) -> float | None:
-        """Returns the average time to an answer, or None before the first."""
+    def typical_time_s(self, service_id: str) -> float:
+        """Returns the average time to an answer of a service, in seconds."""
         times = [
             state.service_time_s
             for state in self.of_service(service_id)
             if state.service_time_s
         ]
-        return sum(times) / len(times) if times else None
-
-    def typical_time_s(self, service_id: str) -> float:
-        """Returns the average time to an answer of a service, in seconds."""
-        return self.measured_time_s(service_id) or INITIAL_SERVICE_TIME_S
+        return sum(times) / len(times) if times else INITIAL_SERVICE_TIME_S
 
     def choose(
         self, service_id: str, excluded_ids: Iterable[str], now_s: float
--- a/libs/routing/src/oriolefold_routing/draining.py
+++ b/libs/routing/src/oriolefold_routing/draining.py
@@ -5,8 +5,6 @@
 from oriolefold_core import data
 
 ANSWER_MARGIN_S = 0.1  # Time to write an answer before the stop.
-# Time left over the expected service time that makes an answer likely.
-MIN_TIME_RATIO = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,13 +28,13 @@
     Attributes:
         expires_at_s: When the request ends in any case.
         idempotent: Whether the request may be repeated.
-        expected_time_s: Expected time from the send to the answer, or None if
-            it is unknown.
+        likely_time_s: Time in which nearly all requests of the service end, or
+            None if it is unknown.
     """
 
     expires_at_s: float
     idempotent: bool
-    expected_time_s: float | None
+    likely_time_s: float | None
 
 
 def may_send(schedule: Schedule, prospect: Prospect, now_s: float) -> bool:
@@ -50,11 +48,11 @@
     ends_by_s = schedule.stops_at_s - ANSWER_MARGIN_S
     if prospect.expires_at_s <= ends_by_s:
         return True
-    if not prospect.idempotent or prospect.expected_time_s is None:
+    if not prospect.idempotent or prospect.likely_time_s is None:
         return False
     if now_s >= schedule.announced_at_s:
         return False
-    return ends_by_s - now_s >= MIN_TIME_RATIO * prospect.expected_time_s
+    return ends_by_s - now_s >= prospect.likely_time_s
 
 
 def may_send_request(
