Wait for the log line of a grant that raised in its test

test_a_grant_that_raises_counts_as_written failed once in three runs of libs/direct: no line of level ERROR. Trace: the stand-in counts the grant before it raises, and the line is written when the child of the task has ended, a turn of the loop later. The test now waits for the line, and asks for as much as before.

--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -144,8 +144,9 @@
         await self.wait_for(lambda: self.instances.grants)
         self.instances.grant_error = RuntimeError('unexpected')
         count = len(self.instances.grants)
-        with self.assertLogs(level='ERROR'):
+        with self.assertLogs(level='ERROR') as captured:
             await self.wait_for(lambda: len(self.instances.grants) > count)
+            await self.wait_for(lambda: captured.records)
         failed_at_s = self.clock.now_s()
         self.instances.silent_ids.add('a')
         started.post(fakes.endpoints_updated(fakes.endpoint('bb')))
