Take no leadership once a resignation has begun

What callers can see: keys without an owner for as long as a leader may be silent, after a stop (found by reading, not measured at callers). A coordinator that a policy added during the stop, or one whose takeover was in progress when the stop began, became leader and then went away without a resignation.

Cause: the supervisor resigned the coordinators that it had and went on starting others. A coordinator that did not lead yet had nothing to resign; the answer to its write of the leader record came later and made it the leader.

Evidence: three new tests, which failed before the change: a coordinator started after the resignation; the leader record was written after it; a takeover in progress kept the record.

Change: the supervisor starts no coordinator after the resignation. A coordinator begins no takeover after it, and gives back one that is in progress; the resignation waits for that. The record then allows for the authority and the leases of an earlier leader, since the key map may not have been read.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -135,6 +135,7 @@
         self._registry_changed_at_s = 0.0
         self._settle_deadline_s = 0.0
         self._resigning = False
+        self._takeover_lock = asyncio.Lock()
 
     async def on_start(self) -> None:
         """Starts the election loop."""
@@ -143,14 +144,18 @@
     async def resign(self) -> None:
         """Resigns leadership, so that another VM can take over at once."""
         self._resigning = True
-        if self._lease_manager is None or self._leader_document is None:
-            return
-        record = dataclasses.replace(
-            self._leader_record(self._heartbeat_number + 1),
-            vm_id='',
-            address='',
-        )
-        self._step_down('stopping')
+        # A takeover in progress gives the leadership back before it ends.
+        async with self._takeover_lock:
+            if self._lease_manager is None or self._leader_document is None:
+                return
+            record = self._leader_record(self._heartbeat_number + 1)
+            self._step_down('stopping')
+            await self._write_resignation(record)
+
+    async def _write_resignation(
+        self, record: leaderelection.LeaderRecord
+    ) -> None:
+        record = dataclasses.replace(record, vm_id='', address='')
         try:
             await updates.replace(
                 self._store,
@@ -233,10 +238,11 @@
         name = documents.LEADER_PREFIX + self._service_id
         try:
             takeover = await self._read_leader_record(name)
-            if takeover is None:
+            if takeover is None or self._resigning:
                 return False
             expected, previous = takeover
-            return await self._become_leader(expected, previous)
+            async with self._takeover_lock:
+                return await self._become_leader(expected, previous)
         except errors.StoreError as error:
             self._store_availability.mark_unavailable(error)
             return False
@@ -293,7 +299,11 @@
         except errors.VersionConflictError:
             return False
         name = documents.KEY_MAP_PREFIX + self._service_id
-        self._map_document = await updates.read(self._store, name)
+        if not self._resigning:
+            self._map_document = await updates.read(self._store, name)
+        if self._resigning:
+            await self._give_back(record)
+            return False
         key_map = ranges.KeyMap(self._service_id)
         if self._map_document.body:
             key_map = documents.decode_key_map(self._map_document.body, name)
@@ -316,6 +326,19 @@
             self._settle_deadline_s = self._clock.now_s() + SETTLE_LIMIT_S
         return True
 
+    async def _give_back(self, record: leaderelection.LeaderRecord) -> None:
+        """Resigns a leadership under which this VM has not acted."""
+        self._log('leadership.given_back', beat=record.beat)
+        # Without the key map it is unknown whether an earlier leader still
+        # acts, so its authority and its leases are allowed for.
+        max_inherited_s = rangeleases.inherited_until_s(
+            0.0, True, record.inherited_s
+        )
+        record = dataclasses.replace(
+            record, beat=record.beat + 1, inherited_s=max_inherited_s
+        )
+        await self._write_resignation(record)
+
     def _inherited_until_s(
         self,
         key_map: ranges.KeyMap,
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -26,6 +26,7 @@
         self._make_coordinator = make_coordinator
         self._by_service_id: dict[str, coordinator.Coordinator] = {}
         self._endpoints: messages.EndpointsUpdated | None = None
+        self._resigning = False
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
@@ -45,7 +46,7 @@
                     await self._ensure_running(profile.service_id)
 
     async def _ensure_running(self, service_id: str) -> None:
-        if service_id in self._by_service_id:
+        if self._resigning or service_id in self._by_service_id:
             return
         running = self._make_coordinator(service_id)
         self._by_service_id[service_id] = running
@@ -54,7 +55,8 @@
         await running.start()
 
     async def resign(self) -> None:
-        """Resigns leadership of all services."""
+        """Resigns leadership of all services and starts no coordinator."""
+        self._resigning = True
         outcomes = await asyncio.gather(
             *(running.resign() for running in self._by_service_id.values()),
             return_exceptions=True,
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -182,3 +182,8 @@
 def endpoints_updated(*endpoints) -> messages.EndpointsUpdated:
     """Returns the message for a set of registered instances."""
     return messages.EndpointsUpdated({e.instance_id: e for e in endpoints})
+
+
+def load_report(service_id='svc', vm_id='other') -> messages.LoadReport:
+    """Returns a report of a VM that has observed no load."""
+    return messages.LoadReport(vm_id, service_id, messages.ObservedLoad((), {}))
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -29,6 +29,33 @@
             await super().handle(message)
 
 
+class _HeldStore(memory.MemoryStore):
+    """Store whose answers come only while a test allows it.
+
+    Attributes:
+        may_read: Set while reads are answered.
+        may_answer: Set while writes, which take effect at once, are answered.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.may_read = asyncio.Event()
+        self.may_read.set()
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+
+    async def read(self, name):
+        try:
+            return await super().read(name)
+        finally:
+            await self.may_read.wait()
+
+    async def write(self, name, content, expected_version):
+        version = await super().write(name, content, expected_version)
+        await self.may_answer.wait()
+        return version
+
+
 class CoordinatorTest(basecase.AsyncCase):
     """Leader election, handover of keys and takeover with the same tokens."""
 
@@ -179,6 +206,40 @@
             self.assertGreater(granted.token, highest)
             self.assertEqual(granted.owner, granted_before[0].owner)
 
+    async def test_takeover_in_progress_at_a_resignation_is_given_back(self):
+        """The answer to the takeover comes after the resignation has begun."""
+        self.store = _HeldStore()
+        self.store.may_answer.clear()
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.store.writes)
+        resigning = asyncio.create_task(started.resign())
+        await asyncio.sleep(0.05)
+        self.store.may_answer.set()
+        async with asyncio.timeout(1):
+            await resigning
+        record = await self.record()
+        self.assertEqual(record.vm_id, '')
+        self.assertGreaterEqual(
+            record.inherited_s, rangeleases.inherited_until_s(0.0, True, 0.0)
+        )
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.instances.grants, [])
+        self.assertEqual((await self.record()).vm_id, '')
+
+    async def test_no_takeover_begins_after_a_resignation(self):
+        """The leader record is read when the resignation begins."""
+        self.store = _HeldStore()
+        self.store.may_read.clear()
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.store.reads)
+        resigning = asyncio.create_task(started.resign())
+        await asyncio.sleep(0.05)
+        self.store.may_read.set()
+        async with asyncio.timeout(1):
+            await resigning
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.store.writes, 0)
+
     async def test_renewal_after_a_lost_connection_has_a_new_token(self):
         await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
--- /dev/null
+++ b/libs/direct/tests/test_coordinators.py
@@ -0,0 +1,55 @@
+"""Tests of oriolefold_direct.coordinators."""
+
+import fakes
+
+from oriolefold_core import tasks
+from oriolefold_direct import coordinators
+from oriolefold_testbed import basecase
+
+
+class _Coordinator(tasks.Task):
+    """Coordinator that records whether it was started and has resigned."""
+
+    def __init__(self, service_id):
+        super().__init__(service_id)
+        self.has_started = False
+        self.has_resigned = False
+
+    async def on_start(self):
+        self.has_started = True
+
+    async def handle(self, message):
+        """Ignores the message."""
+
+    async def resign(self):
+        self.has_resigned = True
+
+
+class CoordinatorsTest(basecase.AsyncCase):
+    """One coordinator runs for each keyed service, until the VM resigns."""
+
+    async def asyncSetUp(self):
+        self.made = []
+        self.supervisor = coordinators.Coordinators(self.make)
+        await self.start(self.supervisor)
+
+    def make(self, service_id):
+        self.made.append(_Coordinator(service_id))
+        return self.made[-1]
+
+    async def test_keyed_service_gets_one_coordinator_that_resigns(self):
+        for _ in range(2):
+            self.supervisor.post(fakes.policy_updated(keyed=True))
+        await self.wait_for(lambda: self.made and self.made[0].has_started)
+        await self.supervisor.resign()
+        self.assertEqual([made.has_resigned for made in self.made], [True])
+
+    async def test_no_coordinator_starts_after_the_resignation(self):
+        await self.supervisor.resign()
+        self.supervisor.post(fakes.policy_updated(keyed=True))
+        await self.settle(self.supervisor)
+        self.assertEqual(self.made, [])
+
+    async def settle(self, task):
+        """Waits until a task has handled what was posted before."""
+        await task.ask(fakes.load_report())
