End the drain of the peer server when a connection fails

What callers can see: a VM that stops and hangs until its stop limit after its last request, because one peer was cut off (found by reading; not seen in a run of processes).

Cause: the drain of the peer server ran as a child that did not name the ask it answers. A connection that failed with an OSError that is no ConnectionError (ETIMEDOUT, EHOSTUNREACH) ended it, and the application waited for a reply until the limit.

Evidence: two new tests, which failed before the change: the ask of the drain was not answered within 1 s.

Change: all OSErrors of a connection end the wait for its buffer, and the drain names its ask, so an unexpected error is reported.

After: 23 tests of peer passed.

--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -111,14 +111,14 @@
 
     async def wait_for_room(self) -> None:
         """Waits until another frame can be written."""
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while self._unsent_bytes() > MAX_UNSENT_BYTES:
                 await self._writer.drain()
 
     async def flush(self) -> None:
         """Waits until all frames are handed to the kernel."""
         self._writer.transport.set_write_buffer_limits(high=0)
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             await self._writer.drain()
 
     def _unsent_bytes(self) -> int:
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -93,7 +93,7 @@
         if isinstance(message, messages.DrainCalls):
             self._draining = True
             self._server.close()
-            self.spawn(self._drain(message))
+            self.spawn(self._drain(message), message)
             return
         reader, writer = message
         self.spawn(self._serve(reader, writer))
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import errno
 from unittest import mock
 
 from oriolefold_core import bytebudget, data, errors
@@ -141,6 +142,33 @@
         await self.server.stop()
         self.assertEqual((await calling).text, LONG_TEXT)
 
+    async def test_drain_ends_although_a_connection_has_failed(self):
+        """A connection fails with another OSError than a ConnectionError."""
+        await self.call('before')
+        failures = [
+            OSError(errno.ETIMEDOUT, ''),
+            OSError(errno.EHOSTUNREACH, ''),
+        ]
+        for failure in failures:
+            with (
+                self.subTest(failure=failure),
+                mock.patch.object(
+                    asyncio.StreamWriter, 'drain', side_effect=failure
+                ),
+            ):
+                async with asyncio.timeout(1):
+                    await self.server.ask(messages.DrainCalls())
+
+    async def test_drain_that_fails_unexpectedly_is_reported(self):
+        await self.call('before')
+        with mock.patch.object(
+            connection.Connection, 'flush', side_effect=ValueError('unexpected')
+        ):
+            with self.assertLogs('oriolefold_core.tasks', 'ERROR'):
+                with self.assertRaises(ValueError):
+                    async with asyncio.timeout(1):
+                        await self.server.ask(messages.DrainCalls())
+
     async def test_call_while_draining_is_refused_as_not_run(self):
         calling = asyncio.create_task(self.call('slow', 0.3))
         await self.wait_for(lambda: self.handler.started)
