--- a/libs/routing/tests/test_admission.py
+++ b/libs/routing/tests/test_admission.py
@@ -63,6 +63,15 @@
         self.assertIsNone(next_waiter)
         self.assertEqual(len(expired), 1)
 
+    def test_queued_requests_are_removed_by_a_condition(self):
+        self.fill(2)
+        kept, removed = waiter(), waiter(expires_at_s=200.0)
+        for queued in (kept, removed):
+            self.queue.admit(queued, 0.0)
+        popped = self.queue.pop_where(lambda w: w.expires_at_s > 100.0)
+        self.assertEqual(popped, [removed])
+        self.assertEqual(self.queue.pop_all(), [kept])
+
     def test_one_slow_request_does_not_close_the_queue(self):
         self.fill(1)
         self.queue.release(3.0, 3.0)
