Give other tasks their turn while responses arrive in tiny chunks

Callers saw a 502 for a proper answer of 9 MB beside 60 endless requests: test_endless_instances_do_not_fill_the_vm failed once in the lead's run, and 3 of 27 runs here (load 18 to 28 on 8 cores).

Cause: not the budget. In the traced run the only line on the proper request is `request.failed`, `sends` 1, `no answer before the deadline` after 1,666 of 1,500 ms; nothing was aborted for the budget in that run. In the runs that passed the same answer took 1.4 to 1.5 s, so the test was at the deadline of its route each time. Without the endless server of tiny chunks it took 0.2 to 0.9 s; with that one alone 1.4 to 1.5 s. Tornado leaves other tasks their turn after 256 chunks, which take 7 ms if they have one byte, so 20 such responses held up all other requests for 150 ms a round.

Change: the stream of the pool gives way after 16 chunks.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -24,6 +24,7 @@
 KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is closed.
 USER_TIMEOUT_MS = 3000  # Limit on the time that sent bytes stay unacknowledged.
 CHUNK_BYTES = 16384
+MAX_CHUNKS_PER_TURN = 16  # Chunks read before other tasks get their turn.
 MAX_HEADER_BYTES = 65536
 # Size of a pool's own budget, in responses of the largest size.
 DEFAULT_BUDGET_RESPONSES = 4
@@ -88,12 +89,25 @@
     idle = False
     has_received = False
     hold: bytebudget.Hold | None = None
+    _lines_read = 0
 
     @property
     def has_unread(self) -> bool:
         """Whether bytes were received that no read has returned."""
         return self._read_buffer_size > 0
 
+    def read_until(self, delimiter, max_bytes=None):
+        """Reads the line before a chunk; other tasks run now and then.
+
+        Tornado itself leaves other tasks their turn by the number of bytes, so
+        that many responses in tiny chunks would hold them up.
+        """
+        line = super().read_until(delimiter, max_bytes)
+        self._lines_read += 1
+        if self._lines_read % MAX_CHUNKS_PER_TURN:
+            return line
+        return _after_other_tasks(line)
+
     def read_from_fd(self, buf):
         """Reads from the socket; bytes received while idle are unexpected."""
         count = super().read_from_fd(buf)
@@ -519,6 +533,11 @@
     )
 
 
+async def _after_other_tasks(reading: asyncio.Future) -> bytes:
+    await asyncio.sleep(0)
+    return await reading
+
+
 def _retrieve_exception(writing: asyncio.Future) -> None:
     # The read reports a failed connection.
     if not writing.cancelled():
