Abort no response that holds no bytes

When complete answers used the budget, an essential response that needed room aborted every ordinary exchange first, also those that still waited for their first byte: their callers got a 502 and nothing was gained.

Test before: aborted ['waiting', 'essential'], expected ['essential']. Change: only holds with bytes are candidates.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -104,7 +104,8 @@
             else self._max_unreserved_bytes
         )
         while self.held_bytes > limit and hold in self._growing:
-            max(self._growing, key=_precedence).abort()
+            holding = (other for other in self._growing if other.size)
+            max(holding, key=_precedence).abort()
 
     def settle(self, hold: Hold, change: int) -> None:
         """Changes the size of a hold for the last time."""
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -68,6 +68,13 @@
         self.open('last', 3_500_000)
         self.assertEqual(self.aborted_names, ['last'])
 
+    def test_responses_that_hold_nothing_are_not_aborted(self):
+        self.open('waiting')
+        complete = self.open('complete', 7_000_000)
+        complete.settle(7_000_000)
+        self.open('essential', 4_000_000, essential=True)
+        self.assertEqual(self.aborted_names, ['essential'])
+
     def test_small_holds_fit_beside_a_budget_used_by_complete_ones(self):
         complete = self.open('complete', 7_900_000)
         complete.settle(7_900_000)
