Reserve a share of the byte budget for essential exchanges

Callers that read slowly could cut a VM off from the store: complete answers are never given up, and `essential` only ordered the responses that still grow. Grants and releases were not essential at all: beside small answers that filled the budget they failed as unknown.

A reserve rather than a limit on complete answers, since such a limit would drop answers that are ready. Of the other 85%, small responses still have a fifth for themselves; a frame of the largest size fits as before.

The tests of the budget keep their sizes: MAX_BYTES is raised so that 10 MB are left for ordinary responses.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 
-# Holds up to this size may use the reserve, too.
+# Fraction of a budget that only essential holds may use. A limit on complete
+# answers instead would have to drop some that are ready.
+ESSENTIAL_FRACTION = 0.15
+# Holds up to this size may use the reserve for small ones, too.
 SMALL_BYTES = 64 * 1024
-RESERVE_FRACTION = 0.2  # Fraction of a budget that only small holds may use.
+RESERVE_FRACTION = 0.2  # Fraction of the rest that only small holds may use.
 
 
 class Hold:
@@ -80,7 +83,10 @@
             max_bytes: Largest number of bytes that are held at a time.
         """
         self._max_bytes = max_bytes
-        self._max_unreserved_bytes = int(max_bytes * (1 - RESERVE_FRACTION))
+        self._max_small_bytes = int(max_bytes * (1 - ESSENTIAL_FRACTION))
+        self._max_large_bytes = int(
+            self._max_small_bytes * (1 - RESERVE_FRACTION)
+        )
         self._growing: set[Hold] = set()
         self.held_bytes = 0
 
@@ -98,15 +104,19 @@
     def add(self, hold: Hold, count: int) -> None:
         """Counts bytes of a growing hold and makes room for them."""
         self.held_bytes += count
-        limit = (
-            self._max_bytes
-            if hold.size <= SMALL_BYTES
-            else self._max_unreserved_bytes
-        )
+        limit = self._limit(hold)
         while self.held_bytes > limit and hold in self._growing:
             holding = (other for other in self._growing if other.size)
             max(holding, key=_precedence).abort()
 
+    def _limit(self, hold: Hold) -> int:
+        """Returns up to how many held bytes a hold may grow."""
+        if hold.essential:
+            return self._max_bytes
+        if hold.size <= SMALL_BYTES:
+            return self._max_small_bytes
+        return self._max_large_bytes
+
     def settle(self, hold: Hold, change: int) -> None:
         """Changes the size of a hold for the last time."""
         self._growing.discard(hold)
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -3,7 +3,8 @@
 from oriolefold_core import bytebudget
 from oriolefold_testbed import basecase
 
-MAX_BYTES = 10_000_000
+ORDINARY_BYTES = 10_000_000  # For responses that are not essential.
+MAX_BYTES = round(ORDINARY_BYTES / (1 - bytebudget.ESSENTIAL_FRACTION))
 
 
 class ByteBudgetTest(basecase.BaseCase):
@@ -13,6 +14,7 @@
         super().setUp()
         self.budget = bytebudget.ByteBudget(MAX_BYTES)
         self.aborted_names = []
+        self.kept = []
 
     def open(self, name, size=0, essential=False):
         hold = self.budget.open(
@@ -72,9 +74,19 @@
         self.open('waiting')
         complete = self.open('complete', 7_000_000)
         complete.settle(7_000_000)
-        self.open('essential', 4_000_000, essential=True)
+        self.open('essential', 6_000_000, essential=True)
         self.assertEqual(self.aborted_names, ['essential'])
 
+    def test_complete_responses_leave_essential_ones_a_share(self):
+        for _ in range(1000):
+            for size in (6_000_000, 1_000_000, bytebudget.SMALL_BYTES):
+                complete = self.open('ordinary', size)
+                complete.settle(complete.size)
+                self.kept.append(complete)
+        self.open('essential', MAX_BYTES - ORDINARY_BYTES, essential=True)
+        self.assertNotIn('essential', self.aborted_names)
+        self.assertLessEqual(self.budget.held_bytes, MAX_BYTES)
+
     def test_small_holds_fit_beside_a_budget_used_by_complete_ones(self):
         complete = self.open('complete', 7_900_000)
         complete.settle(7_900_000)
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -48,6 +48,8 @@
         body: The complete body.
         max_response_bytes: Largest accepted body of the response, if it is to
             be smaller than the limit of the pool.
+        essential: Whether other responses are given up first when the budget
+            is exhausted, even if the pool is not essential.
     """
 
     method: str
@@ -55,6 +57,7 @@
     headers: list[tuple[str, str]]
     body: bytes = b''
     max_response_bytes: int | None = None
+    essential: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -301,7 +304,9 @@
         started_s = loop.time()
         stream = connection.stream
         stream.has_received = False
-        hold = stream.hold = self._budget.open(stream.abort, self._essential)
+        hold = stream.hold = self._budget.open(
+            stream.abort, self._essential or outgoing.essential
+        )
         incoming = None
         try:
             async with asyncio.timeout_at(ends_at_s):
