--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -99,6 +99,29 @@
                         await self.ask()
                 self.assertEqual(len(self.instances.sent) - before, sends)
 
+    async def test_a_dropped_response_is_no_failure_of_its_instance(self):
+        for error, failed in (
+            (errors.ResponseDroppedError('no memory'), 0),
+            (errors.OutcomeUnknownError('lost'), 1),
+        ):
+            with self.subTest(error):
+                recorder = _RecordingCounters()
+                self.dispatcher = dispatcher.Dispatcher(
+                    LOCALITY,
+                    KEY_HEADER,
+                    self.instances,
+                    clock.BootClock(),
+                    BUDGET_LIMITS,
+                    recorder,
+                    self.random,
+                )
+                await self.start(self.dispatcher)
+                self.prepare(fakes.route(idempotent=False))
+                self.outcomes(error)
+                with self.assertRaises(errors.OutcomeUnknownError):
+                    await self.ask()
+                self.assertEqual(recorder.results.count('failed'), failed)
+
     async def test_server_error_of_a_non_idempotent_request_is_not_retried(
         self,
     ):
@@ -261,3 +284,16 @@
             await asyncio.sleep(0)  # The child is logged after its answer.
         failure = errors.failure_of(context.exception)
         self.assertIs(failure.category, errors.Category.INTERNAL)
+
+
+class _RecordingCounters(counters.Counters):
+    """Counters that record the results of sends."""
+
+    def __init__(self):
+        super().__init__()
+        self.results = []
+
+    def count_send(self, distance, result):
+        """Records a result."""
+        super().count_send(distance, result)
+        self.results.append(result)
