Blame no instance for a response that was given up for memory

A response that was aborted to make room counted as a failure of its instance, which lowers its share of the requests, and as a loss against the limit on idle connections, although the instance did nothing wrong.

Cause: the pool raised OutcomeUnknownError for it as for a lost connection. It raises ResponseDroppedError now, a kind of OutcomeUnknownError (same category, so callers and retries see no difference). The dispatcher records no failure for it, and the pool no loss. A response that is itself over the limit of one response still counts as failed, also when the budget ended it before the limit was noticed.

The idle limit itself could not be seen to fall any more: only streams that had received nothing were blamed, and those are no longer aborted.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -162,6 +162,10 @@
     category = Category.OUTCOME_UNKNOWN
 
 
+class ResponseDroppedError(OutcomeUnknownError):
+    """A response was given up for lack of memory; its sender did not fail."""
+
+
 class StoreError(OriolefoldError):
     """An operation of the object store failed."""
 
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -469,6 +469,9 @@
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
+        except errors.ResponseDroppedError as error:
+            self._reporter.send_failed(request, instance, started_s, error)
+            raise
         except errors.OriolefoldError as error:
             result = concurrency.SendResult.FAILED
             self._reporter.send_failed(request, instance, started_s, error)
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -85,12 +85,14 @@
 
     Attributes:
         idle: Whether no exchange uses the stream.
-        has_received: Whether bytes arrived in the present exchange.
+        received_bytes: Number of bytes that arrived in the present exchange.
+        aborted: Whether the stream was closed in favor of other responses.
         hold: Counts the bytes of the present exchange.
     """
 
     idle = False
-    has_received = False
+    received_bytes = 0
+    aborted = False
     hold: bytebudget.Hold | None = None
     _lines_read = 0
 
@@ -116,7 +118,7 @@
         count = super().read_from_fd(buf)
         if not count:
             return count
-        self.has_received = True
+        self.received_bytes += count
         if self.idle:
             self.close()
         elif self.hold is not None:
@@ -125,6 +127,7 @@
 
     def abort(self) -> None:
         """Closes the stream in favor of other responses."""
+        self.aborted = True
         text = 'the budget of buffered response bytes is exhausted'
         self.close(exc_info=iostream.StreamBufferFullError(text))
 
@@ -261,6 +264,8 @@
 
         Raises:
             UnreachableError: If nothing was sent.
+            ResponseDroppedError: If the response was given up because the
+                budget of buffered bytes is exhausted.
             OutcomeUnknownError: If no complete response was received.
         """
         loop = asyncio.get_running_loop()
@@ -303,7 +308,7 @@
             raise errors.UnreachableError('the permission to send has expired')
         started_s = loop.time()
         stream = connection.stream
-        stream.has_received = False
+        stream.received_bytes = 0
         hold = stream.hold = self._budget.open(
             stream.abort, self._essential or outgoing.essential
         )
@@ -313,6 +318,9 @@
                 incoming = await self._send_and_receive(
                     address, connection, outgoing, is_own_response
                 )
+        except errors.ResponseDroppedError:
+            stream.close()
+            raise
         except errors.OutcomeUnknownError as error:
             connection.stream.close()
             raise self._record_loss(connection, started_s, error) from error
@@ -393,7 +401,7 @@
         On its first use a connection was not idle before, and one on which a
         response has begun was open, so the error is returned unchanged.
         """
-        if connection.uses < 2 or connection.stream.has_received:
+        if connection.uses < 2 or connection.stream.received_bytes:
             return error
         now_s = asyncio.get_running_loop().time()
         idle_for_s = started_s - connection.idle_since_s
@@ -456,6 +464,8 @@
             ValueError,
         ) as error:
             text = f'the connection failed: {stream.error or error!r}'
+            if stream.aborted and not self._is_endless(stream, outgoing):
+                raise errors.ResponseDroppedError(text) from error
             raise errors.OutcomeUnknownError(text) from error
         finally:
             # The traceback of an error refers to the collector.
@@ -464,6 +474,13 @@
             'only responses to other requests were received'
         )
 
+    def _is_endless(self, stream, outgoing) -> bool:
+        """Whether an incomplete response is over the limit of one response."""
+        max_body_bytes = outgoing.max_response_bytes
+        if max_body_bytes is None:
+            max_body_bytes = self._params.max_body_size
+        return stream.received_bytes > max_body_bytes + MAX_HEADER_BYTES
+
     def _return_to_pool(self, address, connection, headers) -> None:
         stream = connection.stream
         idle_s = (
