Disconnect callers that take nothing of their answer

An answer is counted against the byte budget until its caller has taken it, and nothing ended the connection of a caller that does not read: no timer runs while an answer is written, and the kernel waits for a zero window. So such callers held memory for as long as they liked.

Change: while output waits, the stream checks once in the idle timeout of callers whether the caller has acknowledged more, and closes the connection if not; `request.cut` says stage `writing`, closed by `vm`. It counts acknowledged bytes, since the kernel asks for more output only after a large part of its buffer, which takes a slow caller long.

Failed before: test_a_caller_that_takes_nothing_does_not_hold_its_answer (still in progress after the wait of the test, with an idle timeout of 0.4 s). A caller that takes little at a time for longer than the timeout gets its whole answer, before and after. After: 38 tests of test_connections pass.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -1,6 +1,10 @@
 """Stream to a caller that can be closed without losing what was written."""
 
+import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 from tornado import iostream
@@ -13,6 +17,9 @@
     kernel resets the connection, and the caller can lose an answer that it has
     not read yet. So the owner reads on after `close`, and then calls `abort`.
     A stream that has failed, or that the caller has closed, is closed at once.
+
+    Attributes:
+        stalled: Whether it was closed since the caller took no more output.
     """
 
     def __init__(
@@ -34,6 +41,9 @@
         self._on_output_ended = on_output_ended
         self._input_ended = False
         self._output_ended = False
+        self._sent_bytes = 0
+        self._is_watched = False
+        self.stalled = False
 
     @property
     def output_ended(self) -> bool:
@@ -68,6 +78,38 @@
             raise iostream.StreamClosedError
         return super().write(data)
 
+    def write_to_fd(self, data):
+        """Writes to the socket and counts what the kernel took."""
+        size = super().write_to_fd(data)
+        self._sent_bytes += size
+        return size
+
+    def watch_output(self, limit_s: float) -> None:
+        """Closes the stream if the caller stops taking its output.
+
+        Acknowledged bytes are counted, since the kernel asks for more only
+        after a large part of its buffer, which takes a slow caller long.
+
+        Args:
+            limit_s: Time in which the caller has to take a byte, in seconds.
+        """
+        if not self._is_watched:
+            self._is_watched = True
+            self._check_output(limit_s, -1)
+
+    def _check_output(self, limit_s: float, taken_before: int) -> None:
+        if self.closed() or not self.writing():
+            self._is_watched = False
+            return
+        taken_bytes = self._sent_bytes - _unacknowledged_bytes(self.socket)
+        if taken_bytes == taken_before:
+            self.stalled = True
+            self.abort()
+            return
+        asyncio.get_running_loop().call_later(
+            limit_s, self._check_output, limit_s, taken_bytes
+        )
+
     def close(self, exc_info=False):
         """Ends the output; after a failure, closes the stream."""
         if exc_info or self._input_ended:
@@ -93,3 +135,10 @@
             super().close(error)
             return
         self._on_output_ended()
+
+
+def _unacknowledged_bytes(connected: socket.socket) -> int:
+    """Returns how many written bytes the peer has not acknowledged."""
+    buffer = struct.pack('i', 0)
+    found = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, buffer)
+    return struct.unpack('i', found)[0]
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -184,7 +184,8 @@
             is_endless = isinstance(
                 self._stream.error, iostream.UnsatisfiableReadError
             )
-            self._log_cut('vm' if is_closing or is_endless else 'caller')
+            by_vm = is_closing or is_endless or self._stream.stalled
+            self._log_cut('vm' if by_vm else 'caller')
         self._frontend.request_ended()
 
     def _refuse_body(self) -> None:
@@ -336,6 +337,7 @@
         if self._stream.writing():
             # Tornado does not report every write that is interrupted.
             self._stream.write(b'').add_done_callback(self._on_written)
+            self._stream.watch_output(self._frontend.idle_timeout_s)
         elif not self._stream.closed():
             self._stage = Stage.WRITTEN
 
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -560,6 +560,29 @@
                 time.sleep(0.4)  # noqa: ASYNC251
                 self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_caller_that_takes_nothing_does_not_hold_its_answer(self):
+        self.frontend.set_limits(65536, MAX_BODY_BYTES, 0.4)
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await self.wait_for(lambda: self.frontend.in_flight)
+        started_s = time.monotonic()
+        await self.wait_for(lambda: not self.frontend.in_flight)
+        self.assertGreater(time.monotonic() - started_s, 0.3)
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('writing', 'vm'))
+
+    async def test_a_caller_that_takes_little_at_a_time_gets_its_answer(self):
+        self.frontend.set_limits(65536, MAX_BODY_BYTES, 0.4)
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        received = bytearray()
+        while not is_whole(received):
+            await asyncio.sleep(0.02)
+            received += await caller.read_some(PIECE_BYTES)
+        self.assertEqual(len(parse(bytes(received))[2]), len(LARGE_BODY))
+
     async def test_an_idle_connection_ends_after_its_timeout(self):
         self.set_timeouts(5.0, 0.2)
         for caller in (self.connect(), await self.connect_used()):
