--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -24,6 +24,7 @@
 KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is closed.
 USER_TIMEOUT_MS = 3000  # Limit on the time that sent bytes stay unacknowledged.
 CHUNK_BYTES = 16384
+MAX_CHUNKS_PER_TURN = 16  # Chunks read before other tasks get their turn.
 MAX_HEADER_BYTES = 65536
 # Size of a pool's own budget, in responses of the largest size.
 DEFAULT_BUDGET_RESPONSES = 4
@@ -47,6 +48,8 @@
         body: The complete body.
         max_response_bytes: Largest accepted body of the response, if it is to
             be smaller than the limit of the pool.
+        essential: Whether other responses are given up first when the budget
+            is exhausted, even if the pool is not essential.
     """
 
     method: str
@@ -54,6 +57,7 @@
     headers: list[tuple[str, str]]
     body: bytes = b''
     max_response_bytes: int | None = None
+    essential: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,25 +85,40 @@
 
     Attributes:
         idle: Whether no exchange uses the stream.
-        has_received: Whether bytes arrived in the present exchange.
+        received_bytes: Number of bytes that arrived in the present exchange.
+        aborted: Whether the stream was closed in favor of other responses.
         hold: Counts the bytes of the present exchange.
     """
 
     idle = False
-    has_received = False
+    received_bytes = 0
+    aborted = False
     hold: bytebudget.Hold | None = None
+    _lines_read = 0
 
     @property
     def has_unread(self) -> bool:
         """Whether bytes were received that no read has returned."""
         return self._read_buffer_size > 0
 
+    def read_until(self, delimiter, max_bytes=None):
+        """Reads the line before a chunk; other tasks run now and then.
+
+        Tornado itself leaves other tasks their turn by the number of bytes, so
+        that many responses in tiny chunks would hold them up.
+        """
+        line = super().read_until(delimiter, max_bytes)
+        self._lines_read += 1
+        if self._lines_read % MAX_CHUNKS_PER_TURN:
+            return line
+        return _after_other_tasks(line)
+
     def read_from_fd(self, buf):
         """Reads from the socket; bytes received while idle are unexpected."""
         count = super().read_from_fd(buf)
         if not count:
             return count
-        self.has_received = True
+        self.received_bytes += count
         if self.idle:
             self.close()
         elif self.hold is not None:
@@ -108,6 +127,7 @@
 
     def abort(self) -> None:
         """Closes the stream in favor of other responses."""
+        self.aborted = True
         text = 'the budget of buffered response bytes is exhausted'
         self.close(exc_info=iostream.StreamBufferFullError(text))
 
@@ -244,6 +264,8 @@
 
         Raises:
             UnreachableError: If nothing was sent.
+            ResponseDroppedError: If the response was given up because the
+                budget of buffered bytes is exhausted.
             OutcomeUnknownError: If no complete response was received.
         """
         loop = asyncio.get_running_loop()
@@ -286,14 +308,19 @@
             raise errors.UnreachableError('the permission to send has expired')
         started_s = loop.time()
         stream = connection.stream
-        stream.has_received = False
-        hold = stream.hold = self._budget.open(stream.abort, self._essential)
+        stream.received_bytes = 0
+        hold = stream.hold = self._budget.open(
+            stream.abort, self._essential or outgoing.essential
+        )
         incoming = None
         try:
             async with asyncio.timeout_at(ends_at_s):
                 incoming = await self._send_and_receive(
                     address, connection, outgoing, is_own_response
                 )
+        except errors.ResponseDroppedError:
+            stream.close()
+            raise
         except errors.OutcomeUnknownError as error:
             connection.stream.close()
             raise self._record_loss(connection, started_s, error) from error
@@ -374,7 +401,7 @@
         On its first use a connection was not idle before, and one on which a
         response has begun was open, so the error is returned unchanged.
         """
-        if connection.uses < 2 or connection.stream.has_received:
+        if connection.uses < 2 or connection.stream.received_bytes:
             return error
         now_s = asyncio.get_running_loop().time()
         idle_for_s = started_s - connection.idle_since_s
@@ -437,6 +464,8 @@
             ValueError,
         ) as error:
             text = f'the connection failed: {stream.error or error!r}'
+            if stream.aborted and not self._is_endless(stream, outgoing):
+                raise errors.ResponseDroppedError(text) from error
             raise errors.OutcomeUnknownError(text) from error
         finally:
             # The traceback of an error refers to the collector.
@@ -445,6 +474,13 @@
             'only responses to other requests were received'
         )
 
+    def _is_endless(self, stream, outgoing) -> bool:
+        """Whether an incomplete response is over the limit of one response."""
+        max_body_bytes = outgoing.max_response_bytes
+        if max_body_bytes is None:
+            max_body_bytes = self._params.max_body_size
+        return stream.received_bytes > max_body_bytes + MAX_HEADER_BYTES
+
     def _return_to_pool(self, address, connection, headers) -> None:
         stream = connection.stream
         idle_s = (
@@ -519,6 +555,11 @@
     )
 
 
+async def _after_other_tasks(reading: asyncio.Future) -> bytes:
+    await asyncio.sleep(0)
+    return await reading
+
+
 def _retrieve_exception(writing: asyncio.Future) -> None:
     # The read reports a failed connection.
     if not writing.cancelled():
