Resign after a heartbeat that is in progress, not beside it

What callers can see: keys without an owner for as long as a leader may be silent, after a stop (found by reading and a trial, not measured at callers).

Cause: the resignation was written with the version that the heartbeat in progress replaced. The heartbeat came first, the resignation conflicted and was given up, and the record went on to name this VM.

Evidence: the new test failed before the change: the record named 'one' after the resignation.

Change: takeovers, heartbeats and the resignation write the leader record one after the other. The VM still stops to grant at once, before it waits for the heartbeat.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -135,7 +135,7 @@
         self._registry_changed_at_s = 0.0
         self._settle_deadline_s = 0.0
         self._resigning = False
-        self._takeover_lock = asyncio.Lock()
+        self._record_lock = asyncio.Lock()
 
     async def on_start(self) -> None:
         """Starts the election loop."""
@@ -144,13 +144,18 @@
     async def resign(self) -> None:
         """Resigns leadership, so that another VM can take over at once."""
         self._resigning = True
-        # A takeover in progress gives the leadership back before it ends.
-        async with self._takeover_lock:
-            if self._lease_manager is None or self._leader_document is None:
-                return
-            record = self._leader_record(self._heartbeat_number + 1)
+        led = None
+        if self._lease_manager is not None:
+            led = self._leader_record(self._heartbeat_number)
             self._step_down('stopping')
-            await self._write_resignation(record)
+        # A takeover in progress gives the leadership back before it ends. The
+        # record of a heartbeat in progress is the one to replace.
+        async with self._record_lock:
+            if led is not None:
+                beat = self._heartbeat_number + 1
+                await self._write_resignation(
+                    dataclasses.replace(led, beat=beat)
+                )
 
     async def _write_resignation(
         self, record: leaderelection.LeaderRecord
@@ -241,7 +246,7 @@
             if takeover is None or self._resigning:
                 return False
             expected, previous = takeover
-            async with self._takeover_lock:
+            async with self._record_lock:
                 return await self._become_leader(expected, previous)
         except errors.StoreError as error:
             self._store_availability.mark_unavailable(error)
@@ -376,19 +381,20 @@
         sent_at_s = self._clock.now_s()
         record = self._leader_record(self._heartbeat_number + 1)
         try:
-            self._leader_document = await updates.replace(
-                self._store,
-                self._leader_document,
-                documents.encode_leader_record(record),
-                accept_later=False,
-            )
+            async with self._record_lock:
+                self._leader_document = await updates.replace(
+                    self._store,
+                    self._leader_document,
+                    documents.encode_leader_record(record),
+                    accept_later=False,
+                )
+                self._heartbeat_number += 1
         except errors.VersionConflictError:
             self._step_down('another VM is the leader')
         except errors.StoreError as error:
             self._store_availability.mark_unavailable(error)
             self._log('leadership.renewal_failed', error=str(error))
         else:
-            self._heartbeat_number += 1
             self._feed.record_contact()
             self._extend_authority(sent_at_s)
 
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -226,6 +226,26 @@
         self.assertEqual(self.instances.grants, [])
         self.assertEqual((await self.record()).vm_id, '')
 
+    async def test_resignation_replaces_a_heartbeat_in_progress(self):
+        self.store = _HeldStore()
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        beat = (await self.record()).beat
+        self.store.may_answer.clear()
+
+        async def heartbeat_is_written():
+            return (await self.record()).beat > beat
+
+        await self.wait_for(heartbeat_is_written)
+        resigning = asyncio.create_task(started.resign())
+        await asyncio.sleep(0.05)
+        self.store.may_answer.set()
+        async with asyncio.timeout(1):
+            await resigning
+        record = await self.record()
+        self.assertEqual(record.vm_id, '')
+        self.assertGreater(record.beat, beat + 1)
+
     async def test_no_takeover_begins_after_a_resignation(self):
         """The leader record is read when the resignation begins."""
         self.store = _HeldStore()
