Use one Drain message, and end a daemon's requests after a failed drain too

Three libraries had a Drain message of the same form. It stands in sending now, the lowest of them, and the daemon posts it to its three tasks. The gateway's dispatcher asks draining.may_send_request like the others.

What callers would see: if the step-down or the peer server's drain failed with anything but a time-out, the daemon's stop ended there, without an answer to the requests in progress. Such a failure is logged, the requests are answered, and the stop goes on. No test raises it; libs/direct, gateway, sending, ownership, daemon and routing: 224 passed.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 import uuid
 
@@ -38,6 +39,7 @@
 
 # Time after the stop limit in which the last answers are written.
 WRITE_LIMIT_S = 0.2
+_LOGGER = logging.getLogger(__name__)
 WIRE_MESSAGES = (
     *peer_messages.CONNECTION_MESSAGES,
     *lease_messages.WIRE_MESSAGES,
@@ -205,9 +207,8 @@
         logs.event('daemon.stopping', vm=self._values.vm_id)
         now_s = self._clock.now_s()
         schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
-        self._dispatcher.post(gateway_messages.Drain(schedule))
-        self._shard_manager.post(ownership_messages.Drain(schedule))
-        self._sender.post(sending_messages.Drain(schedule))
+        for task in (self._dispatcher, self._shard_manager, self._sender):
+            task.post(sending_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
@@ -216,6 +217,10 @@
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
+        except Exception:
+            # Callers are owed their answers, and other VMs the keys.
+            _LOGGER.exception('the drain failed')
+            await self._end_requests()
         await self._frontend.stop()
         await self._admin.stop()
         for task in reversed(self._tasks()):
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -22,6 +22,7 @@
 from oriolefold_gateway import frontend
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, draining, policy, topology
+from oriolefold_sending import messages as sending_messages
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters, logs
 
@@ -257,7 +258,7 @@
             announced_at_s=now_s + self._settings.drain_delay_s,
             stops_at_s=now_s + self._settings.stop_limit_s,
         )
-        self._dispatcher.post(gateway_messages.Drain(schedule))
+        self._dispatcher.post(sending_messages.Drain(schedule))
         try:
             async with asyncio.timeout(self._settings.stop_limit_s):
                 await asyncio.gather(self._resign(), self._drain())
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -22,6 +22,7 @@
     topology,
     waitqueue,
 )
+from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import counters
 
 MAX_SENDS = 3  # Sends of one request, including refused ones.
@@ -105,7 +106,7 @@
                     known = self._instance_table.states_by_id.get(instance_id)
                     if known is not None:
                         known.set_quota(share, now_s)
-            case gateway_messages.Drain():
+            case sending_messages.Drain():
                 self._drain_schedule = message.schedule
                 self._likely_times_s_by_service_id.clear()
                 self._wake_all()
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from oriolefold_direct import dispatcher, messages
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, draining, topology
+from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import counters
 from oriolefold_testbed import basecase
 
@@ -223,7 +224,7 @@
         """Posts a stop; both times count from now."""
         now_s = clock.BootClock().now_s()
         schedule = draining.Schedule(now_s + announced_s, now_s + stop_s)
-        self.dispatcher.post(gateway_messages.Drain(schedule))
+        self.dispatcher.post(sending_messages.Drain(schedule))
 
     async def test_draining_sends_only_what_can_end_before_the_stop(self):
         # The deadline of each request is 800 ms.
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -111,7 +111,7 @@
                 self._explain(message)
             case messages.DescribeView():
                 message.answer(self._describe())
-            case messages.Drain():
+            case sending_messages.Drain():
                 self._drain_schedule = message.schedule
             case messages.EndRequests():
                 self._end_requests()
@@ -169,20 +169,18 @@
         schedule = self._drain_schedule
         if schedule is None:
             return
-        # No new callers arrive from the stop on, so the expected time of the
-        # service, which could allow a longer request, plays no part.
-        prospect = draining.Prospect(
-            pending.request.expires_at_s, pending.request.idempotent, None
-        )
+        request = pending.request
         now_s = self._clock.now_s()
-        if not draining.may_send(schedule, prospect, now_s):
+        # No new callers arrive from the stop on, so the likely time of the
+        # service, which could allow a longer request, plays no part.
+        if not draining.may_send_request(schedule, request, now_s):
             logs.event(
                 'drain.refused',
-                request=pending.request.request_id,
-                service=pending.request.service_id,
-                idempotent=prospect.idempotent,
+                request=request.request_id,
+                service=request.service_id,
+                idempotent=request.idempotent,
                 sends=pending.attempts,
-                left_ms=round((prospect.expires_at_s - now_s) * 1000),
+                left_ms=round((request.expires_at_s - now_s) * 1000),
                 stops_in_ms=round((schedule.stops_at_s - now_s) * 1000),
             )
             raise errors.StoppingError(
--- a/libs/gateway/src/oriolefold_gateway/messages.py
+++ b/libs/gateway/src/oriolefold_gateway/messages.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 
 from oriolefold_core import tasks
-from oriolefold_routing import draining
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -66,17 +65,6 @@
     """Asks for configuration and map versions; the reply is a dict for JSON."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drain:
-    """Tells the dispatcher to send only what can end before the stop.
-
-    Attributes:
-        schedule: Times of the stop, by the clock of the dispatcher.
-    """
-
-    schedule: draining.Schedule
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class EndRequests(tasks.Ask):
     """Tells the dispatcher to answer all requests in progress now.
--- a/libs/ownership/src/oriolefold_ownership/messages.py
+++ b/libs/ownership/src/oriolefold_ownership/messages.py
@@ -5,7 +5,6 @@
 from oriolefold_backend import ports
 from oriolefold_coordination import messages, protocol, shardmap
 from oriolefold_core import data, tasks
-from oriolefold_routing import draining
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -19,17 +18,6 @@
     shard: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drain:
-    """Tells the shard manager to send only what can end before the stop.
-
-    Attributes:
-        schedule: Times of the stop, by the clock of the shard manager.
-    """
-
-    schedule: draining.Schedule
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class RefuseWaiting(tasks.Ask):
     """Refuses the requests that wait for an owner as not run, before a stop.
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -102,7 +102,7 @@
                 self._on_send_done(message)
             case _DeadlinePassed():
                 self._on_deadline_passed(message)
-            case messages.Drain():
+            case sending_messages.Drain():
                 self._drain(message.schedule)
             case messages.LeaseUpdated():
                 self._on_lease_updated(message.lease)
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -11,6 +11,7 @@
 from oriolefold_core import clock, errors, notices
 from oriolefold_ownership import granter, messages, shardmanager
 from oriolefold_routing import balance, draining
+from oriolefold_sending import messages as sending_messages
 from oriolefold_sending import sender
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
@@ -121,7 +122,7 @@
             with self.subTest(stop_in_s=stop_in_s):
                 now_s = self.time.now_s()
                 schedule = draining.Schedule(now_s, now_s + stop_in_s)
-                self.shard_manager.post(messages.Drain(schedule))
+                self.shard_manager.post(sending_messages.Drain(schedule))
                 if sent:
                     self.assertEqual((await self.send()).status, 200)
                 else:
@@ -153,7 +154,7 @@
         await asyncio.sleep(0.05)
         now_s = self.time.now_s()
         schedule = draining.Schedule(now_s, now_s + 2.0)
-        self.shard_manager.post(messages.Drain(schedule))
+        self.shard_manager.post(sending_messages.Drain(schedule))
         async with asyncio.timeout(1):
             with self.assertRaises(errors.StoppingError):
                 await sending
--- a/libs/routing/src/oriolefold_routing/draining.py
+++ b/libs/routing/src/oriolefold_routing/draining.py
@@ -58,7 +58,7 @@
 def may_send_request(
     schedule: Schedule | None, request: data.Request, now_s: float
 ) -> bool:
-    """Returns whether a request of unknown expected time may be sent.
+    """Returns whether a request of unknown likely time may be sent.
 
     Args:
         schedule: Times of the stop, or None if the VM is not about to stop.
--- a/libs/sending/src/oriolefold_sending/messages.py
+++ b/libs/sending/src/oriolefold_sending/messages.py
@@ -31,10 +31,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drain:
-    """Tells the sender to send only what can end before the stop.
+    """Tells a task to send only what can end before the stop.
 
     Attributes:
-        schedule: Times of the stop, by the clock of the sender.
+        schedule: Times of the stop, by the clock of the process.
     """
 
     schedule: draining.Schedule
