--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -259,6 +259,16 @@
                 self.assertEqual(cut['stage'], 'reading')
                 self.assertEqual(cut['closed_by'], 'vm')
 
+    async def test_a_request_that_stops_arriving_holds_up_no_drain(self):
+        for raw in (GET[:30], POST + b'xxxxx'):
+            with self.subTest(part=raw):
+                await self.asyncSetUp()
+                caller = await self.send_part(raw)
+                async with asyncio.timeout(3 * frontend.STALL_S):
+                    await self.frontend.drain()
+                await self.frontend.stop()
+                self.assert_refused(parse(await caller.read_to_end()), 503)
+
     async def test_a_request_in_the_kernel_is_answered_by_a_stop(self):
         callers = [await self.connect_used() for _ in range(5)]
         for caller in callers:
@@ -490,6 +500,20 @@
                 self.assertEqual(received.split()[1], b'400')
 
 
+class LimitTest(ConnectionCase):
+    """A request is checked against the limits in force when it arrives."""
+
+    async def test_a_raised_limit_holds_for_idle_connections(self):
+        caller = await self.connect_used()
+        body = b'x' * (200 * MAX_BODY_BYTES)
+        self.frontend.set_limits(16384, len(body), 30.0)
+        head = f'Host: x\r\nContent-Length: {len(body)}\r\n\r\n'
+        caller.send(f'POST /svc/a HTTP/1.1\r\n{head}'.encode() + body)
+        status, _, _ = await caller.read_answer()
+        self.assertEqual(status, 200)
+        self.assertEqual(len(self.dispatcher.dispatches[-1].body), len(body))
+
+
 class TimeoutTest(ConnectionCase):
     """The limits on idle time and on slow heads do not mix."""
 
