Reserve the addresses of a test run while their servers are down

Cause: an instance of the soak had crashed and started again; meanwhile the other soak had taken its port, since a port counted as free while no server listened.

Change: free_address keeps a socket bound to each address that it has returned. Servers may bind it as well; other test runs find it in use.

--- a/testbed/src/oriolefold_testbed/basecase.py
+++ b/testbed/src/oriolefold_testbed/basecase.py
@@ -13,6 +13,7 @@
 
 SEED = 7
 WAIT_TIMEOUT_S = 20.0  # Only a hung test reaches it; no assertion uses it.
+_RESERVATIONS_BY_ADDRESS: dict[data.Address, socket.socket] = {}
 # Starts at a random port, so that concurrent runs rarely share ports.
 _PORTS = itertools.count(20_000 + random.SystemRandom().randrange(8_000))
 
@@ -78,22 +79,29 @@
 
 
 def free_address() -> data.Address:
-    """Returns a loopback address that is unique within this test run."""
+    """Returns a loopback address that no other test run uses.
+
+    It stays reserved until this process ends, also while no server listens.
+    """
     while True:
         address = data.Address('127.0.0.1', next(_PORTS))
-        if _is_free(address):
+        if _reserve(address):
             return address
 
 
-def _is_free(address: data.Address) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((address.host, address.port))
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE:
-                raise
-            return False
+def _reserve(address: data.Address) -> bool:
+    reservation = socket.socket()
+    try:
+        reservation.bind((address.host, address.port))
+    except OSError as error:
+        reservation.close()
+        if error.errno != errno.EADDRINUSE:
+            raise
+        return False
+    # Now servers, which set this option, too, may bind the address. It refuses
+    # connections as long as none of them listens.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _RESERVATIONS_BY_ADDRESS[address] = reservation
     return True
 
 
