--- a/libs/core/src/oriolefold_core/tasks.py
+++ b/libs/core/src/oriolefold_core/tasks.py
@@ -195,7 +195,7 @@
 
 
 def _without_promise(error: BaseException) -> BaseException:
-    """Returns the error to report for an exception that nobody expected.
+    """Returns the error to report for an unexpected exception.
 
     Its traceback is left out, since it refers to a frame that has to live on.
     An error that says that nothing was run is replaced, since the exception
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -17,14 +17,13 @@
 from tornado import http1connection, httputil, iostream, netutil
 
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import idlelimit
+from oriolefold_http import idlelimit, pooledstream
 
 KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
 KEEPALIVE_INTERVAL_S = 1  # Interval between the probes.
 KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is closed.
 USER_TIMEOUT_MS = 3000  # Limit on the time that sent bytes stay unacknowledged.
 CHUNK_BYTES = 16384
-MAX_CHUNKS_PER_TURN = 16  # Chunks read before other tasks get their turn.
 MAX_HEADER_BYTES = 65536
 # Size of a pool's own budget, in responses of the largest size.
 DEFAULT_BUDGET_RESPONSES = 4
@@ -77,61 +76,6 @@
     hold: bytebudget.Hold
 
 
-class _PooledStream(iostream.IOStream):
-    """Stream that counts what it reads.
-
-    It closes itself when bytes arrive while it is idle, or when the budget of
-    buffered bytes needs the room.
-
-    Attributes:
-        idle: Whether no exchange uses the stream.
-        received_bytes: Number of bytes that arrived in the present exchange.
-        aborted: Whether the stream was closed in favor of other responses.
-        hold: Counts the bytes of the present exchange.
-    """
-
-    idle = False
-    received_bytes = 0
-    aborted = False
-    hold: bytebudget.Hold | None = None
-    _lines_read = 0
-
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes were received that no read has returned."""
-        return self._read_buffer_size > 0
-
-    def read_until(self, delimiter, max_bytes=None):
-        """Reads the line before a chunk; other tasks run now and then.
-
-        Tornado itself leaves other tasks their turn by the number of bytes, so
-        that many responses in tiny chunks would hold them up.
-        """
-        line = super().read_until(delimiter, max_bytes)
-        self._lines_read += 1
-        if self._lines_read % MAX_CHUNKS_PER_TURN:
-            return line
-        return _after_other_tasks(line)
-
-    def read_from_fd(self, buf):
-        """Reads from the socket; bytes received while idle are unexpected."""
-        count = super().read_from_fd(buf)
-        if not count:
-            return count
-        self.received_bytes += count
-        if self.idle:
-            self.close()
-        elif self.hold is not None:
-            self.hold.grow(count)
-        return None if self.closed() else count
-
-    def abort(self) -> None:
-        """Closes the stream in favor of other responses."""
-        self.aborted = True
-        text = 'the budget of buffered response bytes is exhausted'
-        self.close(exc_info=iostream.StreamBufferFullError(text))
-
-
 class _ResponseCollector(httputil.HTTPMessageDelegate):
     """Collects one response."""
 
@@ -176,7 +120,7 @@
         uses: Number of requests written so far.
     """
 
-    def __init__(self, stream: _PooledStream, number: int):
+    def __init__(self, stream: pooledstream.PooledStream, number: int):
         self.stream = stream
         self.number = number
         self.idle_until_s = 0.0
@@ -410,7 +354,7 @@
         return errors.OutcomeUnknownError(text)
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
-        stream = _PooledStream(open_socket())
+        stream = pooledstream.PooledStream(open_socket())
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((address.host, address.port))
@@ -535,7 +479,7 @@
 
 
 def _complete_response(
-    collector: _ResponseCollector, stream: _PooledStream
+    collector: _ResponseCollector, stream: pooledstream.PooledStream
 ) -> IncomingResponse:
     if not collector.complete:
         raise errors.OutcomeUnknownError('the response was truncated')
@@ -555,11 +499,6 @@
     )
 
 
-async def _after_other_tasks(reading: asyncio.Future) -> bytes:
-    await asyncio.sleep(0)
-    return await reading
-
-
 def _retrieve_exception(writing: asyncio.Future) -> None:
     # The read reports a failed connection.
     if not writing.cancelled():
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -4,7 +4,7 @@
 import contextlib
 from unittest import mock
 
-from oriolefold_http import connections
+from oriolefold_http import connections, pooledstream
 from oriolefold_testbed import basecase
 
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -47,5 +47,5 @@
         )
         self.assertEqual(incoming.body, b'x' * CHUNKS)
         self.assertGreaterEqual(
-            len(sleeps), CHUNKS // connections.MAX_CHUNKS_PER_TURN
+            len(sleeps), CHUNKS // pooledstream.MAX_CHUNKS_PER_TURN
         )
