Log when a VM learns that an instance drains

A request that reaches an instance past the drain bound could not be explained from the logs: a VM logged removals, but not when it had learned that an instance drains. One line per instance and VM, from the dispatcher, which is where the knowledge takes effect.

Test: test_instance_is_logged_once_when_it_begins_to_drain, which fails without the line (no call).

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -23,7 +23,7 @@
     waitqueue,
 )
 from oriolefold_sending import messages as sending_messages
-from oriolefold_telemetry import counters
+from oriolefold_telemetry import counters, logs
 
 MAX_SENDS = 3  # Sends of one request, including refused ones.
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
@@ -92,9 +92,7 @@
             case messages.PolicyUpdated():
                 self._policy = message.policy
             case messages.EndpointsUpdated():
-                now_s = self._clock.now_s()
-                self._instance_table.update(message.endpoints_by_id, now_s)
-                self._wake_all()
+                self._update_endpoints(message.endpoints_by_id)
             case messages.KeyMapUpdated():
                 self._update_key_map(message)
             case messages.Wake():
@@ -118,6 +116,16 @@
             case messages.DescribeView():
                 message.answer(self._describe())
 
+    def _update_endpoints(
+        self, endpoints_by_id: dict[str, topology.Endpoint]
+    ) -> None:
+        for instance_id, endpoint in endpoints_by_id.items():
+            known = self._instance_table.states_by_id.get(instance_id)
+            if endpoint.draining and not (known and known.endpoint.draining):
+                logs.event('instance.draining', instance=instance_id)
+        self._instance_table.update(endpoints_by_id, self._clock.now_s())
+        self._wake_all()
+
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
         service_id = update.key_map.service_id
         if update.version <= self._map_versions_by_service_id.get(
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of oriolefold_direct.dispatcher."""
 
 import asyncio
+from unittest import mock
 
 import fakes
 
@@ -10,7 +11,7 @@
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, draining, topology
 from oriolefold_sending import messages as sending_messages
-from oriolefold_telemetry import counters
+from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
 
 LOCALITY = topology.Locality('z1', {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'})
@@ -57,6 +58,18 @@
         self.prepare()
         self.assertEqual(await self.ask(), fakes.ANSWER)
 
+    async def test_instance_is_logged_once_when_it_begins_to_drain(self):
+        with mock.patch.object(logs, 'event') as event:
+            self.prepare()
+            for _ in range(2):
+                self.dispatcher.post(
+                    fakes.endpoints_updated(
+                        fakes.endpoint('one', draining=True)
+                    )
+                )
+            await self.dispatcher.ask(messages.DescribeView())
+        event.assert_called_once_with('instance.draining', instance='one')
+
     async def test_request_before_the_configuration_is_not_run(self):
         with self.assertRaises(errors.NoOwnerError):
             await self.ask()
