Let a removed instance return only while expired entries may

Cause: entries expire while the store is away and are written again within two seconds of its return. A removal seen less than 2.5 s after an outage therefore had 2 s to return, counted from the removal and not from the end of the outage, so up to 4.5 s after it.

Change: the entry may return until two seconds after the end of the outage, whenever its removal is seen; a removal after that takes effect at once.

Tests, which both fail before: test_removal_is_delayed_no_longer_than_expired_objects_need and test_removal_long_after_an_outage_takes_effect_at_once (TimeoutError).

--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -15,8 +15,8 @@
 PROBE_TIMEOUT_S = 0.1  # Timeout of a watch during an outage.
 PROBE_INTERVAL_S = 0.4  # Mean interval between probes in an outage.
 FALLBACK_RETRY_S = 2.0  # Longest wait of watches that do not probe.
-ABSENCE_GRACE_S = 2.0  # Time for expired objects to be written again.
-OUTAGE_MEMORY_S = 2.5  # How long after an outage a removal may be an expiry.
+# After an outage, until objects that expired in it have been written again.
+ABSENCE_GRACE_S = 2.0
 
 
 class Reader(abc.ABC):
@@ -199,11 +199,11 @@
         if name not in self._values_by_name or name in self._absent_until_s:
             return False
         now_s = self._clock.now_s()
-        since_recovery_s = now_s - self._store_availability.recovered_at_s
-        if self._reader.may_expire and since_recovery_s < OUTAGE_MEMORY_S:
+        until_s = self._store_availability.recovered_at_s + ABSENCE_GRACE_S
+        if self._reader.may_expire and now_s < until_s:
             # Objects expire during an outage; most are written again at once.
-            self._absent_until_s[name] = now_s + ABSENCE_GRACE_S
-            self.post_later(ABSENCE_GRACE_S, messages.Tick())
+            self._absent_until_s[name] = until_s
+            self.post_later(until_s - now_s, messages.Tick())
             return False
         logs.event('object.removed', name=name)
         del self._values_by_name[name]
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -98,6 +98,30 @@
         await self.wait_for(lambda: len(self.subscriber.messages) >= 3)
         self.assertEqual(set(self.subscriber.messages[-1]), {'k/a'})
 
+    async def recover_then_remove(self, since_recovery_s):
+        """Removes an object some time after the recovery from an outage."""
+        await self.deliver(ports.Changes(3, (stored('a', 1),)), 1)
+        self.store_availability.mark_unavailable(
+            errors.StoreUnavailableError('down')
+        )
+        self.store_availability.mark_available()
+        self.clock.advance(since_recovery_s)
+        self.store.script.put_nowait(ports.Changes(4, (), ('k/a',)))
+
+    async def test_removal_is_delayed_no_longer_than_expired_objects_need(self):
+        await self.recover_then_remove(watching.ABSENCE_GRACE_S - 0.2)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.subscriber.messages), 1)
+        self.clock.advance(0.2)
+        async with asyncio.timeout(1):
+            await self.wait_for(lambda: len(self.subscriber.messages) == 2)
+        self.assertEqual(self.subscriber.messages[-1], {})
+
+    async def test_removal_long_after_an_outage_takes_effect_at_once(self):
+        await self.recover_then_remove(watching.ABSENCE_GRACE_S + 0.2)
+        async with asyncio.timeout(0.5):
+            await self.wait_for(lambda: len(self.subscriber.messages) == 2)
+
     async def test_any_failed_call_aborts_a_pending_watch(self):
         await self.wait_for(lambda: self.store.revisions)
         waiting = len(self.store.revisions)
