Never send a curl call that was cancelled before it was written

What callers would see: a request whose caller had left, or that was refused because its VM stops, could still run later: a call that is cancelled while curl queues it, or while it connects, was sent once a slot or the connection was there.

Cause: cancelling shuts down the socket of the transfer. A queued or connecting call has none, and nothing else told Tornado and curl to give it up.

Change: the callback that curl calls right before it writes the request also refuses cancelled calls.

Test: test_a_call_that_is_cancelled_while_queued_is_never_sent, before: 3 requests arrive, not 2.

--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -67,7 +67,7 @@
         """Sends a request and returns the complete response, of any status.
 
         Cancelling the call closes the connection, so that the server can
-        notice it.
+        notice it; a request that still waits to be sent is never sent.
 
         Args:
             method: HTTP method.
@@ -89,10 +89,12 @@
             OutcomeUnknownError: If no complete response was received.
         """
         written = False
+        cancelled = False
 
         def prerequisite(*_) -> int:
             nonlocal written
-            if may_send is not None and not may_send():
+            # A call that is queued or connecting has no socket to shut down.
+            if cancelled or (may_send is not None and not may_send()):
                 return pycurl.PREREQFUNC_ABORT
             written = True
             return pycurl.PREREQFUNC_OK
@@ -145,6 +147,7 @@
         try:
             return await asyncio.shield(fetching)
         except asyncio.CancelledError:
+            cancelled = True
             shut_down()
             fetching.add_done_callback(_retrieve_exception)
             raise
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -19,6 +19,8 @@
         self.address = basecase.free_address()
         self.received = 0
         self.responses_left = 1
+        self.answering = asyncio.Event()
+        self.answering.set()
         self.listening = await asyncio.start_server(
             self.serve, self.address.host, self.address.port
         )
@@ -34,6 +36,7 @@
             except EOFError:
                 break
             self.received += 1
+            await self.answering.wait()
             if not self.responses_left:
                 self.listening.close()
                 break
@@ -74,6 +77,17 @@
             await self.call(at_most_once=True)
         self.assertEqual(self.received, 2)
 
+    async def test_a_call_that_is_cancelled_while_queued_is_never_sent(self):
+        self.answering.clear()
+        calls = [asyncio.create_task(self.call()) for _ in range(3)]
+        await self.wait_for(lambda: self.received == 2)
+        calls[2].cancel()
+        self.responses_left = 3
+        self.answering.set()
+        await asyncio.gather(*calls, return_exceptions=True)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.received, 2)
+
 
 class EndlessResponseTest(basecase.AsyncCase):
     """Responses without an end are bounded in size and time."""
