Log what keeps a keyed request from the owner of its key

Cause of not knowing why: one line and one text stood for ten different decisions: no key map yet, a key that moves, an owner that is unknown, draining or of another incarnation, and this VM's own limit, quota, pacing or backoff.

Change: owner.unavailable names the one that held and its inputs; InstanceState.obstacle gives the same answer that decides. One line for each keyed request that gave up waiting, which had one line before, within the bounds of the log.

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -398,6 +398,8 @@
                 return await assignment
         except TimeoutError as error:
             self._release_instance(assignment)
+            if request.key is not None:
+                self._log_unavailable_owner(request)
             text = f'no instance of {request.service_id} has capacity'
             raise self._overloaded_error(request, text) from error
         except asyncio.CancelledError:
@@ -436,19 +438,34 @@
         self, request: pending.PendingRequest
     ) -> concurrency.InstanceState | None:
         """Returns the owner of the key, or None if it cannot be sent to now."""
+        return self._find_owner(request)[0]
+
+    def _find_owner(
+        self, request: pending.PendingRequest
+    ) -> tuple[concurrency.InstanceState | None, str]:
+        """Returns the owner of the key, or None and why it has none now."""
         key_map = self._maps_by_service_id.get(request.service_id)
-        key_range = key_map.range_of(request.key) if key_map else None
-        if key_range is None or key_range.priors:
-            return None
+        if key_map is None:
+            return None, 'no key map'
+        key_range = key_map.range_of(request.key)
+        if key_range is None:
+            return None, 'not assigned'
+        if key_range.priors:
+            return None, 'moving'
         holder = key_range.owner
         known = self._instance_table.states_by_id.get(holder.instance_id)
-        if (
-            known is None
-            or known.endpoint.born_ms != holder.born_ms
-            or known.endpoint.draining
-        ):
-            return None
-        return known
+        if known is None:
+            return None, 'not registered'
+        if known.endpoint.born_ms != holder.born_ms:
+            return None, 'other incarnation'
+        if known.endpoint.draining:
+            return None, 'draining'
+        return known, ''
+
+    def _log_unavailable_owner(self, request: pending.PendingRequest) -> None:
+        """Logs why the owner of a key got no request."""
+        owner, obstacle = self._find_owner(request)
+        self._reporter.owner_unavailable(request, owner, obstacle)
 
     async def _send(
         self, request: pending.PendingRequest, instance
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -114,6 +114,45 @@
             likely_ms=None if likely_s is None else round(likely_s * 1000),
         )
 
+    def owner_unavailable(
+        self,
+        request: PendingRequest,
+        owner: concurrency.InstanceState | None,
+        obstacle: str,
+    ) -> None:
+        """Logs why the owner of a key had no capacity for a request.
+
+        Args:
+            request: The request.
+            owner: The owner, or None if the key has none.
+            obstacle: Why it has none.
+        """
+        fields = {}
+        if owner is not None:
+            now_s = self._clock.now_s()
+            found = owner.obstacle(now_s)
+            obstacle = '' if found is None else found.value
+            fields = {
+                'instance': owner.endpoint.instance_id,
+                'in_flight': owner.in_flight,
+                'limit': round(owner.limit, 1),
+                'quota': (
+                    round(owner.quota, 2)
+                    if now_s < owner.quota_until_s
+                    else None
+                ),
+                'service_ms': round(owner.service_time_s * 1000),
+                'baseline_ms': round(owner.baseline_time_s * 1000),
+            }
+        logs.event(
+            'owner.unavailable',
+            request=request.call.request_id,
+            service=request.service_id,
+            key=request.key,
+            obstacle=obstacle,
+            **fields,
+        )
+
     def sent(
         self,
         instance: concurrency.InstanceState,
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of oriolefold_direct.dispatcher."""
 
 import asyncio
+from unittest import mock
 
 import fakes
 
@@ -10,7 +11,7 @@
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, draining, topology
 from oriolefold_sending import messages as sending_messages
-from oriolefold_telemetry import counters
+from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
 
 LOCALITY = topology.Locality('z1', {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'})
@@ -33,6 +34,7 @@
             self.random,
         )
         await self.start(self.dispatcher)
+        self.versions = 0
 
     def prepare(self, *routes, keyed=False, endpoints=None):
         self.dispatcher.post(fakes.policy_updated(*routes, keyed=keyed))
@@ -198,6 +200,47 @@
             [s.instance_id for s in self.instances.sent], ['two'] * 2
         )
 
+    def post_key_map(self, *priors, owner='one'):
+        key_range = ranges.KeyRange(
+            0, 65535, ranges.Holder(owner, 1, 'a'), 1, priors
+        )
+        key_map = ranges.KeyMap('svc', 2, (key_range,))
+        self.versions += 1
+        self.dispatcher.post(messages.KeyMapUpdated(key_map, self.versions))
+
+    async def test_what_keeps_a_request_from_its_owner_is_logged(self):
+        self.prepare(keyed=True, endpoints=[fakes.endpoint('one', slots=1)])
+        self.instances.outcomes = {'one': [0.6, 0.6]}
+        with mock.patch.object(logs, 'event') as logged:
+            await self.ask_refused()
+            self.post_key_map(ranges.Holder('two', 1, 'b'))
+            await self.ask_refused()
+            self.post_key_map(owner='three')
+            await self.ask_refused()
+            self.post_key_map()
+            asking = asyncio.create_task(self.ask(key=7))
+            await self.wait_for(lambda: self.instances.sent)
+            await self.ask_refused()
+            asking.cancel()
+        found = [
+            (c.kwargs['obstacle'], c.kwargs.get('in_flight'))
+            for c in logged.call_args_list
+            if c.args == ('owner.unavailable',)
+        ]
+        self.assertEqual(
+            found,
+            [
+                ('no key map', None),
+                ('moving', None),
+                ('not registered', None),
+                ('limit', 1),
+            ],
+        )
+
+    async def ask_refused(self):
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask(key=7)
+
     async def test_missing_and_invalid_keys(self):
         self.prepare(keyed=True)
         cases = [
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -42,6 +42,15 @@
     CANCELLED = 'cancelled'
 
 
+class Obstacle(enum.Enum):
+    """Why an instance may not be sent one more request."""
+
+    BACKOFF = 'backoff'
+    LIMIT = 'limit'
+    PACING = 'pacing'
+    QUOTA = 'quota'
+
+
 @dataclasses.dataclass(slots=True)
 class InstanceState:
     """Load, latency and concurrency limit of one instance, as seen by this VM.
@@ -86,16 +95,20 @@
 
     def has_capacity(self, now_s: float) -> bool:
         """Whether one more request may be sent now."""
+        return self.obstacle(now_s) is None
+
+    def obstacle(self, now_s: float) -> Obstacle | None:
+        """Returns what forbids to send one more request now, if anything."""
         if now_s < self.backoff_until_s:
-            return False
-        limit = self.limit
+            return Obstacle.BACKOFF
+        limit, obstacle = self.limit, Obstacle.LIMIT
         if now_s < self.quota_until_s:
             if self.quota < 1 and now_s < self.next_send_at_s:
-                return False
-            limit = max(1.0, self.quota)
+                return Obstacle.PACING
+            limit, obstacle = max(1.0, self.quota), Obstacle.QUOTA
         if now_s < self.warm_up_until_s:
             limit = max(1.0, limit / 2)
-        return self.in_flight < limit
+        return None if self.in_flight < limit else obstacle
 
     def set_quota(self, share: float, now_s: float) -> None:
         """Sets the quota to this VM's share of the slots of a busy instance.
