Do not take one long request for a queue at its instance

Cause: a VM's limit of requests in flight at an instance shrinks when the mean time of answers is above 1.5 times the baseline. The baseline clips long times at three times itself; the mean did not, so that one answer after 2 s among others after 60 ms counted as a queue, also at an instance with seven free slots of eight. The limit then falls to what is in flight plus one: to 1. With a limit of 1 the next long request, up to 3 s, keeps the VM from all other keys of its owner, and no answer arrives meanwhile that would raise the limit. Unkeyed requests go to another instance. Rolling stops matter only in that callers keep their connections to the VM that stopped last, 8 to 10 of 12 of them, so its limits serve nearly all.

Change: the time that shows a queue is a mean of times clipped as in the baseline. A cancelled long request no longer counts as a queue either. service_time_s, which chooses among instances and limits the wait, is as before.

The three new tests fail on the code before (limit 1.0 where 6.0 was expected; the request for another key refused).

--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -241,6 +241,18 @@
         with self.assertRaises(errors.OverloadedError):
             await self.ask(key=7)
 
+    async def test_a_long_request_does_not_keep_others_from_its_owner(self):
+        self.prepare(keyed=True)
+        self.post_key_map()
+        short_s, long_s = 0.02, 0.5
+        self.instances.outcomes = {'one': [short_s, short_s, long_s, long_s]}
+        for _ in range(3):
+            await self.ask(key=7)
+        asking = asyncio.create_task(self.ask(key=7))
+        await self.wait_for(lambda: len(self.instances.sent) == 4)
+        self.assertEqual(await self.ask(key=8), fakes.ANSWER)
+        await asking
+
     async def test_missing_and_invalid_keys(self):
         self.prepare(keyed=True)
         cases = [
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -62,6 +62,8 @@
         in_flight: Requests sent that have not ended.
         service_time_s: Moving average of the time to an answer; 0 if unknown.
         baseline_time_s: The same without queueing at the instance.
+        clipped_time_s: Moving average like `service_time_s`, but of clipped
+            times: one long request does not raise it as a queue does.
         answers: Number of answers so far.
         failure_rate: Moving average of failed sends, 0 to 1.
         decreased_at_s: When the limit was last decreased because of a queue.
@@ -79,6 +81,7 @@
     in_flight: int = 0
     service_time_s: float = 0.0
     baseline_time_s: float = 0.0
+    clipped_time_s: float = 0.0
     answers: int = 0
     failure_rate: float = 0.0
     decreased_at_s: float = 0.0
@@ -145,9 +148,7 @@
         if result is SendResult.CANCELLED:
             # The duration is a lower bound of the time to an answer.
             if took_s > self.service_time_s > 0:
-                self.service_time_s += SMOOTHING_FACTOR * (
-                    took_s - self.service_time_s
-                )
+                self._update_current_times(took_s)
             return
         if result is SendResult.REFUSED:
             self.limit = max(1.0, self.limit * REFUSAL_DECREASE_FACTOR)
@@ -167,7 +168,7 @@
             # limit is scaled by the ratio of both times. It is scaled once per
             # baseline time, since the requests in flight were still sent under
             # the old limit.
-            ratio = QUEUEING_RATIO * self.baseline_time_s / self.service_time_s
+            ratio = QUEUEING_RATIO * self.baseline_time_s / self.clipped_time_s
             base = min(self.limit, self.in_flight + 1.0)
             self.limit = max(1.0, base * max(MIN_DECREASE_FACTOR, ratio))
             self.decreased_at_s = now_s
@@ -175,19 +176,30 @@
     @property
     def is_queueing(self) -> bool:
         """Whether recent answers show a queue at the instance."""
-        return self.service_time_s > QUEUEING_RATIO * self.baseline_time_s
+        return self.clipped_time_s > QUEUEING_RATIO * self.baseline_time_s
 
     def _update_times(self, took_s: float) -> None:
         self.answers += 1
         if self.answers == 1:
             self.service_time_s = self.baseline_time_s = took_s
+            self.clipped_time_s = took_s
             return
-        self.service_time_s += SMOOTHING_FACTOR * (took_s - self.service_time_s)
+        self._update_current_times(took_s)
         weight = max(BASELINE_SMOOTHING, 1 / self.answers)
         if self.is_queueing:
             weight = QUEUEING_BASELINE_SMOOTHING
-        sample_s = min(took_s, OUTLIER_FACTOR * self.baseline_time_s)
-        self.baseline_time_s += weight * (sample_s - self.baseline_time_s)
+        self.baseline_time_s += weight * (
+            self._clip(took_s) - self.baseline_time_s
+        )
+
+    def _update_current_times(self, took_s: float) -> None:
+        self.service_time_s += SMOOTHING_FACTOR * (took_s - self.service_time_s)
+        self.clipped_time_s += SMOOTHING_FACTOR * (
+            self._clip(took_s) - self.clipped_time_s
+        )
+
+    def _clip(self, took_s: float) -> float:
+        return min(took_s, OUTLIER_FACTOR * self.baseline_time_s)
 
 
 class InstanceTable:
--- a/libs/routing/tests/test_concurrency.py
+++ b/libs/routing/tests/test_concurrency.py
@@ -112,6 +112,21 @@
             self.state.record(concurrency.SendResult.ANSWERED, 0.2, step * 0.1)
         self.assertGreaterEqual(self.state.limit, 6.0)
 
+    def test_a_long_request_among_short_ones_is_no_queue(self):
+        for step in range(100):
+            took_s = 3.0 if step % 7 == 6 else 0.05
+            self.state.record(concurrency.SendResult.ANSWERED, took_s, step)
+            self.assertGreaterEqual(self.state.limit, 6.0)
+
+    def test_a_long_cancelled_request_is_no_queue(self):
+        for result, took_s in (
+            (concurrency.SendResult.ANSWERED, 0.05),
+            (concurrency.SendResult.CANCELLED, 4.0),
+            (concurrency.SendResult.ANSWERED, 0.05),
+        ):
+            self.state.record(result, took_s, 9.0)
+        self.assertGreaterEqual(self.state.limit, 6.0)
+
     def test_a_quota_overrides_the_limit_until_it_expires(self):
         self.state.set_quota(0.25, 1.0)
         self.state.in_flight = 2
