Judge by the last 100 requests of a route what a draining VM may still take

Cause: a VM took a request whose deadline lies beyond its stop if 99 in 100 requests of the service had ended in the time left. That percentile mixed all routes of a service, counted refusals within milliseconds as ended, and was asked from the first request on. One long request in ten was hidden by nine short ones, and 37 requests without a very long one were taken for proof.

Change: the longest of the last 100 requests of a route and service that were sent is the likely time, and it is unknown before there are 100. The next one outlasts it with probability 1/101. Requests without an answer count with the time until they ended, refused ones do not count. The times go on while the VM drains. request.failed says by which likely time a request was taken. Counters.latency_s has no user any more and is gone.

Tests: routing and direct tests ask 100 requests now where one was enough (the rule is stricter); new ones for long requests beside short ones, refusals, time-outs, few requests and removed routes; the first two and the last fail on the code before. Price: a VM that has served fewer than 100 requests of a route refuses repeatable ones with long deadlines from SIGTERM on as not run, with Retry-After 0.

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -28,7 +28,6 @@
 MAX_SENDS = 3  # Sends of one request, including refused ones.
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
-LIKELY_PERCENT = 99.0  # Of the latencies, for what ends before a stop.
 WAKE_INTERVAL_S = 0.05  # Interval of capacity checks while requests wait.
 
 _RESULTS_BY_CATEGORY = {
@@ -79,7 +78,9 @@
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
         self._drain_schedule: draining.Schedule | None = None
-        self._likely_times_s_by_service_id: dict[str, float | None] = {}
+        self._recent_times_by_kind: dict[
+            tuple[str, str], draining.RecentTimes
+        ] = {}  # By route and service.
         self._children_by_request: dict[
             pending.PendingRequest, asyncio.Task
         ] = {}
@@ -90,7 +91,7 @@
             case gateway_messages.Dispatch():
                 self._accept(message)
             case messages.PolicyUpdated():
-                self._policy = message.policy
+                self._update_policy(message.policy)
             case messages.EndpointsUpdated():
                 now_s = self._clock.now_s()
                 self._instance_table.update(message.endpoints_by_id, now_s)
@@ -108,7 +109,6 @@
                         known.set_quota(share, now_s)
             case sending_messages.Drain():
                 self._drain_schedule = message.schedule
-                self._likely_times_s_by_service_id.clear()
                 self._wake_all()
             case gateway_messages.EndRequests():
                 self._end_requests()
@@ -118,6 +118,17 @@
             case messages.DescribeView():
                 message.answer(self._describe())
 
+    def _update_policy(self, updated: policy.Policy) -> None:
+        self._policy = updated
+        kinds = {
+            (route.route_id, share.service_id)
+            for routes in updated.routes_by_host.values()
+            for route in routes
+            for share in route.shares
+        }
+        for kind in self._recent_times_by_kind.keys() - kinds:
+            del self._recent_times_by_kind[kind]
+
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
         service_id = update.key_map.service_id
         if update.version <= self._map_versions_by_service_id.get(
@@ -204,21 +215,23 @@
         prospect = draining.Prospect(
             request.expires_at_s,
             request.route.idempotent,
-            self._likely_time_s(request.service_id),
+            self._recent_times(request).likely_time_s(),
         )
         if not draining.may_send(schedule, prospect, now_s):
             self._reporter.refused_while_draining(request, schedule, prospect)
             raise errors.StoppingError(
                 'this VM stops before the request is sure to end'
             )
+        request.likely_time_s = prospect.likely_time_s
 
-    def _likely_time_s(self, service_id: str) -> float | None:
-        """Returns the time that was enough when the drain began."""
-        if service_id not in self._likely_times_s_by_service_id:
-            self._likely_times_s_by_service_id[service_id] = (
-                self._reporter.latency_s(service_id, LIKELY_PERCENT)
-            )
-        return self._likely_times_s_by_service_id[service_id]
+    def _recent_times(
+        self, request: pending.PendingRequest
+    ) -> draining.RecentTimes:
+        kind = request.route.route_id, request.service_id
+        times = self._recent_times_by_kind.get(kind)
+        if times is None:
+            times = self._recent_times_by_kind[kind] = draining.RecentTimes()
+        return times
 
     def _key(self, dispatch: gateway_messages.Dispatch) -> int:
         text = dispatch.headers.get(self._key_header, '').strip()
@@ -256,6 +269,8 @@
         if request.error_answer is not None:
             self._finish(request, request.error_answer)
             return
+        if request.may_have_run:
+            self._record_time(request)
         caller_error = self._replace_not_run_error(request, error)
         self._reporter.failed(
             request, caller_error, self._view(request.service_id)
@@ -277,8 +292,13 @@
     ) -> None:
         view = self._view(request.service_id)
         self._reporter.answered(request, answer.status, view)
+        self._record_time(request)
         request.dispatch.answer(answer)
 
+    def _record_time(self, request: pending.PendingRequest) -> None:
+        took_s = self._clock.now_s() - request.received_at_s
+        self._recent_times(request).record(took_s)
+
     async def _answer_in_time(
         self, request: pending.PendingRequest
     ) -> data.Answer:
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -30,6 +30,8 @@
         may_have_run: Whether an instance may have begun to run it.
         error_answer: Server error from an instance, returned if no retry
             succeeds.
+        likely_time_s: Time in which it was likely to end when it was last sent
+            by a VM that was about to stop, if it was known.
     """
 
     dispatch: gateway_messages.Dispatch
@@ -44,6 +46,7 @@
     sends: int = 0
     may_have_run: bool = False
     error_answer: data.Answer | None = None
+    likely_time_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,15 +85,6 @@
             error=str(error),
         )
 
-    def latency_s(self, service_id: str, percent: float) -> float | None:
-        """Returns a percentile of the latency of a service, None before any.
-
-        Args:
-            service_id: The service.
-            percent: The percentile, in percent.
-        """
-        return self._metrics.latency_s(service_id, percent)
-
     def refused_while_draining(
         self,
         request: PendingRequest,
@@ -168,6 +162,7 @@
         self, request: PendingRequest, status: int, reason: str, view: View
     ) -> None:
         now_s = self._clock.now_s()
+        likely_s = request.likely_time_s
         logs.event(
             'request.failed',
             request=request.call.request_id,
@@ -182,5 +177,6 @@
             waiting=view.waiting,
             policy=view.policy_version,
             key_map=view.next_token,
+            likely_ms=None if likely_s is None else round(likely_s * 1000),
             reason=reason,
         )
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -226,6 +226,12 @@
         schedule = draining.Schedule(now_s + announced_s, now_s + stop_s)
         self.dispatcher.post(sending_messages.Drain(schedule))
 
+    async def ask_often(self, target='/a/x', time_s=0.0):
+        """Lets as many requests end as tell the likely time."""
+        self.outcomes(*[time_s] * draining.RECENT_COUNT)
+        for _ in range(draining.RECENT_COUNT):
+            await self.ask(target)
+
     async def test_draining_sends_only_what_can_end_before_the_stop(self):
         # The deadline of each request is 800 ms.
         cases = [
@@ -239,8 +245,7 @@
             with self.subTest(name):
                 self.prepare(fakes.route(idempotent=idempotent))
                 self.drain(9.0, 9.0)
-                self.outcomes(0.02)
-                await self.ask()
+                await self.ask_often()
                 before = len(self.instances.sent)
                 self.drain(announced_s, stop_s)
                 if sent:
@@ -267,13 +272,57 @@
 
     async def test_draining_does_not_retry_what_could_be_cut(self):
         self.prepare()
-        self.outcomes(0.02, errors.MisdirectedError('moved'))
-        await self.ask()
+        await self.ask_often()
+        before = len(self.instances.sent)
+        self.outcomes(errors.MisdirectedError('moved'))
         # The announcement ends while the request waits for its retry.
         self.drain(dispatcher.MISDIRECTED_RETRY_DELAY_S / 2, 0.7)
         with self.assertRaises(errors.StoppingError):
             await self.ask()
-        self.assertEqual(len(self.instances.sent), 2)
+        self.assertEqual(len(self.instances.sent), before + 1)
+
+    async def test_long_requests_are_not_hidden_by_short_ones_of_a_service(
+        self,
+    ):
+        self.prepare(
+            fakes.route(), fakes.route(route_id='long', prefix='/long/')
+        )
+        await self.ask_often('/a/x')
+        self.drain(9.0, 0.7)
+        await self.ask('/a/x')
+        with self.assertRaises(errors.StoppingError):
+            await self.ask('/long/x')
+
+    async def test_refusals_do_not_make_a_kind_of_request_look_quick(self):
+        self.prepare()
+        count = draining.RECENT_COUNT
+        self.outcomes(*[errors.UnreachableError('refused')] * 6 * count)
+        for _ in range(count):
+            with self.assertRaises(errors.NotRunError):
+                await self.ask()
+        self.outcomes()
+        self.drain(9.0, 0.7)
+        with self.assertRaises(errors.StoppingError):
+            await self.ask()
+
+    async def test_requests_that_time_out_count_as_long(self):
+        self.prepare()
+        await self.ask_often()
+        self.outcomes(5.0)
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.ask(deadline_ms='600')
+        self.drain(9.0, 0.7)
+        with self.assertRaises(errors.StoppingError):
+            await self.ask()
+
+    async def test_times_of_removed_routes_are_forgotten(self):
+        self.prepare()
+        await self.ask_often()
+        self.prepare(fakes.route(route_id='other'))
+        self.prepare()
+        self.drain(9.0, 0.7)
+        with self.assertRaises(errors.StoppingError):
+            await self.ask()
 
     async def test_unexpected_error_in_a_request_is_answered(self):
         self.prepare()
--- a/libs/routing/src/oriolefold_routing/draining.py
+++ b/libs/routing/src/oriolefold_routing/draining.py
@@ -1,10 +1,13 @@
 """Decides which requests a VM that is about to stop may still send."""
 
+import collections
 import dataclasses
 
 from oriolefold_core import data
 
 ANSWER_MARGIN_S = 0.1  # Time to write an answer before the stop.
+# The next of a series outlasts all of the last 100 with probability 1/101.
+RECENT_COUNT = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +31,7 @@
     Attributes:
         expires_at_s: When the request ends in any case.
         idempotent: Whether the request may be repeated.
-        likely_time_s: Time in which nearly all requests of the service end, or
+        likely_time_s: Time in which nearly all requests of this kind end, or
             None if it is unknown.
     """
 
@@ -37,6 +40,29 @@
     likely_time_s: float | None
 
 
+class RecentTimes:
+    """Times that the latest requests of one kind took until they ended."""
+
+    def __init__(self):
+        self._times_s: collections.deque[float] = collections.deque(
+            maxlen=RECENT_COUNT
+        )
+
+    def record(self, time_s: float) -> None:
+        """Records the time of a request that has been sent and has ended."""
+        self._times_s.append(time_s)
+
+    def likely_time_s(self) -> float | None:
+        """Returns a time that 99 in 100 do not exceed, None before it is known.
+
+        Fewer requests do not tell: a kind with one long request in 50 would
+        often look quick.
+        """
+        if len(self._times_s) < RECENT_COUNT:
+            return None
+        return max(self._times_s)
+
+
 def may_send(schedule: Schedule, prospect: Prospect, now_s: float) -> bool:
     """Returns whether a request may be sent by a VM that is about to stop.
 
--- a/libs/routing/tests/test_draining.py
+++ b/libs/routing/tests/test_draining.py
@@ -36,3 +36,22 @@
         for idempotent in (True, False):
             prospect = draining.Prospect(15.2, idempotent, 0.0)
             self.assertFalse(draining.may_send(SCHEDULE, prospect, 15.1))
+
+
+class RecentTimesTest(basecase.BaseCase):
+    """The likely time is known only from enough requests."""
+
+    def test_few_short_requests_do_not_hide_a_long_one(self):
+        times = draining.RecentTimes()
+        for _ in range(draining.RECENT_COUNT - 1):
+            times.record(QUICK_S)
+        self.assertIsNone(times.likely_time_s())
+        times.record(SLOW_S)
+        self.assertEqual(times.likely_time_s(), SLOW_S)
+
+    def test_only_the_latest_requests_count(self):
+        times = draining.RecentTimes()
+        times.record(SLOW_S)
+        for _ in range(draining.RECENT_COUNT):
+            times.record(QUICK_S)
+        self.assertEqual(times.likely_time_s(), QUICK_S)
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -36,13 +36,6 @@
             self._latencies_by_service_id[service_id] = latencies
         latencies.record_s(seconds)
 
-    def latency_s(self, service_id: str, percent: float) -> float | None:
-        """Returns a percentile of the latency of a service, None before any."""
-        latencies = self._latencies_by_service_id.get(service_id)
-        if latencies is None:
-            return None
-        return latencies.percentile_ms(percent) / 1000
-
     def count_send(self, distance: int, result: str) -> None:
         """Counts a send to an instance.
 
