Answer the queued requests of an instance that leaves the register

What callers saw: a request that waited for a slot of an instance got no answer until its deadline when a new configuration left that instance out. Requests to a service that was removed, and those that were admitted right before the configuration, got an unknown outcome although nothing was sent.

Cause: _configure replaced the queues and dropped those of removed instances with the requests in them. It never dropped the instances of a removed service, so choosing among them raised KeyError; so did the send that looked up its instance only when its child began to run. _finish ignored jobs of a dropped entry, and an instance that came back started with in_flight 0 although it still had requests of its earlier entry: it got more than its slots, and their ends then took away slots of later requests.

Change: queued requests of removed instances are refused at once as not run (NoOwnerError). A new entry counts the jobs that the instance still has. The index of the services is built anew. A send keeps the entry it was started for.

--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -114,26 +114,44 @@
         sender_count = max(1, len(register.vms_by_id))
         loads_by_id = {}
         queues_by_id = {}
+        ids_by_service_id = {}
         for service in register.services_by_id.values():
             for instance_id, instance in service.instances_by_id.items():
                 connection_share = max(1, instance.connections // sender_count)
                 queue = self._queues_by_id.get(instance_id)
-                queue = queue or admission.AdmissionQueue(connection_share)
+                if queue is None:
+                    queue = admission.AdmissionQueue(connection_share)
+                    queue.in_flight = self._count_jobs(instance_id)
                 queue.limit = min(instance.slots, connection_share)
                 queues_by_id[instance_id] = queue
                 load = self._loads_by_id.get(instance_id)
                 if load is None:
                     load = balance.InstanceLoad(instance, 0)
+                    load.in_flight = self._count_jobs(instance_id)
                 load.instance = instance
                 load.distance = balance.distance(
                     register, self._zone_id, instance.zone_id
                 )
                 loads_by_id[instance_id] = load
-            self._ids_by_service_id[service.service_id] = tuple(
+            ids_by_service_id[service.service_id] = tuple(
                 service.instances_by_id
             )
+        for instance_id in self._queues_by_id.keys() - queues_by_id.keys():
+            self._refuse_all_queued(instance_id, 'left the register')
         self._loads_by_id = loads_by_id
         self._queues_by_id = queues_by_id
+        self._ids_by_service_id = ids_by_service_id
+
+    def _count_jobs(self, instance_id: str) -> int:
+        """Returns the requests that an instance has from an earlier entry."""
+        return len(self._jobs_by_instance_id.get(instance_id, ()))
+
+    def _refuse_all_queued(self, instance_id: str, reason: str) -> None:
+        queue = self._queues_by_id.get(instance_id)
+        for waiter in queue.pop_all() if queue else ():
+            waiter.payload.ask.fail(
+                errors.NoOwnerError(f'{instance_id} {reason}')
+            )
 
     def _admit_balanced(self, ask: messages.SendBalanced) -> None:
         service_id = ask.request.service_id
@@ -182,16 +200,16 @@
             )
 
     def _start_send(self, job: _Job) -> None:
-        self._loads_by_id[job.instance_id].in_flight += 1
+        load = self._loads_by_id[job.instance_id]
+        load.in_flight += 1
         self._jobs_by_instance_id.setdefault(job.instance_id, set()).add(job)
-        child = self.spawn(self._send(job), job.ask)
+        child = self.spawn(self._send(job, load), job.ask)
         # A child that is cancelled before its first step runs none of its code,
         # so the slot is released by a callback and not inside the child.
         child.add_done_callback(lambda _: self.post(_Finished(job)))
         job.ask.reply.add_done_callback(lambda _: child.cancel())
 
-    async def _send(self, job: _Job) -> None:
-        load = self._loads_by_id[job.instance_id]
+    async def _send(self, job: _Job, load: balance.InstanceLoad) -> None:
         started_s = self._clock.now_s()
         try:
             remaining_ms = deadlines.remaining_ms(
@@ -209,10 +227,7 @@
             job.ask.fail(error)
 
     def _abandon(self, instance_id: str) -> None:
-        queue = self._queues_by_id.get(instance_id)
-        for waiter in queue.pop_all() if queue else ():
-            text = f'{instance_id} is declared lost'
-            waiter.payload.ask.fail(errors.NoOwnerError(text))
+        self._refuse_all_queued(instance_id, 'is declared lost')
         for job in self._jobs_by_instance_id.get(instance_id, ()):
             text = f'{instance_id} was declared lost while it had the request'
             job.ask.fail(errors.OutcomeUnknownError(text))
@@ -240,7 +255,10 @@
 
     def _finish(self, finished: _Finished) -> None:
         instance_id = finished.job.instance_id
-        self._jobs_by_instance_id[instance_id].discard(finished.job)
+        jobs = self._jobs_by_instance_id[instance_id]
+        jobs.discard(finished.job)
+        if not jobs:
+            del self._jobs_by_instance_id[instance_id]
         load = self._loads_by_id.get(instance_id)
         queue = self._queues_by_id.get(instance_id)
         if load is None or queue is None:
--- a/libs/sending/tests/test_sender.py
+++ b/libs/sending/tests/test_sender.py
@@ -1,6 +1,7 @@
 """Tests of oriolefold_sending.sender."""
 
 import asyncio
+import dataclasses
 import random
 
 from oriolefold_backend import memory, ports
@@ -25,7 +26,12 @@
             metrics.Metrics(),
         )
         await self.start(self.sender)
-        register = basecase.make_register(instance_count=3, keyed=False)
+        self.configure(instance_count=3)
+
+    def configure(self, instance_count):
+        register = basecase.make_register(
+            instance_count=instance_count, keyed=False
+        )
         configuration = basecase.make_configuration(register)
         self.sender.post(notices.ConfigurationUpdated(configuration))
 
@@ -137,6 +143,71 @@
             answer = await self.sender.ask(ask)
             self.assertEqual(answer.instance_id, 's2')
 
+    async def test_queued_request_of_a_removed_instance_is_refused_at_once(
+        self,
+    ):
+        state = self.backend.instance('s0')
+        state.delay_s = 0.2
+        asks = [self.make_send(str(i)) for i in range(8)]
+        for ask in asks:
+            self.sender.post(ask)
+        await self.wait_for(lambda: len(state.ran) == 6)
+        self.configure(instance_count=0)
+        for ask in asks[6:]:
+            with self.assertRaises(errors.NoOwnerError):
+                async with asyncio.timeout(0.1):
+                    await ask.reply
+        answers = await asyncio.gather(*(ask.reply for ask in asks[:6]))
+        self.assertEqual([answer.status for answer in answers], [200] * 6)
+        self.assertEqual(len(state.ran), 6)
+
+    async def test_request_right_before_its_instance_is_removed_is_answered(
+        self,
+    ):
+        ask = self.make_send()
+        self.sender.post(ask)
+        self.configure(instance_count=0)
+        self.assertEqual((await ask.reply).status, 200)
+
+    async def test_returned_instance_gets_no_more_than_its_slots(self):
+        state = self.backend.instance('s0')
+        state.delay_s = 0.3
+        earlier = [self.make_send(str(i)) for i in range(6)]
+        for ask in earlier:
+            self.sender.post(ask)
+        await self.wait_for(lambda: len(state.ran) == 6)
+        earlier.pop().reply.cancel()
+        self.configure(instance_count=0)
+        self.configure(instance_count=3)
+        later = [self.make_send(f'later {i}') for i in range(12)]
+        for ask in later:
+            self.sender.post(ask)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(state.ran), 7)
+        answers = await asyncio.gather(*(ask.reply for ask in earlier + later))
+        self.assertEqual(len(answers), 17)
+        state.delay_s = 0.1
+        state.ran.clear()
+        last = [self.make_send(f'last {i}') for i in range(8)]
+        for ask in last:
+            self.sender.post(ask)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(state.ran), 6)
+        await asyncio.gather(*(ask.reply for ask in last))
+
+    async def test_removed_service_is_refused_as_not_run(self):
+        self.sender.post(
+            notices.ConfigurationUpdated(
+                basecase.make_configuration(
+                    dataclasses.replace(
+                        basecase.make_register(), services_by_id={}
+                    )
+                )
+            )
+        )
+        with self.assertRaises(errors.NotRunError):
+            await self.sender.ask(messages.SendBalanced(self.request(), set()))
+
     async def test_unknown_instance_is_refused_as_not_run(self):
         permit = ports.Permit(self.time, self.time.now_s() + 5)
         ask = messages.SendTo('absent', self.request(), permit)
