Take a VM list that comes before the first configuration without an error

What was seen: an AttributeError of the planner in the log of a daemon that starts (_live_vm_ids: 'NoneType' object has no attribute 'register').

Cause: the VM list service answers before the store's watch has returned the configuration, so VmListUpdated is the planner's first message, and the rank of this VM was asked for without a register. It is the only such order: the other callers of _live_vm_ids check for a configuration, run because of a stored map and one, or handle the configuration itself.

What was lost: nothing but the log line. The list was kept before the exception, and the first configuration schedules a plan for every keyed service that uses it; the test shows that homes and owners heed the list.

--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -137,7 +137,8 @@
                 self._schedule_plan(message.service_id, RETRY_INTERVAL_S)
             case messages.VmListUpdated():
                 changed, self._vm_list = message != self._vm_list, message
-                if changed:
+                # The first configuration schedules all plans by itself.
+                if changed and self._configuration is not None:
                     self._schedule_all(self._rank_delay_s())
             case _Plan():
                 self._plan(message.service_id)
--- a/libs/ownership/tests/test_planner.py
+++ b/libs/ownership/tests/test_planner.py
@@ -92,3 +92,33 @@
                 < len(hot_shards)
             )
         )
+
+
+class StartTest(basecase.AsyncCase):
+    """Messages may come before the first configuration."""
+
+    async def test_vm_list_before_the_first_configuration_is_no_error(self):
+        store = store_memory.MemoryStore()
+        observer = basecase.RecordingTask()
+        starting = planner.Planner(
+            'vm1',
+            store,
+            backend_memory.MemoryBackend(),
+            observer,
+            basecase.RecordingTask(),
+        )
+        with self.assertNoLogs('oriolefold_core.tasks'):
+            await self.start(starting)
+            leaving_ids = frozenset({'vm0', 's1'})
+            live_ids = frozenset({'vm0', 'vm1', 'vm2'})
+            starting.post(messages.VmListUpdated(live_ids, leaving_ids))
+            configuration = basecase.make_configuration(
+                basecase.make_register()
+            )
+            starting.post(notices.ConfigurationUpdated(configuration))
+            await self.wait_for(lambda: observer.messages)
+        (stored,) = observer.messages
+        homes = {row.home_id for row in stored.shard_map.rows}
+        owners = {row.owner_id for row in stored.shard_map.rows}
+        self.assertEqual(homes, {'vm1', 'vm2'})
+        self.assertNotIn('s1', owners)
