Bound the bodies of all requests in progress together

What callers saw: nothing yet; a VM whose callers send large bodies at once can outgrow its memory, and its kill loses every request that it has accepted.

Cause: the limit on bodies held for each of them, not for their sum. The body of a request in progress was also held three times: in its parts, joined, and in the buffer to the instance.

Change: BodyBudget counts the bodies of requests apart from responses, so that neither takes room from the other. The announced length is reserved before the body is read, a chunked body as it arrives, until the request has its answer. Without room the request is refused at once as not run, 503 with Retry-After, and its connection is closed. Room is never taken back from an accepted body. A fifth is kept for bodies up to 64 KiB. A body that could never fit gets 413. Since reserved room has to come back, a body of which nothing arrives for 10 s gets 408. Parts are dropped once they are joined.

Not bounded: bodies that a daemon gets from its peers are counted only while their frames arrive; heads, up to 2 x max-header-bytes + 64 KiB a connection; a caller that sends a byte now and then keeps its room.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -1,9 +1,13 @@
-"""Budget of the bytes that a process buffers."""
+"""Budgets of the bytes that a process buffers.
+
+Responses and the bodies of requests have a budget each, so that neither takes
+room from the other.
+"""
 
 from collections.abc import Callable
 
-# Fraction of a budget that only essential holds may use. A limit on complete
-# answers instead would have to drop some that are ready.
+# Fraction of a `ByteBudget` that only essential holds may use. A limit on
+# complete answers instead would have to drop some that are ready.
 ESSENTIAL_FRACTION = 0.15
 # Holds up to this size may use the reserve for small ones, too.
 SMALL_BYTES = 64 * 1024
@@ -128,6 +132,76 @@
         self.held_bytes -= hold.size
 
 
+class BodyHold:
+    """Room for the body of one request.
+
+    Attributes:
+        size: Number of bytes reserved.
+    """
+
+    __slots__ = ('_budget', 'size')
+
+    def __init__(self, budget: 'BodyBudget'):
+        self._budget = budget
+        self.size = 0
+
+    def reserve(self, count: int) -> bool:
+        """Reserves more bytes; returns whether there is room for them."""
+        if not self._budget.take(count, self.size + count):
+            return False
+        self.size += count
+        return True
+
+    def release(self) -> None:
+        """Gives the bytes back; further calls have no effect."""
+        self._budget.give_back(self.size)
+        self.size = 0
+
+
+class BodyBudget:
+    """Limits the bytes of the bodies of all requests in progress.
+
+    Room is reserved before it is used and never taken back, so that a request
+    whose body is accepted can be sent.
+
+    Attributes:
+        max_body_bytes: Largest body for which there can be room.
+        held_bytes: Number of bytes reserved now.
+    """
+
+    def __init__(self, max_bytes: int):
+        """Initializes an unused budget.
+
+        Args:
+            max_bytes: Largest number of bytes that are held at a time.
+        """
+        self._max_bytes = max_bytes
+        self.max_body_bytes = int(max_bytes * (1 - RESERVE_FRACTION))
+        self.held_bytes = 0
+
+    def open(self) -> BodyHold:
+        """Returns a new hold without any bytes."""
+        return BodyHold(self)
+
+    def take(self, count: int, size: int) -> bool:
+        """Counts more bytes of a body if there is room for them.
+
+        Args:
+            count: Number of bytes to count.
+            size: Size of the body with them.
+        """
+        is_small = size <= SMALL_BYTES
+        limit = self._max_bytes if is_small else self.max_body_bytes
+        if self.held_bytes + count > limit:
+            return False
+        self.held_bytes += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        """Stops counting bytes."""
+        self.held_bytes -= count
+
+
 def _precedence(hold: Hold) -> tuple[bool, bool, int]:
     return (
         not hold.essential,
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -106,3 +106,39 @@
         self.assertEqual(self.budget.held_bytes, 4)
         del holds
         self.assertEqual(self.budget.held_bytes, 0)
+
+
+class BodyBudgetTest(basecase.BaseCase):
+    """Room for bodies is bounded, never taken back, and given back once."""
+
+    def setUp(self):
+        super().setUp()
+        self.budget = bytebudget.BodyBudget(1_000_000)
+
+    def test_a_body_without_room_reserves_nothing(self):
+        first, second = self.budget.open(), self.budget.open()
+        self.assertTrue(first.reserve(700_000))
+        self.assertFalse(second.reserve(200_000))
+        self.assertEqual((first.size, second.size), (700_000, 0))
+        self.assertTrue(second.reserve(100_000))
+        self.assertEqual(self.budget.held_bytes, 800_000)
+
+    def test_small_bodies_fit_beside_large_ones(self):
+        self.assertTrue(self.budget.open().reserve(800_000))
+        small = self.budget.open()
+        self.assertTrue(small.reserve(bytebudget.SMALL_BYTES))
+        self.assertFalse(small.reserve(1))
+
+    def test_all_small_bodies_stay_within_the_budget(self):
+        holds = [self.budget.open() for _ in range(100)]
+        while any(hold.reserve(1000) for hold in holds):
+            pass
+        self.assertEqual(self.budget.held_bytes, 1_000_000)
+
+    def test_room_is_given_back_once(self):
+        holds = [self.budget.open(), self.budget.open()]
+        for hold in holds:
+            self.assertTrue(hold.reserve(10))
+        holds[0].release()
+        holds[0].release()
+        self.assertEqual(self.budget.held_bytes, 10)
--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -118,7 +118,10 @@
             budget,
         )
         self._frontend = frontend.Frontend(
-            values.caller_address, self._dispatcher, values.max_body_bytes
+            values.caller_address,
+            self._dispatcher,
+            values.max_body_bytes,
+            bodies=bytebudget.BodyBudget(values.max_bodies_bytes),
         )
         self._admin = admin.AdminServer(
             values.admin_address,
--- a/libs/daemon/src/oriolefold_daemon/settings.py
+++ b/libs/daemon/src/oriolefold_daemon/settings.py
@@ -51,6 +51,11 @@
         ge=1024 * 1024,
         description='maximum size of all buffered responses and frames',
     )
+    max_bodies_bytes: int = pydantic.Field(
+        64 * 1024 * 1024,
+        ge=1024 * 1024,
+        description='maximum size of the bodies of all requests, in bytes',
+    )
     stop_limit_s: float = pydantic.Field(
         30.0,
         gt=0,
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -109,6 +109,7 @@
         endpoint_reader: watching.Reader,
         recorder: counters.Counters,
         budget: bytebudget.ByteBudget | None = None,
+        bodies: bytebudget.BodyBudget | None = None,
     ):
         """Initializes the application.
 
@@ -121,6 +122,8 @@
             recorder: Metrics.
             budget: Budget of the bytes of all responses; by default the
                 responses of peers have their own.
+            bodies: Budget of the bodies of all requests; by default the front
+                end has its own.
         """
         self._settings = settings
         self._instances = instances
@@ -160,6 +163,7 @@
             self._dispatcher,
             FIRST_BODY_BYTES,
             settings.deadline_header,
+            bodies,
         )
 
         def make_coordinator(service_id: str) -> coordinator.Coordinator:
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -182,7 +182,10 @@
 
     def _check_head(self) -> None:
         current = self._exchange
-        if current is None or current.has_head or self._stream.output_ended:
+        if current is None or self._stream.output_ended:
+            return
+        if current.has_head:
+            self._check_body()
             return
         if self._stream.has_unread_input():
             self._set_timer(0, self._on_header_timeout)
@@ -190,6 +193,24 @@
         text = f'the headers took over {self._frontend.header_timeout_s:g} s'
         current.cut_reading(errors.RequestTimeoutError(text))
 
+    def _on_body_timeout(self) -> None:
+        self._loop.call_soon(self._check_body)
+
+    def _check_body(self) -> None:
+        """Refuses a request whose body, which has room reserved, stalls."""
+        current = self._exchange
+        if current is None or current.is_read or self._stream.output_ended:
+            return
+        body_stall_s = self._frontend.body_stall_s
+        remaining_s = self._last_input_s + body_stall_s - self._loop.time()
+        if self._stream.has_unread_input():
+            remaining_s = max(remaining_s, 0.0)
+        elif remaining_s <= 0:
+            text = f'no more of the body came for {body_stall_s:g} s'
+            current.cut_reading(errors.RequestTimeoutError(text))
+            return
+        self._set_timer(remaining_s, self._on_body_timeout)
+
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -69,6 +69,7 @@
         self._start_line: httputil.RequestStartLine | None = None
         self._headers: httputil.HTTPHeaders | None = None
         self._chunks: list[bytes] = []
+        self._room = frontend.bodies.open()
         self._body_size = 0
         self._request_id = ''
         self._reply: asyncio.Future | None = None
@@ -97,7 +98,7 @@
         self._frontend.request_started()
 
     def headers_received(self, start_line, headers):
-        """Checks the size of the headers and the announced size of the body."""
+        """Checks the sizes of headers and body, and reserves room for it."""
         if self._is_ignored:
             return
         if not self.has_begun:
@@ -114,8 +115,12 @@
         if _head_size(start_line, headers) > max_header_bytes:
             text = f'the headers have more than {max_header_bytes} bytes'
             self._refuse_unread(errors.HeadersTooLargeError(text))
-        elif _announced_bytes(headers) > self._max_body_bytes:
+            return
+        announced_bytes = _announced_bytes(headers)
+        if announced_bytes > self._max_body_bytes:
             self._refuse_body()
+        elif announced_bytes > 0:
+            self._reserve_room(announced_bytes)
 
     def data_received(self, chunk):
         """Collects a part of the body, up to the limit."""
@@ -124,7 +129,7 @@
         self._body_size += len(chunk)
         if self._body_size > self._max_body_bytes:
             self._refuse_body()
-        else:
+        elif self._reserve_room(self._body_size - self._room.size):
             self._chunks.append(chunk)
 
     def finish(self):
@@ -191,8 +196,25 @@
             )
             by_vm = is_closing or is_endless or self._stream.stalled
             self._log_cut('vm' if by_vm else 'caller')
+        self._room.release()
         self._frontend.request_ended()
 
+    def _reserve_room(self, count: int) -> bool:
+        """Reserves room for the body; without room, refuses the request."""
+        if count <= 0 or self._room.reserve(count):
+            return True
+        bodies = self._frontend.bodies
+        logs.event(
+            'body.refused',
+            request=self._request_id,
+            body_bytes=self._room.size + count,
+            held_bytes=bodies.held_bytes,
+            max_body_bytes=bodies.max_body_bytes,
+        )
+        text = 'this VM has no room for the body now'
+        self._refuse_unread(errors.OverloadedError(text))
+        return False
+
     def _refuse_body(self) -> None:
         text = f'the body is larger than {self._max_body_bytes} bytes'
         self._refuse_unread(errors.BodyTooLargeError(text))
@@ -201,6 +223,7 @@
         """Refuses a request before all of it has been read."""
         self._is_ignored = True
         self._chunks = []
+        self._room.release()
         # The rest of the body is discarded, however long it is.
         self._http.set_max_body_size(sys.maxsize)
         # The rest of the request has not been read, so the connection cannot
@@ -214,6 +237,7 @@
         return uuid.uuid4().hex
 
     def _on_reply(self, reply: asyncio.Future) -> None:
+        self._room.release()
         if reply.cancelled():
             error = errors.OutcomeUnknownError('the request was cancelled')
         else:
@@ -260,13 +284,15 @@
             raise errors.RequestError(
                 f'method {method[:16]!r} is not supported'
             )
+        body = b''.join(self._chunks)
+        self._chunks = []
         return messages.Dispatch(
             self._request_id,
             method,
             self._start_line.path,
             self._headers,
             backend_headers.forwarded(self._headers.get_all()),
-            b''.join(self._chunks),
+            body,
             self._headers.get(self._frontend.deadline_header),
         )
 
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -6,7 +6,7 @@
 
 from tornado import http1connection, netutil
 
-from oriolefold_core import data, results, tasks
+from oriolefold_core import bytebudget, data, results, tasks
 from oriolefold_gateway import connections
 from oriolefold_telemetry import logs
 
@@ -16,6 +16,8 @@
 MAX_QUEUED_CONNECTIONS = 1024  # Held by the kernel until they are accepted.
 STALL_S = 1.0  # Pause after which a partial request holds up no drain.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
+BODY_STALL_S = 10.0  # Pause after which a body gives up its room.
+DEFAULT_BODIES_BYTES = 80 * 1024 * 1024  # All bodies of requests together.
 CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
 
 
@@ -30,8 +32,11 @@
         header_timeout_s: Time in which the headers of a request have to
             arrive, from their first byte, in seconds.
         idle_timeout_s: Time that a connection may stay idle, in seconds.
+        body_stall_s: Time without a byte after which the body of a request is
+            not waited for any longer, in seconds.
         deadline_header: Header with the time that a caller is willing to wait,
             in milliseconds.
+        bodies: Budget of the bodies of all requests.
         http_parameters: Parameters of the HTTP protocol for Tornado.
     """
 
@@ -41,6 +46,7 @@
         dispatcher: tasks.Task,
         max_body_bytes: int,
         deadline_header: str = results.DEADLINE_HEADER,
+        bodies: bytebudget.BodyBudget | None = None,
     ):
         """Initializes the server; `start` opens the socket.
 
@@ -50,10 +56,14 @@
             max_body_bytes: Largest accepted body of a request.
             deadline_header: Header with the time that a caller is willing to
                 wait, in milliseconds.
+            bodies: Budget of the bodies of all requests; by default of
+                `DEFAULT_BODIES_BYTES`.
         """
         self._address = address
         self._dispatcher = dispatcher
         self.deadline_header = deadline_header
+        self.body_stall_s = BODY_STALL_S
+        self.bodies = bodies or bytebudget.BodyBudget(DEFAULT_BODIES_BYTES)
         self.http_parameters = http1connection.HTTP1ConnectionParameters()
         self.set_limits(MAX_HEADER_BYTES, max_body_bytes, IDLE_TIMEOUT_S)
         self.http_parameters.max_header_size = MAX_HEADER_BYTES
@@ -140,11 +150,13 @@
             header_bytes: Largest size of the headers of a request. Headers of
                 more than twice this size plus 64 KiB close the connection
                 without an answer.
-            body_bytes: Largest body of a request.
+            body_bytes: Largest body of a request; lower if the budget of the
+                bodies could never hold it.
             idle_timeout_s: Time that a connection may stay idle, in seconds.
             header_timeout_s: Time in which the headers of a request have to
                 arrive, from their first byte, in seconds.
         """
+        body_bytes = min(body_bytes, self.bodies.max_body_bytes)
         self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
         self.idle_timeout_s = idle_timeout_s
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -8,12 +8,13 @@
 from unittest import mock
 
 from oriolefold_backend import headers as backend_headers
-from oriolefold_core import data, tasks
+from oriolefold_core import bytebudget, data, tasks
 from oriolefold_gateway import frontend
 from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
 MAX_BODY_BYTES = 1000
+BODIES_BYTES = 1_000_000  # All bodies of requests together.
 LARGE_BODY = b'x' * 12_000_000  # More than the kernel buffers of a connection.
 PIECE_BYTES = 256 * 1024
 PIECE_INTERVAL_S = 0.002
@@ -117,7 +118,10 @@
         await self.start(self.dispatcher)
         self.address = basecase.free_address()
         self.frontend = frontend.Frontend(
-            self.address, self.dispatcher, MAX_BODY_BYTES
+            self.address,
+            self.dispatcher,
+            MAX_BODY_BYTES,
+            bodies=bytebudget.BodyBudget(BODIES_BYTES),
         )
         self.frontend.start(reuse_port=False)
         self.addAsyncCleanup(self.frontend.stop)
@@ -515,6 +519,93 @@
         self.assertEqual(len(self.dispatcher.dispatches[-1].body), len(body))
 
 
+class BodyBudgetTest(ConnectionCase):
+    """The bodies of all requests together are bounded."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.frontend.set_limits(16384, BODIES_BYTES, 30.0)
+
+    def held_bytes(self) -> int:
+        return self.frontend.bodies.held_bytes
+
+    async def send_post(self, size: int, sent: int) -> Caller:
+        """Returns a connection with a POST of which a part has arrived."""
+        head = f'POST /svc/a HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
+        return await self.send_part(f'{head}\r\n\r\n'.encode() + b'x' * sent)
+
+    async def test_a_body_without_room_is_refused_before_it_is_read(self):
+        first = await self.send_post(700_000, 1)
+        self.dispatcher.dispatches.clear()
+        second = await self.send_post(200_000, 0)
+        answer = parse(await second.read_to_end())
+        self.assert_refused(answer, 503)
+        self.assertEqual(answer[1]['Retry-After'], '1')
+        small = await self.send_post(100, 100)
+        self.assertEqual((await small.read_answer())[0], 200)
+        methods = [each.method for each in self.dispatcher.dispatches]
+        self.assertEqual(methods, ['GET', 'GET', 'POST'])
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(first.socket, b'x' * 699_999)
+        self.assertEqual((await first.read_answer())[0], 200)
+        third = await self.send_post(200_000, 0)
+        await loop.sock_sendall(third.socket, b'x' * 200_000)
+        self.assertEqual((await third.read_answer())[0], 200)
+
+    async def test_a_chunked_body_is_refused_when_the_room_is_used_up(self):
+        await self.send_post(700_000, 1)
+        self.dispatcher.dispatches.clear()
+        head = b'POST /svc/a HTTP/1.1\r\nHost: x\r\n'
+        caller = await self.send_part(
+            head + b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        self.dispatcher.dispatches.clear()
+        for _ in range(3):
+            caller.send(b'c350\r\n' + b'x' * 50_000 + b'\r\n')
+            await asyncio.sleep(0.02)
+        self.assert_refused(parse(await caller.read_to_end()), 503)
+        self.assertEqual(self.dispatcher.dispatches, [])
+
+    async def test_a_body_that_never_fits_gets_413(self):
+        caller = await self.send_post(900_000, 0)
+        self.assert_refused(parse(await caller.read_to_end()), 413)
+
+    async def test_the_room_of_a_body_is_given_back(self):
+        for name in ('answered', 'caller left', 'left early', 'refused'):
+            with self.subTest(name):
+                self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+                size = 100_000
+                caller = await self.send_post(size, 20_000)
+                self.dispatcher.dispatches.clear()
+                self.assertEqual(self.held_bytes(), size)
+                if name in ('answered', 'caller left'):
+                    self.dispatcher.answer = None
+                    caller.send(b'x' * (size - 20_000))
+                    await self.wait_for(lambda: self.dispatcher.dispatches)
+                    self.assertEqual(self.held_bytes(), size)
+                    (dispatch,) = self.dispatcher.dispatches
+                if name == 'answered':
+                    dispatch.answer(data.Answer(200, (), b'', 's0'))
+                elif name == 'refused':
+                    await self.frontend.stop()
+                else:
+                    caller.close()
+                await self.wait_for(lambda: not self.held_bytes())
+
+    async def test_a_body_that_stops_arriving_gets_408(self):
+        self.frontend.set_limits(
+            16384, BODIES_BYTES, 30.0, header_timeout_s=0.05
+        )
+        self.frontend.body_stall_s = 0.3
+        caller = await self.send_post(100_000, 0)
+        for _ in range(5):
+            await asyncio.sleep(0.1)
+            caller.send(b'x')
+        self.assertEqual(self.held_bytes(), 100_000)
+        self.assert_refused(parse(await caller.read_to_end()), 408)
+        self.assertEqual(self.held_bytes(), 0)
+
+
 class TimeoutTest(ConnectionCase):
     """The limits on idle time and on slow heads do not mix."""
 
