--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -164,6 +164,17 @@
         await receiving
         self.assertEqual(self.aborted_names, ['unknown'])
 
+    async def test_a_response_given_up_while_it_waits_reserves_nothing(self):
+        full, receiving_full = self.receive('full', 7_900_000)
+        await receiving_full
+        waiting, receiving = self.receive('waiting', 3_000_000)
+        await asyncio.sleep(0)
+        waiting.abort()
+        full.release()
+        await asyncio.sleep(0)
+        self.assertEqual(self.budget.held_bytes, 0)
+        receiving.cancel()
+
     async def test_unread_bytes_of_waiting_responses_abort_none(self):
         full, receiving_full = self.receive('full', 7_900_000)
         await receiving_full
