Measure a baseline before an instance counts as queueing

Cause: the first answer was taken for the baseline, and from the second one on a mean above 1.5 times the baseline was a queue, which also all but stops the baseline from following. A first answer after 0.5 s or more among others after 50 ms sets the limit from 6 to 1, and it stays below 6 for 19 or 20 answers.

Change: an instance counts as queueing from the twelfth answer on. Up to there the baseline is the mean of the clipped times, as its weights already were.

Result: test_an_unusual_first_answer_does_not_look_like_a_queue fails on the code before (limit 1.0 after first answers of 0.5 and 3 s; it held after 5 ms). Not told by a first answer of a fiftieth of the usual time or less: its limit still falls.

--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -23,6 +23,7 @@
 QUEUEING_RATIO = 1.5  # Service time over baseline that indicates a queue.
 MIN_DECREASE_FACTOR = 0.7  # Lower bound of the decrease when there is a queue.
 BASELINE_SMOOTHING = 0.08  # Weight of a new sample in the baseline time.
+MIN_BASELINE_ANSWERS = 12  # The baseline is their mean; fewer show no queue.
 QUEUEING_BASELINE_SMOOTHING = 0.01  # The same while there is a queue.
 OUTLIER_FACTOR = 3.0  # Samples are clipped to this multiple of the baseline.
 QUOTA_MARGIN = 1.2  # Sum of the quotas of all VMs, per slot.
@@ -176,7 +177,10 @@
     @property
     def is_queueing(self) -> bool:
         """Whether recent answers show a queue at the instance."""
-        return self.clipped_time_s > QUEUEING_RATIO * self.baseline_time_s
+        return (
+            self.answers >= MIN_BASELINE_ANSWERS
+            and self.clipped_time_s > QUEUEING_RATIO * self.baseline_time_s
+        )
 
     def _update_times(self, took_s: float) -> None:
         self.answers += 1
--- a/libs/routing/tests/test_concurrency.py
+++ b/libs/routing/tests/test_concurrency.py
@@ -127,6 +127,17 @@
             self.state.record(result, took_s, 9.0)
         self.assertGreaterEqual(self.state.limit, 6.0)
 
+    def test_an_unusual_first_answer_does_not_look_like_a_queue(self):
+        for first_s in (0.005, 0.5, 3.0):
+            with self.subTest(first_s=first_s):
+                self.setUp()
+                for step in range(100):
+                    took_s = 0.05 if step else first_s
+                    self.state.record(
+                        concurrency.SendResult.ANSWERED, took_s, step
+                    )
+                    self.assertGreaterEqual(self.state.limit, 6.0)
+
     def test_a_quota_overrides_the_limit_until_it_expires(self):
         self.state.set_quota(0.25, 1.0)
         self.state.in_flight = 2
