Keep a large response waiting for room instead of dropping it

Repeatable ones ran up to three times, unsafe ones had run once and their answer was gone.

Cause: the VM accepted requests without a bound on the memory of their answers. With several answers of 8 MB at a time, some of them held for slow readers, the byte budget (27.7 MB for ordinary large ones) was used up, and the largest response under way was aborted although it kept to its announced length.

Change: a response that announces more than 64 KB is counted whole before its body is read, and its sender waits until there is room: others have been handed to their callers, or one without an announced length gives way. The wait ends after half of the time left; then it grows as before, and the largest is aborted, so a sender that announces much and sends nothing blocks nobody for longer. What has arrived while it waits may use the reserve for small responses. Essential responses do not wait.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -1,5 +1,6 @@
 """Budget of the bytes that a process buffers."""
 
+import asyncio
 from collections.abc import Callable
 
 # Fraction of a budget that only essential holds may use. A limit on complete
@@ -21,9 +22,18 @@
         size: Number of bytes counted.
         announced_size: Size that the sender has announced, or 0.
         essential: Whether holds that are not essential are aborted first.
+        waiting: Whether its sender is kept waiting until there is room.
     """
 
-    __slots__ = ('_abort', '_budget', 'announced_size', 'essential', 'size')
+    __slots__ = (
+        '_abort',
+        '_budget',
+        '_reserved',
+        'announced_size',
+        'essential',
+        'size',
+        'waiting',
+    )
 
     def __init__(
         self, budget: 'ByteBudget', abort: Callable[[], None], essential: bool
@@ -33,20 +43,51 @@
         self.announced_size = 0
         self.essential = essential
         self.size = 0
+        self.waiting = False
+        self._reserved = 0  # Counted bytes that have not arrived yet.
 
     def __del__(self):
         self.release()
 
+    @property
+    def arrived(self) -> int:
+        """Number of counted bytes that have arrived."""
+        return self.size - self._reserved
+
     def grow(self, count: int) -> None:
         """Counts more bytes; may abort this hold or others to make room."""
-        if self._abort is not None:
-            self.size += count
-            self._budget.add(self, count)
+        used = min(count, self._reserved)
+        self._reserved -= used
+        added = count - used
+        if added and self._abort is not None:
+            self.size += added
+            self._budget.add(self, added)
+
+    async def announce(self, size: int, limit_s: float) -> None:
+        """Counts the announced bytes of a response before they arrive.
+
+        Waits for room, so that its sender has to wait instead of losing the
+        response. After the limit it grows like a response of unknown length.
+        """
+        self.announced_size = size
+        if size <= SMALL_BYTES or self.essential:
+            return
+        self.waiting = True
+        try:
+            await self._budget.wait_for_room(self, size, limit_s)
+        finally:
+            self.waiting = False
+
+    def reserve(self, size: int) -> None:
+        """Counts bytes that will arrive."""
+        self._reserved += size
+        self.size += size
 
     def settle(self, size: int) -> None:
         """Fixes the size of a complete response, which is never aborted."""
         if self._abort is not None:
             self._abort = None
+            self._reserved = 0
             self._budget.settle(self, size - self.size)
             self.size = size
 
@@ -60,8 +101,8 @@
     def release(self) -> None:
         """Gives the bytes back; further calls have no effect."""
         self._abort = None
+        self._reserved = 0
         self._budget.remove(self)
-        self.size = 0
 
 
 class ByteBudget:
@@ -70,7 +111,8 @@
     When the budget is exhausted, the largest hold that still grows is aborted,
     since a response without an end outgrows proper ones sooner or later. Those
     of unknown length come first, unless they are small, since one that keeps to
-    an announced length has an end.
+    an announced length has an end. One that has announced its length waits for
+    room before it is received.
 
     Attributes:
         held_bytes: Number of bytes counted now.
@@ -88,6 +130,7 @@
             self._max_small_bytes * (1 - RESERVE_FRACTION)
         )
         self._growing: set[Hold] = set()
+        self._waiting: list[tuple[Hold, int, asyncio.Future]] = []
         self.held_bytes = 0
 
     def open(self, abort: Callable[[], None], essential: bool = False) -> Hold:
@@ -113,24 +156,86 @@
         """Returns up to how many held bytes a hold may grow."""
         if hold.essential:
             return self._max_bytes
-        if hold.size <= SMALL_BYTES:
+        if hold.size <= SMALL_BYTES or hold.waiting:
             return self._max_small_bytes
         return self._max_large_bytes
 
+    async def wait_for_room(
+        self, hold: Hold, size: int, limit_s: float
+    ) -> None:
+        """Reserves bytes for a hold as soon as there is room.
+
+        Args:
+            hold: The hold.
+            size: Number of bytes.
+            limit_s: Time limit, after which nothing is reserved.
+        """
+        if size > self._max_large_bytes or self._reserve(hold, size):
+            return
+        reserved = asyncio.get_running_loop().create_future()
+        waiter = hold, size, reserved
+        self._waiting.append(waiter)
+        try:
+            async with asyncio.timeout(limit_s):
+                await reserved
+        except TimeoutError:
+            return
+        finally:
+            self._waiting.remove(waiter)
+
+    def _reserve(self, hold: Hold, size: int) -> bool:
+        """Reserves bytes, if need be in favor of those without an end."""
+        excess = self.held_bytes + size - self._max_large_bytes
+        endless = [
+            other
+            for other in self._growing
+            if not other.essential and _is_of_unknown_length(other)
+        ]
+        if excess > sum(other.size for other in endless):
+            return False
+        for other in sorted(endless, key=_precedence, reverse=True):
+            if self.held_bytes + size <= self._max_large_bytes:
+                break
+            other.abort()
+        self.held_bytes += size
+        hold.reserve(size)
+        return True
+
+    def _wake_waiting(self) -> None:
+        """Lets responses that wait have the room that was given back.
+
+        Later, since a hold may be dropped while others are looked at.
+        """
+        if self._waiting:
+            _, _, reserved = self._waiting[0]
+            reserved.get_loop().call_soon(self._admit_waiting)
+
+    def _admit_waiting(self) -> None:
+        for hold, size, reserved in list(self._waiting):
+            if not reserved.done() and self._reserve(hold, size):
+                reserved.set_result(None)
+
     def settle(self, hold: Hold, change: int) -> None:
         """Changes the size of a hold for the last time."""
         self._growing.discard(hold)
         self.held_bytes += change
+        self._wake_waiting()
 
     def remove(self, hold: Hold) -> None:
         """Stops counting a hold."""
         self._growing.discard(hold)
         self.held_bytes -= hold.size
+        hold.size = 0
+        self._wake_waiting()
+
+
+def _is_of_unknown_length(hold: Hold) -> bool:
+    return hold.arrived > hold.announced_size + SMALL_BYTES
 
 
 def _precedence(hold: Hold) -> tuple[bool, bool, int]:
     return (
         not hold.essential,
-        hold.size > hold.announced_size + SMALL_BYTES,
+        _is_of_unknown_length(hold),
         max(hold.size, hold.announced_size),
     )
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -1,5 +1,7 @@
 """Tests of oriolefold_core.bytebudget."""
 
+import asyncio
+
 from oriolefold_core import bytebudget
 from oriolefold_testbed import basecase
 
@@ -7,8 +9,8 @@
 MAX_BYTES = round(ORDINARY_BYTES / (1 - bytebudget.ESSENTIAL_FRACTION))
 
 
-class ByteBudgetTest(basecase.BaseCase):
-    """The bytes held stay within the budget and are given back."""
+class BudgetCase:
+    """Opens holds of one budget and notes which are aborted."""
 
     def setUp(self):
         super().setUp()
@@ -23,6 +25,10 @@
         hold.grow(size)
         return hold
 
+
+class ByteBudgetTest(BudgetCase, basecase.BaseCase):
+    """The bytes held stay within the budget and are given back."""
+
     def test_the_largest_growing_hold_is_aborted(self):
         large = self.open('large', 5_000_000)
         small = self.open('small', 2_000_000)
@@ -106,3 +112,66 @@
         self.assertEqual(self.budget.held_bytes, 4)
         del holds
         self.assertEqual(self.budget.held_bytes, 0)
+
+
+class RoomTest(BudgetCase, basecase.AsyncCase):
+    """Responses of announced lengths wait for room instead of being aborted."""
+
+    def receive(self, name, size, limit_s=5.0):
+        """Returns a hold and a task that receives a response with it."""
+        hold = self.open(name, 1000)
+
+        async def announce_and_grow():
+            await hold.announce(size, limit_s)
+            hold.grow(size)
+
+        return hold, asyncio.create_task(announce_and_grow())
+
+    async def test_large_responses_at_once_are_not_aborted(self):
+        first, receiving_first = self.receive('first', 5_000_000)
+        await receiving_first
+        _, receiving_second = self.receive('second', 5_000_000)
+        _, receiving_third = self.receive('third', 2_000_000)
+        await receiving_third
+        await asyncio.sleep(0)
+        self.assertFalse(receiving_second.done())
+        first.settle(first.size)
+        first.release()
+        await receiving_second
+        self.assertEqual(self.aborted_names, [])
+        self.assertEqual(self.budget.held_bytes, 7_002_000)
+
+    async def test_announced_bytes_are_counted_before_they_arrive(self):
+        hold = self.open('announced', 1000)
+        await hold.announce(6_000_000, 1.0)
+        self.assertEqual(self.budget.held_bytes, 6_001_000)
+        _, receiving = self.receive('other', 3_000_000)
+        await asyncio.sleep(0)
+        hold.release()
+        await receiving
+        self.assertEqual(self.budget.held_bytes, 3_001_000)
+
+    async def test_a_sender_that_keeps_its_room_does_not_block_others(self):
+        idle = self.open('idle')
+        await idle.announce(7_000_000, 1.0)
+        _, receiving = self.receive('other', 3_000_000, limit_s=0.05)
+        await receiving
+        self.assertEqual(self.aborted_names, ['idle'])
+
+    async def test_responses_of_unknown_length_make_room(self):
+        self.open('unknown', 6_000_000)
+        _, receiving = self.receive('announced', 4_000_000)
+        await receiving
+        self.assertEqual(self.aborted_names, ['unknown'])
+
+    async def test_unread_bytes_of_waiting_responses_abort_none(self):
+        full, receiving_full = self.receive('full', 7_900_000)
+        await receiving_full
+        waiting, receiving = self.receive('waiting', 3_000_000)
+        await asyncio.sleep(0)
+        waiting.grow(2 * bytebudget.SMALL_BYTES)
+        self.assertEqual(self.aborted_names, [])
+        receiving.cancel()
+        await asyncio.gather(receiving, return_exceptions=True)
+        waiting.release()
+        self.assertEqual(self.budget.held_bytes, full.size)
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -27,6 +27,9 @@
 MAX_HEADER_BYTES = 65536
 # Size of a pool's own budget, in responses of the largest size.
 DEFAULT_BUDGET_RESPONSES = 4
+# Part of the time left that a sender is kept waiting for room in the budget.
+ROOM_WAIT_FRACTION = 0.5
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_UNRELATED_RESPONSES = 3  # Skipped before the connection is closed.
 DEFAULT_IDLE_S = 4.0  # Longest idle time of a connection that is reused.
 IDLE_TIMEOUT_FRACTION = 0.6  # Fraction of the announced keep-alive timeout.
@@ -79,8 +82,12 @@
 class _ResponseCollector(httputil.HTTPMessageDelegate):
     """Collects one response."""
 
-    def __init__(self, hold: bytebudget.Hold):
+    def __init__(
+        self, hold: bytebudget.Hold, max_body_bytes: int, ends_at_s: float
+    ):
         self._hold = hold
+        self._max_body_bytes = max_body_bytes
+        self._ends_at_s = ends_at_s
         self.reset()
 
     def reset(self) -> None:
@@ -93,12 +100,18 @@
         self.complete = False
 
     def headers_received(self, start_line, headers):
-        """Stores status and headers."""
+        """Stores status and headers; the body is read once it has room."""
         self.status = start_line.code
         self.headers = headers
         length = headers.get('Content-Length', '')
-        if length.isdecimal():
-            self._hold.announced_size = int(length)
+        if (
+            not length.isdecimal()
+            or int(length) > self._max_body_bytes
+            or self.status in STATUSES_WITHOUT_BODY
+        ):
+            return None
+        left_s = self._ends_at_s - asyncio.get_running_loop().time()
+        return self._hold.announce(int(length), left_s * ROOM_WAIT_FRACTION)
 
     def data_received(self, chunk):
         """Stores a part of the body."""
@@ -260,7 +273,7 @@
         try:
             async with asyncio.timeout_at(ends_at_s):
                 incoming = await self._send_and_receive(
-                    address, connection, outgoing, is_own_response
+                    address, connection, outgoing, ends_at_s, is_own_response
                 )
         except errors.ResponseDroppedError:
             stream.close()
@@ -370,15 +383,20 @@
         return _Connection(stream, self.opened)
 
     async def _send_and_receive(
-        self, address, connection, outgoing, is_own_response
+        self,
+        address,
+        connection,
+        outgoing,
+        ends_at_s: float,
+        is_own_response,
     ) -> IncomingResponse:
         stream = connection.stream
         if stream.closed():
             raise errors.UnreachableError('the connection was closed')
         connection.uses += 1
         http = http1connection.HTTP1Connection(stream, True, self._params)
-        if outgoing.max_response_bytes is not None:
-            http.set_max_body_size(outgoing.max_response_bytes)
+        max_body_bytes = self._max_body_bytes(outgoing)
+        http.set_max_body_size(max_body_bytes)
         headers = httputil.HTTPHeaders()
         for name, value in outgoing.headers:
             headers.add(name, value)
@@ -389,7 +407,9 @@
         start = httputil.RequestStartLine(
             outgoing.method, outgoing.target, 'HTTP/1.1'
         )
-        collector = _ResponseCollector(stream.hold)
+        if outgoing.method == 'HEAD':
+            max_body_bytes = 0  # Its length is that of no body.
+        collector = _ResponseCollector(stream.hold, max_body_bytes, ends_at_s)
         try:
             writing = http.write_headers(start, headers, outgoing.body or None)
             writing.add_done_callback(_retrieve_exception)
@@ -420,11 +440,14 @@
 
     def _is_endless(self, stream, outgoing) -> bool:
         """Whether an incomplete response is over the limit of one response."""
-        max_body_bytes = outgoing.max_response_bytes
-        if max_body_bytes is None:
-            max_body_bytes = self._params.max_body_size
+        max_body_bytes = self._max_body_bytes(outgoing)
         return stream.received_bytes > max_body_bytes + MAX_HEADER_BYTES
 
+    def _max_body_bytes(self, outgoing: OutgoingRequest) -> int:
+        if outgoing.max_response_bytes is None:
+            return self._params.max_body_size
+        return outgoing.max_response_bytes
+
     def _return_to_pool(self, address, connection, headers) -> None:
         stream = connection.stream
         idle_s = (
