Leave out of an instance's time what a response waited for memory of the VM

An instance whose large response has to wait for room in the VM's byte budget looked slow by up to half of the request's time, so its concurrency limit would fall and short requests to it would be refused.

Change: an answer says how long its instance was held up, and that time is not counted. The likely time of a kind of request still includes it.

Test: an answer after 0.3 s that was held up for 0.25 s counts as quick; it fails without the subtraction.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -23,6 +23,7 @@
         announced_size: Size that the sender has announced, or 0.
         essential: Whether holds that are not essential are aborted first.
         waiting: Whether its sender is kept waiting until there is room.
+        waited_s: Time that its sender was kept waiting, in seconds.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         'announced_size',
         'essential',
         'size',
+        'waited_s',
         'waiting',
     )
 
@@ -44,6 +46,7 @@
         self.essential = essential
         self.size = 0
         self.waiting = False
+        self.waited_s = 0.0
         self._reserved = 0  # Counted bytes that have not arrived yet.
 
     def __del__(self):
@@ -73,10 +76,13 @@
         if size <= SMALL_BYTES or self.essential:
             return
         self.waiting = True
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             await self._budget.wait_for_room(self, size, limit_s)
         finally:
             self.waiting = False
+            self.waited_s += loop.time() - started_s
 
     def reserve(self, size: int) -> None:
         """Counts bytes that will arrive."""
--- a/libs/core/src/oriolefold_core/data.py
+++ b/libs/core/src/oriolefold_core/data.py
@@ -192,12 +192,17 @@
         headers: Names and values, without hop-by-hop headers.
         body: The complete body.
         instance_id: Instance that answered.
+        held_up_s: Time that the instance had to wait for memory of this VM, in
+            seconds.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     instance_id: str
+    held_up_s: float = dataclasses.field(
+        default=0.0, compare=False, kw_only=True
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -130,14 +130,15 @@
     async def test_large_responses_at_once_are_not_aborted(self):
         first, receiving_first = self.receive('first', 5_000_000)
         await receiving_first
-        _, receiving_second = self.receive('second', 5_000_000)
+        second, receiving_second = self.receive('second', 5_000_000)
         _, receiving_third = self.receive('third', 2_000_000)
         await receiving_third
-        await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
         self.assertFalse(receiving_second.done())
         first.settle(first.size)
         first.release()
         await receiving_second
+        self.assertGreater(second.waited_s, 0.04)
         self.assertEqual(self.aborted_names, [])
         self.assertEqual(self.budget.held_bytes, 7_002_000)
 
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -478,12 +478,14 @@
         request.sends += 1
         request.tried_ids.add(endpoint.instance_id)
         result = concurrency.SendResult.CANCELLED
+        held_up_s = 0.0
         may_have_run_before = request.may_have_run
         request.may_have_run = True
         try:
             answer = await self._instances.send(
                 endpoint, request.call, request.expires_at_s - started_s
             )
+            held_up_s = answer.held_up_s
             failed = answer.status >= pending.MIN_FAILURE_STATUS
             result = (
                 concurrency.SendResult.FAILED
@@ -505,7 +507,8 @@
         finally:
             instance.in_flight -= 1
             now_s = self._clock.now_s()
-            instance.record(result, now_s - started_s, now_s)
+            took_s = now_s - started_s - held_up_s
+            instance.record(result, took_s, now_s)
             self._reporter.sent(instance, result)
             self._wake(request.service_id)
         return answer
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -123,6 +123,21 @@
                     await self.ask()
                 self.assertEqual(recorder.results.count('failed'), failed)
 
+    async def test_waits_for_memory_of_this_vm_do_not_make_an_instance_slow(
+        self,
+    ):
+        async def send_and_wait(endpoint, call, remaining_s):
+            await asyncio.sleep(0.3)
+            return data.Answer(
+                200, (), b'', endpoint.instance_id, held_up_s=0.25
+            )
+
+        self.instances.send = send_and_wait
+        self.prepare(endpoints=[fakes.endpoint('one')])
+        await self.ask()
+        observed = await self.dispatcher.ask(messages.CollectLoad('svc'))
+        self.assertLess(observed.times_by_id['one'], 0.2)
+
     async def test_server_error_of_a_non_idempotent_request_is_not_retried(
         self,
     ):
