Deliver the replies to peers before a VM stops

What callers saw: 502 with an unknown outcome for a forwarded request that had run and whose reply was written, when the home of its key stopped.

Cause: DrainCalls counted a reply as done once the kernel had it, and the stop then closed the socket. The next ping of the peer, sent each 250 ms, arrived at a closed socket, and the reset that answers it discards what the peer has not read yet. A stop without a drain also dropped what was still buffered.

Change: after its last reply, the peer server half closes each connection and reads on until the peer closes. DrainCalls ends when all peers have closed, which a link does once it has handled every reply before the end; a peer that is silent for a second is given up, and whoever asks bounds the whole. A stop does the same for at most one second for connections that are still open. Calls that arrive after the half close are not run. A link sends no call on a connection of which it has read the end: the call fails as unreachable, not as unknown.

Tests that fail before: test_ping_after_a_drain_does_not_destroy_a_reply and test_stop_without_a_drain_does_not_destroy_a_reply (both "ConnectionResetError: [Errno 104] Connection reset by peer"), test_call_after_the_end_of_the_replies_is_not_sent (TimeoutError: a drain did not end the output). test_stop_does_not_wait_for_a_peer_that_never_closes guards the bound. test_drain_ends_although_a_connection_has_failed becomes two tests, one for each error: connections end with a drain now, so its second half would have tested nothing. They also check that the error was raised.

--- a/libs/peer/src/oriolefold_peer/connection.py
+++ b/libs/peer/src/oriolefold_peer/connection.py
@@ -13,6 +13,8 @@
 
 PING_INTERVAL_S = 0.25
 SILENCE_LIMIT_S = 1.0  # Time without data after which the peer counts as lost.
+LINGER_S = 1.0  # Time in which a stop waits for a peer to take its replies.
+DISCARD_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # Bytes of a long frame that have to arrive within the silence limit.
 PART_BYTES = 64 * 1024
@@ -41,6 +43,17 @@
         self._reader = reader
         self._writer = writer
         self._codec = frame_codec
+        self._output_ended = False
+
+    @property
+    def input_ended(self) -> bool:
+        """Whether the peer has ended its output and all of it was read."""
+        return self._reader.at_eof()
+
+    @property
+    def output_ended(self) -> bool:
+        """Whether nothing more may be sent."""
+        return self._output_ended
 
     def send(self, call_id: int, message: Any) -> None:
         """Writes a frame without waiting.
@@ -124,6 +137,26 @@
     def _unsent_bytes(self) -> int:
         return self._writer.transport.get_write_buffer_size()
 
+    def end_output(self) -> None:
+        """Ends the output once all frames are written.
+
+        When a socket is closed while the peer still sends, the kernel resets
+        the connection, and the peer can lose frames that it has not read yet.
+        So the owner reads on until the peer closes.
+        """
+        self._output_ended = True
+        with contextlib.suppress(OSError):
+            self._writer.write_eof()
+
+    async def linger(self) -> None:
+        """Ends the output, reads on for a bounded time, and closes."""
+        self.end_output()
+        with contextlib.suppress(OSError):
+            async with asyncio.timeout(LINGER_S):
+                while await self._reader.read(DISCARD_BYTES):
+                    pass
+        self.close()
+
     def close(self) -> None:
         """Aborts the connection without sending what is buffered."""
         self._writer.transport.abort()
--- a/libs/peer/src/oriolefold_peer/link.py
+++ b/libs/peer/src/oriolefold_peer/link.py
@@ -101,6 +101,11 @@
     def _send_call(self, call: messages.CallPeer) -> None:
         if call.reply.done():
             return
+        if self._connection.input_ended:
+            # The peer reads no more calls.
+            text = f'{self._vm_id}: the peer has ended the connection'
+            call.fail(errors.UnreachableError(text))
+            return
         call_id = next(self._call_ids)
         try:
             self._connection.send(call_id, call.body)
--- a/libs/peer/src/oriolefold_peer/messages.py
+++ b/libs/peer/src/oriolefold_peer/messages.py
@@ -59,7 +59,8 @@
     """Asks the peer server to end its calls before it is stopped.
 
     New calls are refused as not run. The reply is None; it comes when all
-    calls have ended and their replies are written.
+    calls have ended and the peers have taken their replies and closed their
+    connections.
     """
 
 
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -35,10 +35,12 @@
 
     Attributes:
         conn: The connection.
+        closed: Set when the connection is closed.
         calls_by_id: Calls in progress.
     """
 
     conn: connection.Connection
+    closed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     calls_by_id: dict[int, asyncio.Task] = dataclasses.field(
         default_factory=dict
     )
@@ -84,9 +86,11 @@
         )
 
     async def on_stop(self) -> None:
-        """Closes the listening socket."""
+        """Closes the listening socket and the connections."""
         if self._server is not None:
             self._server.close()
+        clients, self._clients = self._clients, set()
+        await asyncio.gather(*(client.conn.linger() for client in clients))
 
     async def handle(self, message: Any) -> None:
         """Serves a new connection, or ends the calls."""
@@ -108,32 +112,45 @@
             for call in client.calls_by_id.values()
         ]:
             await asyncio.wait(calls)
-        await asyncio.gather(*(c.conn.flush() for c in self._clients))
+        await asyncio.gather(*(self._end(c) for c in self._clients))
         ask.answer(None)
 
+    async def _end(self, client: _Client) -> None:
+        """Ends the output and waits until the peer has taken it."""
+        await client.conn.flush()
+        client.conn.end_output()
+        await client.closed.wait()
+
     async def _serve(self, reader, writer) -> None:
         client = _Client(
             connection.Connection(reader, writer, self._codec, self._budget)
         )
-        conn = client.conn
         self._clients.add(client)
         try:
-            _, hello = await conn.receive()
-            if not isinstance(hello, messages.Hello):
-                raise errors.ProtocolError('the first message is not a Hello')
-            if hello.protocol_version != messages.PROTOCOL_VERSION:
-                raise errors.ProtocolError('unsupported protocol version')
-            conn.send(0, self._hello)
-            while True:
-                call_id, body = await conn.receive()
-                self._on_message(client, hello, call_id, body)
-        except errors.OriolefoldError:
-            # The caller has disconnected, so the replies cannot be sent.
+            await self._receive_calls(client)
+        except Exception as error:
+            # A stop cancels this task; the connection is then left to it.
             for call in client.calls_by_id.values():
                 call.cancel()
-        finally:
             self._clients.discard(client)
-            conn.close()
+            client.conn.close()
+            client.closed.set()
+            if not isinstance(error, errors.OriolefoldError):
+                raise
+
+    async def _receive_calls(self, client: _Client) -> None:
+        """Handles what the peer sends, until its connection fails or ends."""
+        conn = client.conn
+        _, hello = await conn.receive()
+        if not isinstance(hello, messages.Hello):
+            raise errors.ProtocolError('the first message is not a Hello')
+        if hello.protocol_version != messages.PROTOCOL_VERSION:
+            raise errors.ProtocolError('unsupported protocol version')
+        conn.send(0, self._hello)
+        while True:
+            call_id, body = await conn.receive()
+            if not conn.output_ended:
+                self._on_message(client, hello, call_id, body)
 
     def _on_message(self, client: _Client, hello, call_id, body) -> None:
         calls_by_id = client.calls_by_id
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import errno
+import socket
 from unittest import mock
 
 from oriolefold_core import bytebudget, data, errors
@@ -142,22 +143,92 @@
         await self.server.stop()
         self.assertEqual((await calling).text, LONG_TEXT)
 
-    async def test_drain_ends_although_a_connection_has_failed(self):
-        """A connection fails with another OSError than a ConnectionError."""
+    async def read_slowly(self):
+        """Asks for a long reply; returns all bytes received until the end."""
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        caller.connect((self.address.host, self.address.port))
+        caller.setblocking(False)
+        hello = CODEC.encode(0, messages.Hello('vm0', 'i0'))
+        caller.send(hello + CODEC.encode(1, Echo('long')))
+        loop = asyncio.get_running_loop()
+        received = bytearray()
+        while piece := await loop.sock_recv(caller, 65536):
+            received += piece
+            caller.send(CODEC.encode(0, messages.Ping()))
+            await asyncio.sleep(0.005)
+        caller.close()
+        return received
+
+    async def test_ping_after_a_drain_does_not_destroy_a_reply(self):
+        reading = asyncio.create_task(self.read_slowly())
+        await self.wait_for(lambda: self.handler.started)
+        async with asyncio.timeout(10):
+            await self.server.ask(messages.DrainCalls())
+        await self.server.stop()
+        self.assertIn(LONG_TEXT.encode(), await reading)
+
+    async def test_stop_without_a_drain_does_not_destroy_a_reply(self):
+        reading = asyncio.create_task(self.read_slowly())
+        await self.wait_for(lambda: self.handler.started)
+        await asyncio.sleep(0.05)
+        with mock.patch.object(connection, 'LINGER_S', 10.0, create=True):
+            await self.server.stop()
+        self.assertIn(LONG_TEXT.encode(), await reading)
+
+    async def test_stop_does_not_wait_for_a_peer_that_never_closes(self):
+        _, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(CODEC.encode(0, messages.Hello('vm0', 'i0')))
+        writer.write(CODEC.encode(1, Echo('x')))
+        await self.wait_for(lambda: self.handler.started)
+        async with asyncio.timeout(2 * connection.LINGER_S):
+            await self.server.stop()
+
+    async def test_call_after_the_end_of_the_replies_is_not_sent(self):
         await self.call('before')
-        failures = [
-            OSError(errno.ETIMEDOUT, ''),
-            OSError(errno.EHOSTUNREACH, ''),
-        ]
-        for failure in failures:
-            with (
-                self.subTest(failure=failure),
-                mock.patch.object(
-                    asyncio.StreamWriter, 'drain', side_effect=failure
-                ),
-            ):
-                async with asyncio.timeout(1):
-                    await self.server.ask(messages.DrainCalls())
+        receive = connection.Connection.receive
+        ended = asyncio.Event()
+
+        async def receive_and_pause(conn):
+            try:
+                return await receive(conn)
+            except errors.OutcomeUnknownError:
+                ended.set()
+                await asyncio.sleep(0.2)
+                raise
+
+        with mock.patch.object(
+            connection.Connection, 'receive', receive_and_pause
+        ):
+            await self.call('again')
+            draining = asyncio.create_task(
+                self.server.ask(messages.DrainCalls())
+            )
+            async with asyncio.timeout(1):
+                await ended.wait()
+            with self.assertRaises(errors.UnreachableError):
+                await self.call('late')
+            await draining
+        self.assertEqual(self.handler.started, 2)
+
+    async def drain_with_failed_connection(self, failure):
+        await self.call('before')
+        with mock.patch.object(
+            asyncio.StreamWriter, 'drain', side_effect=failure
+        ) as drain:
+            async with asyncio.timeout(1):
+                await self.server.ask(messages.DrainCalls())
+        drain.assert_called()
+
+    async def test_drain_ends_although_a_connection_has_timed_out(self):
+        await self.drain_with_failed_connection(OSError(errno.ETIMEDOUT, ''))
+
+    async def test_drain_ends_although_a_connection_has_no_route(self):
+        await self.drain_with_failed_connection(OSError(errno.EHOSTUNREACH, ''))
 
     async def test_drain_that_fails_unexpectedly_is_reported(self):
         await self.call('before')
