Hand over the lease although a caller holds up the drain

What callers saw: requests for the keys of a stopped VM waited until its lease had run out, and requests that it had forwarded for other VMs ended with a reset, when one caller of the stopped VM uploaded by trickles or took nothing of its answer.

Cause: the drain of callers, StepDown and DrainCalls ran one after the other under the one stop limit. What held the first until the limit left no time for the others, and they were skipped; so they were after an unexpected exception. One forwarded request in progress kept StepDown waiting in the same way.

Change: at the limit, requests in progress are given up, those of other VMs too (EndCalls: they get an unknown outcome), and the connections of callers end. Then, or as soon as the drain has ended, the lease is handed over and the calls of peers are ended, for at most 2 s after the limit. So shards are handed over only once requests on them have ended or are given up. Each ask of the stop may fail without skipping the next.

Tests that fail before: test_trickling_upload_does_not_prevent_the_hand_over ("Lists differ: [] != ['EndCalls', 'StepDown', 'DrainCalls']"), test_failed_hand_over_does_not_leave_the_calls_of_peers ("'DrainCalls' not found in ['StepDown', 'RefuseQueued', 'RefuseWaiting', 'EndRequests']"), test_failed_refusal_does_not_leave_requests_unanswered ("ValueError: unexpected" ends the stop). test_call_in_progress_is_answered_when_calls_are_ended tests the new message, and test_hand_over_that_hangs_does_not_hold_up_the_stop the bound.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -9,7 +9,7 @@
 from oriolefold_backend import http as backend_http
 from oriolefold_coordination import lease
 from oriolefold_coordination import messages as lease_messages
-from oriolefold_core import bytebudget, clock, data, errors
+from oriolefold_core import bytebudget, clock, data, errors, tasks
 from oriolefold_daemon import (
     admin,
     configuration,
@@ -39,6 +39,9 @@
 
 # Time after the stop limit in which the last answers are written.
 WRITE_LIMIT_S = 0.2
+# Time after the stop limit in which the lease is handed over. Without that,
+# other VMs wait until it has run out.
+HAND_OVER_LIMIT_S = 2.0
 _LOGGER = logging.getLogger(__name__)
 WIRE_MESSAGES = (
     *peer_messages.CONNECTION_MESSAGES,
@@ -203,17 +206,22 @@
         self._stopping.set()
 
     async def stop(self) -> None:
-        """Drains requests within the time limit, then stops the tasks."""
+        """Drains requests within the time limit, then stops the tasks.
+
+        The lease is handed over once all requests have ended or are given up.
+        """
         logs.event('daemon.stopping', vm=self._values.vm_id)
         now_s = self._clock.now_s()
         schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
         for task in (self._dispatcher, self._shard_manager, self._sender):
             task.post(sending_messages.Drain(schedule))
+        requests_ended = asyncio.Event()
+        handing_over = asyncio.create_task(self._hand_over(requests_ended))
         try:
             async with asyncio.timeout(self._values.stop_limit_s):
                 await self._frontend.drain()
-                await self._lease_manager.ask(ownership_messages.StepDown())
-                await self._peer_server.ask(peer_messages.DrainCalls())
+                requests_ended.set()
+                await asyncio.shield(handing_over)
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
@@ -222,6 +230,12 @@
             _LOGGER.exception('the drain failed')
             await self._end_requests()
         await self._frontend.stop()
+        requests_ended.set()
+        try:
+            async with asyncio.timeout(HAND_OVER_LIMIT_S):
+                await handing_over
+        except TimeoutError:
+            logs.event('daemon.hand_over_limit', vm=self._values.vm_id)
         await self._admin.stop()
         for task in reversed(self._tasks()):
             await task.stop()
@@ -230,15 +244,32 @@
 
     async def _end_requests(self) -> None:
         """Answers the requests in progress and waits until that is written."""
-        await self._sender.ask(sending_messages.RefuseQueued())
-        await self._shard_manager.ask(ownership_messages.RefuseWaiting())
-        await self._dispatcher.ask(gateway_messages.EndRequests())
+        for task, ask in (
+            (self._sender, sending_messages.RefuseQueued()),
+            (self._shard_manager, ownership_messages.RefuseWaiting()),
+            (self._dispatcher, gateway_messages.EndRequests()),
+            (self._peer_server, peer_messages.EndCalls()),
+        ):
+            await self._ask(task, ask)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(WRITE_LIMIT_S):
                 await self._frontend.drain()
 
+    async def _hand_over(self, requests_ended: asyncio.Event) -> None:
+        """Hands over the lease, then ends the calls of peers."""
+        await requests_ended.wait()
+        await self._ask(self._lease_manager, ownership_messages.StepDown())
+        await self._ask(self._peer_server, peer_messages.DrainCalls())
+
+    async def _ask(self, task: tasks.Task, ask: tasks.Ask) -> None:
+        """Asks a task; the stop goes on if that fails."""
+        try:
+            await task.ask(ask)
+        except Exception:
+            _LOGGER.exception('%s failed at the stop', task.name)
+
     def _tasks(self) -> list:
-        tasks = [
+        running = [
             self._peers,
             self._sender,
             self._granter,
@@ -251,5 +282,5 @@
             self._watcher,
         ]
         if self._vm_list is not None:
-            tasks.append(self._vm_list)
-        return tasks
+            running.append(self._vm_list)
+        return running
--- a/libs/daemon/tests/test_application.py
+++ b/libs/daemon/tests/test_application.py
@@ -1,13 +1,18 @@
 """Tests of oriolefold_daemon.application."""
 
+import asyncio
+import time
 from unittest import mock
 
 from oriolefold_backend import memory, ports
-from oriolefold_core import clock, errors, notices
+from oriolefold_core import clock, errors, notices, tasks
 from oriolefold_daemon import application, settings
+from oriolefold_ownership import leasemanager
 from oriolefold_sending import messages, sender
 from oriolefold_testbed import basecase
 
+STOP_LIMIT_S = 2.0
+
 
 class ApplicationTest(basecase.AsyncCase):
     """The tasks are told of a stop."""
@@ -21,7 +26,7 @@
             self.senders.append(sender_class(*arguments))
             return self.senders[-1]
 
-        ports_by_name = {
+        self.ports_by_name = ports_by_name = {
             name: basecase.free_address().port
             for name in ('caller_port', 'peer_port', 'admin_port', 'store_port')
         }
@@ -30,7 +35,7 @@
             zone='r1-a',
             ip='127.0.0.1',
             store_ip='127.0.0.1',
-            stop_limit_s=2.0,
+            stop_limit_s=STOP_LIMIT_S,
             **ports_by_name,
         )
         with (
@@ -70,3 +75,75 @@
         for ask in asks[:-1]:
             with self.assertRaises(errors.OutcomeUnknownError):
                 await ask.reply
+
+    def record_asks(self, failing=''):
+        """Returns the names of all asks from now on; those of one name fail."""
+        names = []
+        ask = tasks.Task.ask
+
+        async def ask_and_record(task, message):
+            names.append(type(message).__name__)
+            if names[-1] == failing:
+                raise ValueError('unexpected')
+            return await ask(task, message)
+
+        patcher = mock.patch.object(tasks.Task, 'ask', ask_and_record)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        return names
+
+    async def trickle(self):
+        """Uploads a request that never becomes complete."""
+        _, writer = await asyncio.open_connection(
+            '127.0.0.1', self.ports_by_name['caller_port']
+        )
+        self.addCleanup(writer.close)
+        writer.write(
+            b'POST /svc/a HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\n'
+        )
+        while True:
+            writer.write(b'x')
+            await asyncio.sleep(0.2)
+
+    async def test_trickling_upload_does_not_prevent_the_hand_over(self):
+        await self.application.start()
+        trickling = asyncio.create_task(self.trickle())
+        self.addCleanup(trickling.cancel)
+        await asyncio.sleep(0.2)
+        names = self.record_asks()
+        started_s = time.monotonic()
+        await self.application.stop()
+        self.assertEqual(
+            [n for n in names if n in ('EndCalls', 'StepDown', 'DrainCalls')],
+            ['EndCalls', 'StepDown', 'DrainCalls'],
+        )
+        took_s = time.monotonic() - started_s
+        self.assertLess(took_s, STOP_LIMIT_S + application.HAND_OVER_LIMIT_S)
+
+    async def test_failed_hand_over_does_not_leave_the_calls_of_peers(self):
+        await self.application.start()
+        names = self.record_asks(failing='StepDown')
+        with self.assertLogs('oriolefold_daemon', 'ERROR'):
+            await self.application.stop()
+        self.assertIn('DrainCalls', names)
+
+    async def test_failed_refusal_does_not_leave_requests_unanswered(self):
+        await self.application.start()
+        trickling = asyncio.create_task(self.trickle())
+        self.addCleanup(trickling.cancel)
+        await asyncio.sleep(0.2)
+        names = self.record_asks(failing='RefuseQueued')
+        with self.assertLogs('oriolefold_daemon', 'ERROR'):
+            await self.application.stop()
+        self.assertIn('EndRequests', names)
+        self.assertIn('StepDown', names)
+
+    async def test_hand_over_that_hangs_does_not_hold_up_the_stop(self):
+        await self.application.start()
+        hanging = mock.patch.object(
+            leasemanager.LeaseManager, '_step_down', lambda *_: None
+        )
+        limit = mock.patch.object(application, 'HAND_OVER_LIMIT_S', 0.2)
+        with hanging, limit:
+            async with asyncio.timeout(STOP_LIMIT_S + 2):
+                await self.application.stop()
--- a/libs/peer/src/oriolefold_peer/messages.py
+++ b/libs/peer/src/oriolefold_peer/messages.py
@@ -64,6 +64,15 @@
     """
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class EndCalls(tasks.Ask):
+    """Tells the peer server to answer all calls in progress now.
+
+    They get an unknown outcome; new calls are refused as not run. The reply is
+    None.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersUpdated:
     """The set of VMs that can be called has changed.
--- a/libs/peer/src/oriolefold_peer/server.py
+++ b/libs/peer/src/oriolefold_peer/server.py
@@ -94,23 +94,34 @@
 
     async def handle(self, message: Any) -> None:
         """Serves a new connection, or ends the calls."""
-        if isinstance(message, messages.DrainCalls):
-            self._draining = True
-            self._server.close()
-            self.spawn(self._drain(message), message)
-            return
-        reader, writer = message
-        self.spawn(self._serve(reader, writer))
+        match message:
+            case messages.DrainCalls():
+                self._refuse_calls()
+                self.spawn(self._drain(message), message)
+            case messages.EndCalls():
+                self._refuse_calls()
+                for call in self._calls():
+                    call.cancel()
+                message.answer(None)
+            case (reader, writer):
+                self.spawn(self._serve(reader, writer))
 
     def _accept(self, reader, writer) -> None:
         self.post((reader, writer))
 
-    async def _drain(self, ask: messages.DrainCalls) -> None:
-        while calls := [
+    def _refuse_calls(self) -> None:
+        self._draining = True
+        self._server.close()
+
+    def _calls(self) -> list[asyncio.Task]:
+        return [
             call
             for client in self._clients
             for call in client.calls_by_id.values()
-        ]:
+        ]
+
+    async def _drain(self, ask: messages.DrainCalls) -> None:
+        while calls := self._calls():
             await asyncio.wait(calls)
         await asyncio.gather(*(self._end(c) for c in self._clients))
         ask.answer(None)
@@ -172,6 +183,13 @@
             if self._draining:
                 raise errors.StoppingError('the process is stopping')
             reply = await self._handler.answer(hello, body)
+        except asyncio.CancelledError:
+            if self._draining:
+                text = 'this VM stopped before the reply'
+                ended = errors.failure_of(errors.OutcomeUnknownError(text))
+                with contextlib.suppress(errors.OverloadedError):
+                    conn.send(call_id, ended)
+            raise
         except Exception as error:  # pylint: disable=broad-except
             # Any error is sent to the caller, with its category.
             reply = errors.failure_of(error)
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -251,6 +251,19 @@
         await draining
         self.assertEqual(self.handler.started, 1)
 
+    async def test_call_in_progress_is_answered_when_calls_are_ended(self):
+        await self.call('before')
+        calling = asyncio.create_task(self.call('x', 30))
+        await self.wait_for(lambda: self.handler.started == 2)
+        async with asyncio.timeout(1):
+            await self.server.ask(messages.EndCalls())
+            with self.assertRaisesRegex(errors.OutcomeUnknownError, 'stopped'):
+                await calling
+            with self.assertRaises(errors.StoppingError):
+                await self.call('new')
+            await self.server.ask(messages.DrainCalls())
+        self.assertEqual(self.handler.cancelled, 1)
+
     async def test_absent_peer_is_unreachable_and_the_call_not_run(self):
         absent = await self.connect('vm1', basecase.free_address())
         with self.assertRaises(errors.UnreachableError):
