Go on with the stop of an entry VM after an unexpected error

What callers would see: requests in progress cut without an answer, and connections reset, when a resignation or the drain fails with an error that nobody expected.

Cause: the resignation and the drain run side by side, and an exception of one of them, or of the message that ends the requests, left `stop` at once. The requests were not ended and no task was stopped. The daemons handle such errors.

Evidence: by reading; the tests raise the error in each place.

Change: each of the three steps logs its unexpected error, and the stop goes on. After a failed drain the requests in progress are ended at once.

Tests that fail before, each as "ValueError: unexpected" leaves the stop: test_unexpected_error_in_the_resignation_does_not_end_the_stop, test_unexpected_error_in_the_drain_does_not_end_the_stop, test_requests_that_cannot_be_ended_do_not_end_the_stop. After it, the request in progress gets 502 in all three. 94 tests of direct pass.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 import uuid
 from collections.abc import Sequence
@@ -31,6 +32,7 @@
 READY_CHECK_S = 0.05  # Interval of readiness checks.
 # Other VMs elect a leader without a resignation, too, only later.
 RESIGN_LIMIT_S = 2.0
+_LOGGER = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,7 +266,7 @@
                 await asyncio.gather(self._resign(), self._drain())
         except TimeoutError:
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
-            await self._dispatcher.ask(gateway_messages.EndRequests())
+            await self._end_requests()
         await self._frontend.stop()
         await self._status.stop()
         for task in reversed(self._tasks):
@@ -281,8 +283,23 @@
                 await self._coordinators.resign()
         except TimeoutError:
             logs.event('leadership.resign_failed', error='the store is silent')
+        except Exception:
+            # Callers are owed their answers.
+            _LOGGER.exception('the resignation failed')
 
     async def _drain(self) -> None:
         """Serves callers until none arrive any more, then ends requests."""
         await asyncio.sleep(self._settings.drain_delay_s)
-        await self._frontend.drain()
+        try:
+            await self._frontend.drain()
+        except Exception:
+            _LOGGER.exception('the drain failed')
+            await self._end_requests()
+
+    async def _end_requests(self) -> None:
+        """Answers the requests in progress."""
+        try:
+            await self._dispatcher.ask(gateway_messages.EndRequests())
+        except Exception:
+            # The front end still answers them when it stops.
+            _LOGGER.exception('requests in progress were not ended')
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -7,9 +7,10 @@
 
 import fakes
 
-from oriolefold_core import errors
-from oriolefold_direct import application, documents, watching
+from oriolefold_core import errors, tasks
+from oriolefold_direct import application, coordinators, documents, watching
 from oriolefold_gateway import frontend
+from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
@@ -255,3 +256,44 @@
         with self.assertLogs('oriolefold_direct', 'ERROR'):
             await self.stop_entry()
         self.assertGreater(time.monotonic() - started_s, DRAIN_DELAY_S)
+
+    async def stop_with_failure(self, owner, name):
+        """Stops while a request is in progress and a step of the stop fails."""
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        await self.occupy(4.0)
+        started_s = time.monotonic()
+        failing = mock.patch.object(
+            owner, name, side_effect=ValueError('unexpected')
+        )
+        with failing, self.assertLogs('oriolefold_direct', 'ERROR'):
+            await self.stop_entry()
+        self.assertIn(' 502 ', await self.busy)
+        with self.assertRaises(OSError):
+            await self.connect()
+        return time.monotonic() - started_s
+
+    async def test_unexpected_error_in_the_resignation_does_not_end_the_stop(
+        self,
+    ):
+        took_s = await self.stop_with_failure(
+            coordinators.Coordinators, 'resign'
+        )
+        self.assertGreater(took_s, STOP_LIMIT_S - 0.05)
+
+    async def test_unexpected_error_in_the_drain_does_not_end_the_stop(self):
+        await self.stop_with_failure(frontend.Frontend, 'drain')
+
+    async def test_requests_that_cannot_be_ended_do_not_end_the_stop(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        await self.occupy(4.0)
+        ask = tasks.Task.ask
+
+        async def fail_to_end(task, message):
+            if isinstance(message, gateway_messages.EndRequests):
+                raise ValueError('unexpected')
+            return await ask(task, message)
+
+        failing = mock.patch.object(tasks.Task, 'ask', fail_to_end)
+        with failing, self.assertLogs('oriolefold_direct', 'ERROR'):
+            await self.stop_entry()
+        self.assertIn(' 502 ', await self.busy)
