Keep the daemon running after SIGHUP

What callers see: SIGHUP ends the daemon at once; each accepted request is cut, its connection reset.

Cause: the daemon handled SIGTERM and SIGINT only, and the default action of SIGHUP ends a process.

Evidence: found by reading. test_sighup_does_not_end_the_daemon sends the signal to a process that has a handler of its own, and on the code before that handler is reached: "AssertionError: Lists differ: [1] != []".

Change: SIGHUP logs daemon.reload and changes nothing: settings are flags and variables, and the configuration is watched in the store. docs/settings.md says so.

Result: the 3 tests of test_cmdline pass; make lint passes. No daemon process was sent the signal.

--- a/libs/daemon/src/oriolefold_daemon/cmdline.py
+++ b/libs/daemon/src/oriolefold_daemon/cmdline.py
@@ -44,8 +44,15 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, _log_reload)
     await daemon.run()
 
 
+def _log_reload() -> None:
+    # Settings are flags and variables; the configuration comes from the store.
+    # SIGHUP must not end the process, so it is just logged.
+    logs.event('daemon.reload')
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/libs/daemon/tests/test_cmdline.py
+++ b/libs/daemon/tests/test_cmdline.py
@@ -1,11 +1,14 @@
 """Tests of oriolefold_daemon.cmdline."""
 
+import asyncio
 import contextlib
 import io
 import os
+import signal
 from unittest import mock
 
-from oriolefold_daemon import cmdline, version
+from oriolefold_daemon import application, cmdline, version
+from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
 
@@ -48,3 +51,28 @@
         code, output, _ = self.run_daemon(['--help'])
         self.assertEqual(code, 0)
         self.assertIn('ORIOLEFOLD_VM_ID', output)
+
+
+class SignalTest(basecase.BaseCase):
+    """Signals reach the daemon, and none ends its process at once."""
+
+    def test_sighup_does_not_end_the_daemon(self):
+        async def run():
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.05)
+
+        ended = []
+        # Without a handler of the daemon, the signal would end the tests.
+        previous = signal.signal(signal.SIGHUP, lambda *_: ended.append(1))
+        self.addCleanup(signal.signal, signal.SIGHUP, previous)
+        with (
+            mock.patch.object(application, 'Application') as daemon,
+            mock.patch.object(logs, 'set_up'),
+            mock.patch.object(logs, 'event') as event,
+        ):
+            daemon.return_value.run = run
+            arguments = ['--vm-id=v', '--zone=z', '--ip=::1', '--store-ip=::1']
+            self.assertEqual(cmdline.main([*arguments, '--store-port=1']), 0)
+        self.assertEqual(ended, [])
+        event.assert_called_once_with('daemon.reload')
+        daemon.return_value.request_stop.assert_not_called()
