Let a drain wait for callers that still read an earlier answer

What callers see: a caller that reads an answer slowly and sends another byte after the stop loses the rest of the answer to a reset.

Cause: a request counts as ended once the kernel has its answer. The drain did not wait for what the kernel still held, and the kernel resets a closed connection that gets another byte.

Change: when no request is in progress any more, the drain waits for callers that still take bytes from the kernel, by the count of unacknowledged bytes. A caller that takes none for STALL_S is not waited for. The check is apart from is_busy, which runs at each change: it asks the kernel about each connection, so it comes last, and it is repeated, as the kernel reports nothing.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -42,6 +42,8 @@
         self._input_ended = False
         self._output_ended = False
         self._sent_bytes = 0
+        self._taken_bytes = -1
+        self._taken_at_s = 0.0
         self._is_watched = False
         self.stalled = False
 
@@ -84,6 +86,23 @@
         self._sent_bytes += size
         return size
 
+    def is_delivering(self, stall_s: float) -> bool:
+        """Returns whether the caller is still taking bytes from the kernel.
+
+        Args:
+            stall_s: Time in which it has to take a byte, counted from the
+                first call, in seconds.
+        """
+        if self.closed():
+            return False
+        unacknowledged_bytes = _unacknowledged_bytes(self.socket)
+        taken_bytes = self._sent_bytes - unacknowledged_bytes
+        now_s = asyncio.get_running_loop().time()
+        if taken_bytes > self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self._taken_at_s = now_s
+        return unacknowledged_bytes > 0 and now_s - self._taken_at_s < stall_s
+
     def watch_output(self, limit_s: float) -> None:
         """Closes the stream if the caller stops taking its output.
 
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -60,6 +60,17 @@
         pause_s = self._loop.time() - self._last_input_s
         return current.is_read or pause_s < stall_s
 
+    def is_delivering(self, stall_s: float) -> bool:
+        """Returns whether the caller is still taking an earlier answer.
+
+        If the connection were closed now, a byte that the caller sends later
+        would destroy the rest of the answer.
+
+        Args:
+            stall_s: Time in which it has to take a byte, in seconds.
+        """
+        return self._stream.is_delivering(stall_s)
+
     def awaits_first_request(self, limit_s: float) -> bool:
         """Returns whether a first request may still be on its way.
 
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -15,6 +15,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 MAX_QUEUED_CONNECTIONS = 1024  # Held by the kernel until they are accepted.
 STALL_S = 1.0  # Pause after which a partial request holds up no drain.
+DELIVERY_CHECK_S = 0.05  # The kernel does not report acknowledged bytes.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
 CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
 
@@ -160,16 +161,20 @@
 
         Meanwhile, requests on open connections are still served; each answer
         asks the caller to close the connection. A request that has stopped
-        arriving is not waited for. Requests that arrive after the drain are
+        arriving is not waited for, nor a caller that has stopped reading an
+        earlier answer. Requests that arrive after the drain are
         refused, since their connections are about to be closed.
         """
         self.draining = True
         self._stop_listening()
         await self._wait_for_first_requests()
-        while any(
-            connection.is_busy(STALL_S) for connection in self._connections
-        ):
-            await self._wait_for_change(STALL_S)
+        while True:
+            if any(c.is_busy(STALL_S) for c in self._connections):
+                await self._wait_for_change(STALL_S)
+            elif any(c.is_delivering(STALL_S) for c in self._connections):
+                await self._wait_for_change(DELIVERY_CHECK_S)
+            else:
+                break
         self.refusing = True
 
     async def stop(self) -> None:
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -15,8 +15,10 @@
 
 MAX_BODY_BYTES = 1000
 LARGE_BODY = b'x' * 12_000_000  # More than the kernel buffers of a connection.
+KERNEL_BODY = b'x' * 1_000_000  # Fits them, for a caller that reads later.
 PIECE_BYTES = 256 * 1024
 PIECE_INTERVAL_S = 0.002
+SLOW_INTERVAL_S = 0.1
 ANSWER_LIMIT_S = 5.0
 CONNECT_LIMIT_S = 0.5
 QUEUED_CONNECTIONS = 20
@@ -181,6 +183,30 @@
         self.assertEqual(len(body), len(LARGE_BODY))
         self.assertEqual(self.cuts(), [])
 
+    async def connect_unread(self) -> Caller:
+        """Returns a connection with a whole answer in the kernel."""
+        self.dispatcher.answer = data.Answer(200, (), KERNEL_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        await self.wait_for(lambda: not self.frontend.in_flight)
+        return caller
+
+    async def test_a_byte_after_the_stop_does_not_destroy_an_unread_answer(
+        self,
+    ):
+        caller = await self.connect_unread()
+        reading = asyncio.create_task(caller.read_to_end(SLOW_INTERVAL_S))
+        await self.drain_and_stop()
+        caller.send(GET[:1])
+        _, _, body = parse(await reading)
+        self.assertEqual(len(body), len(KERNEL_BODY))
+
+    async def test_an_answer_that_is_not_read_holds_up_no_drain(self):
+        await self.connect_unread()
+        async with asyncio.timeout(2 * frontend.STALL_S):
+            await self.frontend.drain()
+
     async def test_a_caller_that_leaves_while_reading_holds_up_no_drain(self):
         self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
         caller = self.connect(receive_bytes=65536)
