Lower a limit that was not in use in steps

Cause: at a sign of a queue the limit fell to what was in flight plus one, whatever it had been. A VM with little to send has nothing in flight when an answer ends, so two or three long requests one after the other set its limit from 12 to 1 at once. Then one long request keeps it from all other keys of the owner for seconds, and no answer comes that could raise the limit.

Change: the limit is scaled from what was in flight, or from half of the slots if that is more. A queue that lasts still lowers it to 1, a step for each baseline time.

Result: test_long_requests_together_leave_room_for_another_one fails on the code before.

--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -170,7 +170,10 @@
             # baseline time, since the requests in flight were still sent under
             # the old limit.
             ratio = QUEUEING_RATIO * self.baseline_time_s / self.clipped_time_s
-            base = min(self.limit, self.in_flight + 1.0)
+            # A limit that was not in use falls in steps, since others may
+            # have filled the queue, or long requests have come together.
+            used = max(self.in_flight + 1.0, self.endpoint.slots / 2)
+            base = min(self.limit, used)
             self.limit = max(1.0, base * max(MIN_DECREASE_FACTOR, ratio))
             self.decreased_at_s = now_s
 
--- a/libs/routing/tests/test_concurrency.py
+++ b/libs/routing/tests/test_concurrency.py
@@ -127,6 +127,14 @@
             self.state.record(result, took_s, 9.0)
         self.assertGreaterEqual(self.state.limit, 6.0)
 
+    def test_long_requests_together_leave_room_for_another_one(self):
+        for step in range(40):
+            self.state.record(concurrency.SendResult.ANSWERED, 0.05, step)
+        for step in range(40, 42):
+            self.state.record(concurrency.SendResult.ANSWERED, 3.0, step)
+        self.state.in_flight = 1
+        self.assertTrue(self.state.has_capacity(42.0))
+
     def test_an_unusual_first_answer_does_not_look_like_a_queue(self):
         for first_s in (0.005, 0.5, 3.0):
             with self.subTest(first_s=first_s):
