Ask a former leader to end its terms, instead of waiting 8 s for it

Callers got 503 on keys whose holder fell silent at about the time at which the leader of the service was lost: the successor waited for a lease (5.2 s) and for the authority of the former leader (8 s) before it moved them.

Cause: the successor had no proof that the former leader does not renew any more, also when that one's process answered or had been restarted.

Change: after its first write of the key map a leader asks the VM of the record that it replaced to end all terms before the version of its own record. That VM steps down, gives up an election whose outcome it has not heard of, waits for its grants in flight and states VM, process and version. A statement of the same process about that version, or of another process of the same VM, ends the 8 s; a lease from the answer on, and what leaders before that one may have granted, is still waited for.

The random histories have a third VM, restarts of leaders, elections learned of late, slow grants, and losses of leaders in series. Restarts replace the fault that made the leader its own successor at once; they lead to the same. They find statements about another term, made before the grants ended, and taken for one about all earlier leaders.

--- a/libs/coordination/src/oriolefold_coordination/leaderelection.py
+++ b/libs/coordination/src/oriolefold_coordination/leaderelection.py
@@ -32,6 +32,43 @@
     inherited_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermsEnded:
+    """Statement of a process about the terms in which it led.
+
+    A term begins with a version of the leadership record. The process does not
+    act, and will not act, in any term that began before `version`, and none of
+    the grants that it sent in them is in flight.
+
+    Attributes:
+        vm_id: The VM of the process.
+        incarnation: Random identifier of the process.
+        version: Version of the leadership record, as named by the asker.
+    """
+
+    vm_id: str
+    incarnation: str
+    version: int
+
+
+def has_ended(
+    previous: LeaderRecord, version: int, statement: TermsEnded
+) -> bool:
+    """Whether a statement proves that the previous leader's terms have ended.
+
+    Args:
+        previous: The record of the previous leader.
+        version: Version of the record that replaced it.
+        statement: Statement made after that.
+    """
+    if statement.vm_id != previous.vm_id:
+        return False
+    if statement.incarnation != previous.incarnation:
+        # A VM runs one process at a time.
+        return True
+    return statement.version >= version
+
+
 class LeaderMonitor:
     """Failure detector that a follower runs on the leadership record."""
 
--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -6,7 +6,8 @@
 is granted the range only after the former holders have released it or their
 leases have expired. Leaders that act on the same map send the same calls, which
 is harmless. A leader that was superseded stops within `AUTHORITY_S` of its last
-heartbeat, which bounds the end of its leases.
+heartbeat, which bounds the end of its leases. They end earlier if it states
+that it has stopped.
 
 An instance that starts again under its name must not take a token that its
 earlier incarnation had. A token is therefore sent again only over connections
@@ -127,6 +128,7 @@
         self,
         key_map: ranges.KeyMap,
         inherited_until_s: float,
+        earlier_until_s: float | None = None,
     ):
         """Starts from the stored map.
 
@@ -134,9 +136,14 @@
             key_map: The map in the store.
             inherited_until_s: Until when leases granted by earlier leaders may
                 last.
+            earlier_until_s: The same without the previous leader; by default
+                as long.
         """
         self.key_map = key_map
         self._inherited_until_s = inherited_until_s
+        self._earlier_until_s = (
+            inherited_until_s if earlier_until_s is None else earlier_until_s
+        )
         self._candidates: tuple[assignment.Candidate, ...] = ()
         self._holders_by_address: dict[str, ranges.Holder] = {}
         self._born_ms_by_id: dict[str, int] = {}
@@ -215,6 +222,26 @@
         """Returns how much longer earlier leaders' leases may last."""
         return max(0.0, self._inherited_until_s - now_s)
 
+    def awaits_previous_leader(self, now_s: float) -> bool:
+        """Whether moves wait longer because the previous leader may still act.
+
+        Proof that it has ended would let them begin sooner.
+        """
+        return self._until_if_ended_s(now_s) < self._inherited_until_s
+
+    def previous_leader_ended(self, now_s: float) -> None:
+        """Handles proof that the previous leader has no grants in flight.
+
+        Args:
+            now_s: Current time, after the proof was given.
+        """
+        self._inherited_until_s = min(
+            self._inherited_until_s, self._until_if_ended_s(now_s)
+        )
+
+    def _until_if_ended_s(self, now_s: float) -> float:
+        return max(lease_end_s(now_s), self._earlier_until_s)
+
     def is_held(self, key_range: ranges.KeyRange) -> bool:
         """Whether the owner has acknowledged the range."""
         return _range_id(key_range) in self._granted
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -4,7 +4,8 @@
 count a lease from the arrival of the grant on a slow clock, and may apply an
 unanswered grant late. The store has conditional writes. Leaders may pause or
 lose the store while another one takes over. Connections end with the
-incarnation that accepted them. No key may ever have two holders, and no
+incarnation that accepted them. A new leader asks the former one to end its
+terms; processes of leaders restart. No key may ever have two holders, and no
 incarnation may take a token that an earlier one had.
 """
 
@@ -27,6 +28,9 @@
 FAULT_SEEDS = range(3000)  # Seeds searched for an injected fault.
 DURATION_S = 60.0
 STEP_S = 0.1
+GRANT_TIMEOUT_S = 0.6
+PROCESS_RESTART_S = 0.7  # Until a process of a VM runs again.
+END_TERMS_RETRY_S = 2.0
 REGISTRY_DELAY_S = 0.3  # Until a new incarnation is registered.
 REGISTRY_EXPIRY_S = 2.6  # Until an ended instance is deregistered.
 INSTANCES = 4
@@ -75,6 +79,12 @@
     """A VM that may be the leader.
 
     Attributes:
+        incarnation: Number of its process.
+        electing: Whether it waits for the outcome of its election.
+        term_version: Version of the record by which it was last elected.
+        ended_before_version: It has stated that its terms have ended that began
+            before this version.
+        grants_in_flight: Identifiers of the grants of its process.
         connections_by_id: Its connections by name of the instance.
         opened: Number of connections opened so far.
         registered: Registered instances when it last reached the store.
@@ -87,15 +97,27 @@
         self.name = name
         self.lease_manager: rangeleases.RangeLeaseManager | None = None
         self.map_version = 0
-        self.leader_version = 0
+        self.incarnation = 0
         self.connections_by_id: dict[str, list[Connection]] = {}
         self.opened = 0
         self.registered: list[ranges.Holder] = []
         self.authority_until_s = 0.0
         self.sole_leader_until_s = 0.0
+        self.peers_unreachable_until_s = 0.0
         self.paused_until_s = 0.0
         self.store_unreachable_until_s = 0.0
         self.last_seen = (0, 0.0)
+        self.start_process()
+
+    def start_process(self) -> None:
+        """Starts the first process, or another one that knows nothing."""
+        self.incarnation += 1
+        self.lease_manager = None
+        self.electing = False
+        self.term_version = 0
+        self.ended_before_version = 0
+        self.grants_in_flight: set[int] = set()
+        self.connections_by_id = {}
 
 
 class Simulation:
@@ -103,6 +125,7 @@
 
     Attributes:
         violations: Times at which a key had two holders.
+        proofs: Number of proofs that shortened the wait of a new leader.
         reused_tokens: Keys that a new incarnation accepted with a token that an
             earlier one had used.
     """
@@ -116,11 +139,15 @@
             Instance(ranges.Holder(f'i{n}', 1, f'a{n}'))
             for n in range(INSTANCES)
         ]
-        self.vms = [Vm('one'), Vm('two')]
+        self.vms = [Vm('one'), Vm('two'), Vm('three')]
         self.key_map = ranges.KeyMap('svc')
         self.map_version = 0
         self.leader: Vm | None = None
+        self.leader_incarnation = 0
         self.leader_version = 0
+        self.proofs = 0
+        # Fraction of grants that arrive shortly before their time-out.
+        self.slow_share = self.random.choice((0.02, 0.4))
         self.heartbeat_at_s = 0.0
         self.inherited_s = 0.0
         self.violations: list[str] = []
@@ -167,12 +194,10 @@
         instance = self.random.choice(self.instances)
         vm = self.random.choice(self.vms)
         length_s = self.random.choice((2.0, 6.0, 12.0, 40.0))
-        match self.random.randrange(6):
-            case 5 if self.leader is vm:
-                # The process restarts and becomes the leader again.
-                if vm.store_unreachable_until_s <= self.now_s:
-                    vm.lease_manager = None
-                    self.become_leader(vm, may_still_act=False)
+        match self.random.randrange(8):
+            case 5:
+                vm.start_process()
+                vm.paused_until_s = self.now_s + PROCESS_RESTART_S
             case 0:
                 names = {vm.name}
                 if self.random.random() < 0.5:
@@ -190,6 +215,24 @@
             case 4:
                 for other in self.vms:
                     other.store_unreachable_until_s = self.now_s + length_s
+            case 6 | 7 if self.leader is not None:
+                self.lose_leaders(instance)
+
+    def lose_leaders(self, instance: Instance) -> None:
+        """Cuts off leaders, and an instance from all but the first of them."""
+        first, length_s = self.leader, 20.0
+        names = {vm.name for vm in self.vms if vm is not first}
+        instance.partitioned_from |= names
+        self.schedule(length_s, instance.partitioned_from.clear)
+        first.store_unreachable_until_s = self.now_s + length_s
+        if self.random.random() < 0.5:
+            first.peers_unreachable_until_s = self.now_s + length_s
+
+        def lose_successor() -> None:
+            self.leader.store_unreachable_until_s = self.now_s + length_s
+
+        if self.random.random() < 0.5:
+            self.schedule(self.random.uniform(2.0, 5.0), lose_successor)
 
     def crash(self, instance: Instance) -> None:
         instance.up = False
@@ -247,41 +290,151 @@
                     self.send_release(vm, lease_manager, action)
 
     def renew_or_take_over(self, vm: Vm) -> None:
+        if vm.electing:
+            return
         if self.leader is vm and vm.lease_manager is not None:
             if self.now_s - self.heartbeat_at_s >= leaderelection.HEARTBEAT_S:
                 self.heartbeat_at_s = self.now_s
                 self.leader_version += 1
                 self.inherited_s = vm.lease_manager.inherited_s(self.now_s)
-                self.extend_authority(vm)
+                self.extend_authority(vm, self.now_s)
             return
         vm.lease_manager = None
         if vm.last_seen[0] != self.leader_version:
             vm.last_seen = (self.leader_version, self.now_s)
         waited_s = self.now_s - vm.last_seen[1]
-        if self.leader_version and waited_s <= leaderelection.TAKEOVER_S:
+        has_restarted = (
+            self.leader is vm and self.leader_incarnation != vm.incarnation
+        )
+        if (
+            self.leader_version
+            and not has_restarted
+            and waited_s <= leaderelection.TAKEOVER_S
+        ):
             return
-        self.become_leader(vm, may_still_act=self.leader is not vm)
+        self.elect(vm, may_still_act=not has_restarted)
 
-    def become_leader(self, vm: Vm, may_still_act: bool) -> None:
-        inherited_until_s = 0.0
-        if self.leader is not None:
-            inherited_until_s = rangeleases.inherited_until_s(
-                self.now_s, may_still_act, self.inherited_s
+    def elect(self, vm: Vm, may_still_act: bool) -> None:
+        """Writes the leader record; the VM may learn of it late."""
+        former, former_inherited_s = self.leader, self.inherited_s
+        record = leaderelection.LeaderRecord(
+            former.name if former else '', str(self.leader_incarnation), 0
+        )
+        if former is not None:
+            self.inherited_s = rangeleases.inherited_until_s(
+                0.0, True, former_inherited_s
             )
-        self.inherited_s = max(0.0, inherited_until_s - self.now_s)
-        self.leader = vm
+        self.leader, self.leader_incarnation = vm, vm.incarnation
         self.leader_version += 1
-        self.heartbeat_at_s = self.now_s
+        self.heartbeat_at_s = elected_at_s = self.now_s
+        version, incarnation = self.leader_version, vm.incarnation
+        vm.electing = True
+
+        def learn() -> None:
+            if vm.incarnation != incarnation:
+                return
+            if vm.paused_until_s > self.now_s:
+                self.schedule(vm.paused_until_s - self.now_s, learn)
+                return
+            vm.electing = False
+            if version < vm.ended_before_version:
+                return
+            vm.term_version = version
+            inherited_until_s = 0.0
+            if former is not None:
+                inherited_until_s = rangeleases.inherited_until_s(
+                    self.now_s, may_still_act, former_inherited_s
+                )
+            self.become_leader(
+                vm, inherited_until_s, self.now_s + former_inherited_s
+            )
+            self.extend_authority(vm, elected_at_s)
+            if former not in (None, vm):
+                self.ask_former_leader(vm, vm.lease_manager, former, record)
+
+        late = self.random.random() < 0.2
+        self.schedule(self.random.uniform(0.1, 6.0) if late else 0.0, learn)
+
+    def become_leader(
+        self, vm: Vm, inherited_until_s: float, earlier_until_s: float
+    ) -> None:
         vm.map_version = self.map_version
-        self.extend_authority(vm)
         vm.lease_manager = rangeleases.RangeLeaseManager(
-            self.key_map, inherited_until_s
+            self.key_map, inherited_until_s, earlier_until_s
         )
 
-    def extend_authority(self, vm: Vm) -> None:
-        vm.authority_until_s = self.now_s + rangeleases.AUTHORITY_S
+    def ask_former_leader(
+        self,
+        vm: Vm,
+        lease_manager: rangeleases.RangeLeaseManager,
+        former: Vm,
+        record: leaderelection.LeaderRecord,
+    ) -> None:
+        """Asks a former leader to end its terms until it answers."""
+
+        def handle(statement: leaderelection.TermsEnded) -> None:
+            if vm.lease_manager is lease_manager and leaderelection.has_ended(
+                record, vm.term_version, statement
+            ):
+                self.proofs += lease_manager.awaits_previous_leader(self.now_s)
+                lease_manager.previous_leader_ended(self.now_s)
+
+        if (
+            vm.lease_manager is not lease_manager
+            or not lease_manager.awaits_previous_leader(self.now_s)
+        ):
+            return
+        is_reachable = former.peers_unreachable_until_s <= self.now_s
+        if is_reachable and self.random.random() < 0.7:
+            version = vm.term_version
+            self.schedule(
+                self.random.uniform(0.001, 0.05),
+                lambda: self.end_terms(former, version, handle),
+            )
+        self.schedule(
+            END_TERMS_RETRY_S,
+            lambda: self.ask_former_leader(vm, lease_manager, former, record),
+        )
+
+    def end_terms(self, former: Vm, version: int, reply) -> None:
+        """Ends the terms of a VM as a leader, and says so once it is true."""
+        if former.paused_until_s > self.now_s:
+            incarnation = former.incarnation
+
+            def resume() -> None:
+                if former.incarnation == incarnation:
+                    self.end_terms(former, version, reply)
+
+            self.schedule(former.paused_until_s - self.now_s, resume)
+            return
+        former.ended_before_version = max(former.ended_before_version, version)
+        if former.term_version < version:
+            former.lease_manager = None
+        statement = leaderelection.TermsEnded(
+            former.name, str(former.incarnation), version
+        )
+        in_flight = former.grants_in_flight
+        pending = self.pending_grants(former)
+
+        def answer() -> None:
+            if former.grants_in_flight is not in_flight:
+                return
+            if pending & in_flight:
+                self.schedule(0.02, answer)
+            else:
+                transit_s = self.random.uniform(0.001, 0.05)
+                self.schedule(transit_s, lambda: reply(statement))
+
+        answer()
+
+    def pending_grants(self, former: Vm) -> set[int]:
+        """Returns the grants that a statement of a VM waits for."""
+        return set(former.grants_in_flight)
+
+    def extend_authority(self, vm: Vm, heartbeat_at_s: float) -> None:
+        vm.authority_until_s = heartbeat_at_s + rangeleases.AUTHORITY_S
         vm.sole_leader_until_s = (
-            self.now_s + leaderelection.SUSPECTED_TAKEOVER_S
+            heartbeat_at_s + leaderelection.SUSPECTED_TAKEOVER_S
         )
 
     def open_connections(self, vm: Vm) -> None:
@@ -332,6 +485,12 @@
                 )
         return None
 
+    def grant_transit_s(self) -> float:
+        """Returns the time until a grant arrives."""
+        if self.random.random() < self.slow_share:
+            return self.random.uniform(0.05, GRANT_TIMEOUT_S)
+        return self.random.uniform(0.001, 0.05)
+
     def send_grant(
         self, vm: Vm, lease_manager, grant: rangeleases.Grant
     ) -> None:
@@ -357,10 +516,10 @@
             connection = connections[-1]
         if connection is None:
             self.schedule(
-                0.4, lambda: self.end_grant(vm, lease_manager, grant, False)
+                0.4, lambda: self.end_unsent_grant(vm, lease_manager, grant)
             )
             return
-        newest_connection = vm.opened
+        end_grant = self.begin_grant(vm, lease_manager, grant)
         instance = self.instance_of(vm, owner)
         sample = self.random.random()
         if (
@@ -374,18 +533,9 @@
             or instance.holder != connection.holder
             or sample < 0.1
         ):
-            self.schedule(
-                0.6,
-                lambda: self.end_grant(
-                    vm,
-                    lease_manager,
-                    grant,
-                    False,
-                    newest_connection=newest_connection,
-                ),
-            )
+            self.schedule(GRANT_TIMEOUT_S, lambda: end_grant(False))
             return
-        transit_s = self.random.uniform(0.001, 0.05)
+        transit_s = self.grant_transit_s()
         if sample < 0.25:
             # Applied late, with the lease counted from the arrival.
             arrived_s = self.now_s + transit_s
@@ -398,57 +548,40 @@
                     self.apply_grant(instance, grant, arrived_s)
 
             self.schedule(late_s, apply_late)
-            self.schedule(
-                0.6,
-                lambda: self.end_grant(
-                    vm,
-                    lease_manager,
-                    grant,
-                    False,
-                    newest_connection=newest_connection,
-                ),
-            )
+            self.schedule(GRANT_TIMEOUT_S, lambda: end_grant(False))
             return
 
         def arrive() -> None:
             if instance.holder != connection.holder:
                 # The incarnation ended while the call was in transit.
-                self.end_grant(
-                    vm,
-                    lease_manager,
-                    grant,
-                    False,
-                    newest_connection=newest_connection,
-                )
+                end_grant(False)
                 return
             accepted = self.apply_grant(instance, grant, self.now_s)
             self.schedule(
-                transit_s,
-                lambda: self.end_grant(
-                    vm,
-                    lease_manager,
-                    grant,
-                    accepted,
-                    stale=not accepted,
-                    newest_connection=newest_connection,
-                ),
+                min(transit_s, GRANT_TIMEOUT_S - transit_s),
+                lambda: end_grant(accepted, stale=not accepted),
             )
 
         self.schedule(transit_s, arrive)
 
-    def end_grant(
-        self,
-        vm,
-        lease_manager,
-        grant,
-        accepted,
-        stale=False,
-        newest_connection=None,
-    ) -> None:
+    def end_unsent_grant(self, vm: Vm, lease_manager, grant) -> None:
         if vm.lease_manager is lease_manager:
-            lease_manager.grant_ended(
-                grant, accepted, stale, self.now_s, newest_connection
-            )
+            lease_manager.grant_ended(grant, False, False, self.now_s, None)
+
+    def begin_grant(self, vm: Vm, lease_manager, grant: rangeleases.Grant):
+        """Records a grant as written; returns the function that ends it."""
+        number = next(self.order)
+        in_flight, newest_connection = vm.grants_in_flight, vm.opened
+        in_flight.add(number)
+
+        def end(accepted: bool, stale: bool = False) -> None:
+            in_flight.discard(number)
+            if vm.lease_manager is lease_manager:
+                lease_manager.grant_ended(
+                    grant, accepted, stale, self.now_s, newest_connection
+                )
+
+        return end
 
     def apply_grant(self, instance, grant, arrived_s: float) -> bool:
         key_range = grant.key_range
@@ -500,6 +633,26 @@
         self.schedule(self.random.uniform(0.001, 0.5), arrive)
 
 
+class LostLeaders(Simulation):
+    """One run in which leaders are lost together with an instance.
+
+    Connections last, so that a former leader can renew for long.
+    """
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.slow_share = 0.9
+        self.next_loss_at_s = 4.0
+
+    def inject_fault(self) -> None:
+        if self.now_s >= self.next_loss_at_s and self.leader is not None:
+            self.lose_leaders(self.random.choice(self.instances))
+            self.next_loss_at_s += self.random.uniform(26.0, 28.0)
+
+    def open_connections(self, vm: Vm) -> None:
+        """Leaves the connections as they are."""
+
+
 class RangeLeasesTest(unittest.TestCase):
     """Keys never have two holders; injected faults are detected."""
 
@@ -507,6 +660,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.assertEqual(Simulation(seed).run(), [])
+                self.assertEqual(LostLeaders(seed).run(), [])
 
     def test_no_token_serves_two_lives(self):
         reused_tokens_by_seed = {}
@@ -557,6 +711,43 @@
             )
         )
 
+    def assert_two_holders_are_detected(self, faulty):
+        self.assertTrue(any(faulty(seed).run() for seed in FAULT_SEEDS))
+
+    def test_histories_contain_proofs_that_former_leaders_ended(self):
+        proofs = 0
+        for seed in SEEDS:
+            simulation = Simulation(seed)
+            simulation.run()
+            proofs += simulation.proofs
+        self.assertGreater(proofs, len(SEEDS) / 2)
+
+    def test_detects_a_statement_about_another_term(self):
+        class AnotherTerm(Simulation):
+            def end_terms(self, former, version, reply):
+                super().end_terms(former, 0, reply)
+
+        with mock.patch.object(
+            leaderelection, 'has_ended', lambda *arguments: True
+        ):
+            self.assert_two_holders_are_detected(AnotherTerm)
+        for seed in SEEDS:
+            self.assertEqual(AnotherTerm(seed).run(), [])
+
+    def test_detects_a_statement_made_before_the_grants_ended(self):
+        class TooEarly(LostLeaders):
+            def pending_grants(self, former):
+                return set()
+
+        self.assert_two_holders_are_detected(TooEarly)
+
+    def test_detects_a_statement_taken_for_one_of_all_earlier_leaders(self):
+        class OfAll(LostLeaders):
+            def become_leader(self, vm, inherited_until_s, earlier_until_s):
+                super().become_leader(vm, inherited_until_s, 0.0)
+
+        self.assert_two_holders_are_detected(OfAll)
+
     def test_detects_unbounded_authority(self):
         class Unbounded(Simulation):
             def act(self, vm):
@@ -583,16 +774,16 @@
 
     def test_detects_tokens_inherited_from_another_leader(self):
         class Inheriting(Simulation):
-            def become_leader(self, vm, may_still_act):
-                super().become_leader(vm, may_still_act)
+            def become_leader(self, vm, inherited_until_s, earlier_until_s):
+                super().become_leader(vm, inherited_until_s, earlier_until_s)
                 vm.lease_manager._first_own_token = 0
 
         self.assert_reuse_is_detected(Inheriting)
 
     def test_detects_new_tokens_of_a_superseded_leader(self):
         class Superseded(Simulation):
-            def extend_authority(self, vm):
-                super().extend_authority(vm)
+            def extend_authority(self, vm, heartbeat_at_s):
+                super().extend_authority(vm, heartbeat_at_s)
                 vm.sole_leader_until_s = float('inf')
 
         self.assert_reuse_is_detected(Superseded)
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -180,7 +180,9 @@
                 generator,
             )
 
-        self._coordinators = coordinators.Coordinators(make_coordinator)
+        self._coordinators = coordinators.Coordinators(
+            make_coordinator, settings.vm_id, incarnation
+        )
         limits = _Limits(self._frontend)
         key_map_reader = watching.KeyMapReader()
         self._watchers: Sequence[watching.Watcher] = [
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -40,6 +40,8 @@
 MAX_FIRST_READ_DELAY_S = 0.3  # Random; spreads VMs that start together.
 SETTLE_S = 1.2  # Time without registry changes before the first assignment.
 SETTLE_LIMIT_S = 4.0  # Longest wait for the registrations to settle.
+# Between requests to a silent former leader, whose process may be restarted.
+END_TERMS_RETRY_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +63,13 @@
     error: Exception | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FormerLeaderAnswered:
+    lease_manager: rangeleases.RangeLeaseManager
+    former: leaderelection.LeaderRecord
+    statement: leaderelection.TermsEnded
+
+
 class Coordinator(tasks.Task):
     """Owns the leadership state and the grants of one service."""
 
@@ -124,6 +133,11 @@
         self._authority_until_s = 0.0
         self._sole_leader_until_s = 0.0
         self._lease_manager: rangeleases.RangeLeaseManager | None = None
+        # Version of the leader record by which this VM was last elected.
+        self._term_version = store_ports.NEW_OBJECT
+        self._ended_before_version = store_ports.NEW_OBJECT
+        self._grants_in_flight: set[asyncio.Task] = set()
+        self._former_leader: leaderelection.LeaderRecord | None = None
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[topology.Endpoint, ...] = ()
         self._all_endpoints: tuple[topology.Endpoint, ...] = ()
@@ -183,6 +197,10 @@
                 self._handle_publish_ended(message)
             case messages.LoadReport():
                 message.answer(self._record_load(message.vm_id, message.load))
+            case messages.EndTerms():
+                self._end_terms(message)
+            case _FormerLeaderAnswered():
+                self._handle_former_leader_answered(message)
             case messages.Tick():
                 await self._update_own_load()
                 self._step()
@@ -309,6 +327,11 @@
         if self._resigning:
             await self._give_back(record)
             return False
+        if self._leader_document.version < self._ended_before_version:
+            # Another VM was elected meanwhile and was told that this one will
+            # not act.
+            self._log('leadership.superseded', beat=record.beat)
+            return False
         key_map = ranges.KeyMap(self._service_id)
         if self._map_document.body:
             key_map = documents.decode_key_map(self._map_document.body, name)
@@ -316,9 +339,9 @@
         self._feed.record_contact()
         self._feed.start_leading(self._service_id)
         self._extend_authority(now_s)
-        self._lease_manager = rangeleases.RangeLeaseManager(
-            key_map, self._inherited_until_s(key_map, previous)
-        )
+        self._term_version = self._leader_document.version
+        self._lease_manager = self._make_lease_manager(key_map, previous)
+        self._former_leader = previous
         self._update_candidates()
         self._log(
             'leadership.acquired',
@@ -344,14 +367,14 @@
         )
         await self._write_resignation(record)
 
-    def _inherited_until_s(
+    def _make_lease_manager(
         self,
         key_map: ranges.KeyMap,
         previous: leaderelection.LeaderRecord | None,
-    ) -> float:
+    ) -> rangeleases.RangeLeaseManager:
         if previous is None:
             if not key_map.ranges:
-                return 0.0
+                return rangeleases.RangeLeaseManager(key_map, 0.0)
             previous = leaderelection.LeaderRecord('unknown', '', 0)
         # A record of this same process does not prove that no other VM acts as
         # leader: when another VM has written the key map, this process steps
@@ -360,9 +383,94 @@
             previous.vm_id == self._vm_id
             and previous.incarnation != self._incarnation
         )
-        return rangeleases.inherited_until_s(
-            self._clock.now_s(), not previous_stopped, previous.inherited_s
+        now_s = self._clock.now_s()
+        inherited_until_s = rangeleases.inherited_until_s(
+            now_s, not previous_stopped, previous.inherited_s
+        )
+        return rangeleases.RangeLeaseManager(
+            key_map, inherited_until_s, now_s + previous.inherited_s
+        )
+
+    def _end_terms(self, ask: messages.EndTerms) -> None:
+        """Ends the terms that began before another VM was elected."""
+        self._ended_before_version = max(
+            self._ended_before_version, ask.version
+        )
+        is_leader = self._lease_manager is not None
+        if is_leader and self._term_version < ask.version:
+            self._step_down('another VM is the leader')
+        self.spawn(self._answer_after_grants(ask), ask)
+
+    async def _answer_after_grants(self, ask: messages.EndTerms) -> None:
+        if self._grants_in_flight:
+            await asyncio.wait(set(self._grants_in_flight))
+        ask.answer(
+            leaderelection.TermsEnded(
+                self._vm_id, self._incarnation, ask.version
+            )
+        )
+
+    def _ask_former_leader(self) -> None:
+        """Asks the former leader once in a term to end its own ones.
+
+        It is asked after the first write of the key map, since this VM cannot
+        renew leases before that.
+        """
+        former, self._former_leader = self._former_leader, None
+        if (
+            former is not None
+            and former.address
+            and former.incarnation != self._incarnation
+        ):
+            self.spawn(
+                self._end_former_terms(
+                    former, self._lease_manager, self._term_version
+                )
+            )
+
+    async def _end_former_terms(
+        self,
+        former: leaderelection.LeaderRecord,
+        lease_manager: rangeleases.RangeLeaseManager,
+        version: int,
+    ) -> None:
+        while (
+            self._lease_manager is lease_manager
+            and lease_manager.awaits_previous_leader(self._clock.now_s())
+        ):
+            try:
+                statement = await self._peers.end_terms(
+                    former.address, self._service_id, version
+                )
+            except errors.OriolefoldError as error:
+                self._log('leadership.former_silent', error=str(error))
+                await asyncio.sleep(END_TERMS_RETRY_S)
+            else:
+                self.post(
+                    _FormerLeaderAnswered(lease_manager, former, statement)
+                )
+                return
+
+    def _handle_former_leader_answered(
+        self, answered: _FormerLeaderAnswered
+    ) -> None:
+        if self._lease_manager is not answered.lease_manager:
+            return
+        has_ended = leaderelection.has_ended(
+            answered.former, self._term_version, answered.statement
+        )
+        if has_ended:
+            self._lease_manager.previous_leader_ended(self._clock.now_s())
+        self._log(
+            'leadership.former_answered',
+            former=answered.former.vm_id,
+            vm=answered.statement.vm_id,
+            same_process=(
+                answered.statement.incarnation == answered.former.incarnation
+            ),
+            has_ended=has_ended,
         )
+        self._step()
 
     def _leader_record(self, beat: int) -> leaderelection.LeaderRecord:
         now_s = self._clock.now_s()
@@ -504,7 +612,9 @@
         ):
             match action:
                 case rangeleases.Grant():
-                    self.spawn(self._grant(action))
+                    granting = self.spawn(self._grant(action))
+                    self._grants_in_flight.add(granting)
+                    granting.add_done_callback(self._grants_in_flight.discard)
                 case rangeleases.Release():
                     self.spawn(self._release(action))
                 case rangeleases.Publish():
@@ -616,6 +726,7 @@
             return
         self._map_document = ended.document
         self._lease_manager.published(ended.key_map)
+        self._ask_former_leader()
         self._log(
             'key_map.written',
             version=ended.document.version,
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from oriolefold_coordination import leaderelection
 from oriolefold_core import tasks
 from oriolefold_direct import coordinator, messages
 
@@ -15,14 +16,21 @@
     """Starts and stops coordinators and routes messages to them."""
 
     def __init__(
-        self, make_coordinator: Callable[[str], coordinator.Coordinator]
+        self,
+        make_coordinator: Callable[[str], coordinator.Coordinator],
+        vm_id: str,
+        incarnation: str,
     ):
         """Initializes the task.
 
         Args:
             make_coordinator: Factory for the coordinator of a service.
+            vm_id: This VM.
+            incarnation: Random identifier of this process.
         """
         super().__init__('coordinators')
+        self._vm_id = vm_id
+        self._incarnation = incarnation
         self._make_coordinator = make_coordinator
         self._by_service_id: dict[str, coordinator.Coordinator] = {}
         self._endpoints: messages.EndpointsUpdated | None = None
@@ -40,6 +48,17 @@
                 message.answer({})
             else:
                 running.post(message)
+        elif isinstance(message, messages.EndTerms):
+            running = self._by_service_id.get(message.service_id)
+            if running is None:
+                # This process has never led the service.
+                message.answer(
+                    leaderelection.TermsEnded(
+                        self._vm_id, self._incarnation, message.version
+                    )
+                )
+            else:
+                running.post(message)
         elif isinstance(message, messages.PolicyUpdated):
             for profile in message.policy.services_by_id.values():
                 if profile.keyed:
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -83,6 +83,22 @@
     load: ObservedLoad
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class EndTerms(tasks.Ask):
+    """Ends the terms in which a VM led before another one was elected.
+
+    The reply is `leaderelection.TermsEnded`. It is given when the grants of
+    these terms are no longer in flight.
+
+    Attributes:
+        service_id: The service.
+        version: Version of the leader record by which the other VM was elected.
+    """
+
+    service_id: str
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharesUpdated:
     """This VM's share of the slots of busy owners.
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -1,9 +1,10 @@
-"""HTTP protocol for load reports and change feed polls between VMs."""
+"""HTTP protocol between VMs: load reports, change feed polls, ends of terms."""
 
 import zlib
 
 import msgspec
 
+from oriolefold_coordination import leaderelection
 from oriolefold_core import bytebudget, data, errors
 from oriolefold_direct import messages, ports
 from oriolefold_http import connections
@@ -11,8 +12,10 @@
 
 REPORT_PATH = '/load'
 CHANGES_PATH = '/changes'
+END_TERMS_PATH = '/end-terms'
 CHANGES_TIMEOUT_S = 1.4  # The peer holds a poll for up to 1 s.
 REPORT_TIMEOUT_S = 0.5  # A late report is of little use.
+END_TERMS_TIMEOUT_S = 1.0  # The peer waits for its grants in flight.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MIN_COMPRESSED_BYTES = 400  # Smaller replies gain nothing from compression.
 # 100 kB take 2 ms, a tenth of their transfer time at 50 Mbit/s.
@@ -27,6 +30,17 @@
     times_by_id: dict[str, float] = {}
 
 
+class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
+    service_id: str
+    version: int
+
+
+class _TermsEnded(msgspec.Struct, forbid_unknown_fields=True):
+    vm_id: str
+    incarnation: str
+    version: int
+
+
 class _Stored(msgspec.Struct, array_like=True):
     name: str
     version: int
@@ -81,6 +95,19 @@
         answer = await self._call(address, REPORT_PATH, body, REPORT_TIMEOUT_S)
         return _decode(answer, dict[str, float])
 
+    async def end_terms(
+        self, address: str, service_id: str, version: int
+    ) -> leaderelection.TermsEnded:
+        """Asks a former leader at an address to end its terms."""
+        body = msgspec.json.encode(_EndTerms(service_id, version))
+        answer = await self._call(
+            address, END_TERMS_PATH, body, END_TERMS_TIMEOUT_S
+        )
+        reply = _decode(answer, _TermsEnded)
+        return leaderelection.TermsEnded(
+            reply.vm_id, reply.incarnation, reply.version
+        )
+
     async def changes(
         self,
         address: str,
@@ -151,6 +178,21 @@
     return msgspec.json.encode(shares_by_id)
 
 
+def decode_end_terms(body: bytes) -> messages.EndTerms:
+    """Decodes the body of a request to end earlier terms.
+
+    Raises:
+        ProtocolError: If the body is not a valid request.
+    """
+    decoded = _decode(body, _EndTerms)
+    return messages.EndTerms(decoded.service_id, decoded.version)
+
+
+def encode_terms_ended(statement: leaderelection.TermsEnded) -> bytes:
+    """Encodes the reply to a request to end earlier terms."""
+    return msgspec.json.encode(statement)
+
+
 def decode_poll(body: bytes) -> tuple[messages.Follower, dict[str, int]]:
     """Decodes the body of a poll into the follower and its known revisions.
 
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Callable
 
-from oriolefold_coordination import ranges
+from oriolefold_coordination import leaderelection, ranges
 from oriolefold_core import data
 from oriolefold_direct import messages
 from oriolefold_routing import topology
@@ -95,6 +95,21 @@
             OriolefoldError: If the report may not have arrived.
         """
 
+    @abc.abstractmethod
+    async def end_terms(
+        self, address: str, service_id: str, version: int
+    ) -> leaderelection.TermsEnded:
+        """Asks a former leader at an address to end its terms.
+
+        Args:
+            address: Address of the VM to ask.
+            service_id: The service.
+            version: Version of the leader record by which this VM was elected.
+
+        Raises:
+            OriolefoldError: If there is no answer.
+        """
+
     @abc.abstractmethod
     async def changes(
         self,
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 from tornado import httpserver, httputil, netutil
 
@@ -39,7 +40,7 @@
             metrics_path: Path of the metrics.
             is_ready: Returns whether this VM accepts callers.
             recorder: Source of the metrics.
-            coordinators: Task that receives load reports.
+            coordinators: Task that receives load reports and ends terms.
             feed: Change feed that peer VMs poll.
         """
         self._address = address
@@ -78,7 +79,20 @@
         elif request.path == self._metrics_path:
             status, body = 200, self._metrics.text()
         elif request.path == peering.REPORT_PATH:
-            self._accept_report(request)
+            self._pass_on(
+                request,
+                'load.unreadable',
+                peering.decode_report,
+                peering.encode_shares,
+            )
+            return
+        elif request.path == peering.END_TERMS_PATH:
+            self._pass_on(
+                request,
+                'end_terms.unreadable',
+                peering.decode_end_terms,
+                peering.encode_terms_ended,
+            )
             return
         elif request.path == peering.CHANGES_PATH:
             self._answer_poll(request)
@@ -108,23 +122,29 @@
         self._poll_tasks.add(poll_task)
         poll_task.add_done_callback(self._poll_tasks.discard)
 
-    def _accept_report(self, request: httputil.HTTPServerRequest) -> None:
+    def _pass_on(
+        self,
+        request: httputil.HTTPServerRequest,
+        unreadable_event: str,
+        decode: Callable[[bytes], tasks.Ask],
+        encode: Callable[[Any], bytes],
+    ) -> None:
+        """Passes a request on to the coordinators and sends their reply."""
         try:
-            report = peering.decode_report(request.body)
+            ask = decode(request.body)
         except errors.ProtocolError as error:
-            logs.event('load.unreadable', error=str(error))
+            logs.event(unreadable_event, error=str(error))
             _write(request, 400, b'')
             return
 
-        def send_reply(shares: asyncio.Future) -> None:
-            if shares.cancelled() or shares.exception() is not None:
+        def send_reply(reply: asyncio.Future) -> None:
+            if reply.cancelled() or reply.exception() is not None:
                 _write(request, 500, b'')
             else:
-                body = peering.encode_shares(shares.result())
-                _write(request, 200, body)
+                _write(request, 200, encode(reply.result()))
 
-        report.reply.add_done_callback(send_reply)
-        self._coordinators.post(report)
+        ask.reply.add_done_callback(send_reply)
+        self._coordinators.post(ask)
 
 
 def _write(
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from oriolefold_coordination import ranges
-from oriolefold_core import data, errors
+from oriolefold_core import data, errors, tasks
 from oriolefold_direct import messages, ports
 from oriolefold_routing import policy, topology
 from oriolefold_store import ports as store_ports
@@ -62,6 +62,7 @@
         rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
         grant_error: Raised by grants after they were recorded.
+        may_answer: Set while grants, which take effect at once, are answered.
     """
 
     def __init__(self):
@@ -75,6 +76,8 @@
         self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
         self.grant_error: Exception | None = None
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
 
     async def send(self, endpoint, call, remaining_s):
         self.sent.append(Sent(endpoint.instance_id, call.request_id))
@@ -104,6 +107,7 @@
         self.grants.append(key_range)
         if self.grant_error is not None:
             raise self.grant_error
+        await self.may_answer.wait()
         return ports.GrantOutcome(ports.GrantResult.ACCEPTED, 1)
 
     async def release(self, key_range, holder):
@@ -118,15 +122,27 @@
 
     Attributes:
         reports: Address and content of each report.
+        vms_by_address: Peers that answer the request to end their terms.
+        asked: Address and version of each such request.
     """
 
     def __init__(self):
         self.reports: list[tuple[str, messages.LoadReport]] = []
+        self.vms_by_address: dict[str, tasks.Task] = {}
+        self.asked: list[tuple[str, int]] = []
 
     async def report(self, address, report):
         self.reports.append((address, report))
         return {}
 
+    async def end_terms(self, address, service_id, version):
+        self.asked.append((address, version))
+        if address not in self.vms_by_address:
+            raise errors.UnreachableError(f'no answer from {address}')
+        return await self.vms_by_address[address].ask(
+            messages.EndTerms(service_id, version)
+        )
+
     async def changes(self, address, follower, revisions_by_prefix):
         raise errors.UnreachableError('no change feed')
 
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 import fakes
 
@@ -11,10 +12,12 @@
     availability,
     changefeed,
     coordinator,
+    coordinators,
     documents,
     messages,
 )
 from oriolefold_store import envelopes, memory, updates
+from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
 from oriolefold_testbed import basecase
 
@@ -56,6 +59,36 @@
         return version
 
 
+class _StoreLink(store_ports.Store):
+    """The connection of one VM to the store.
+
+    Attributes:
+        cut: Whether calls fail.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self.cut = False
+
+    async def _call(self, method, *arguments):
+        if self.cut:
+            raise errors.StoreUnavailableError('the link is cut')
+        return await method(*arguments)
+
+    async def read(self, name):
+        return await self._call(self._store.read, name)
+
+    async def write(self, name, content, expected_version):
+        return await self._call(
+            self._store.write, name, content, expected_version
+        )
+
+    async def watch(self, prefix, after_revision, timeout_s):
+        return await self._call(
+            self._store.watch, prefix, after_revision, timeout_s
+        )
+
+
 class CoordinatorTest(basecase.AsyncCase):
     """Leader election, handover of keys and takeover with the same tokens."""
 
@@ -63,24 +96,24 @@
         self.store = memory.MemoryStore()
         self.instances = fakes.FakeInstances()
         self.clock = clock.BootClock()
+        self.peers = fakes.FakePeers()
         self.dispatcher = Dispatcher('dispatcher')
         await self.start(self.dispatcher)
 
     def make(self, vm_id):
-        peers = fakes.FakePeers()
         feed = changefeed.ChangeFeed(self.clock)
         return coordinator.Coordinator(
             'svc',
             vm_id,
             f'process of {vm_id}',
             0.0,
-            '10.0.0.9:80',
+            _address(vm_id),
             changefeed.FollowerStore(
-                self.store, peers, feed, self.clock, fakes.follower()
+                self.store, self.peers, feed, self.clock, fakes.follower()
             ),
             feed,
             self.instances,
-            peers,
+            self.peers,
             self.dispatcher,
             self.clock,
             availability.Availability(self.clock),
@@ -343,6 +376,99 @@
                 await self.wait_for(lambda: self.instances.grants)
                 self.assertTrue(failed)
 
+    async def moved_after_s(self, answers_at_first_address):
+        """Loses a leader and its owner of all keys at about the same time.
+
+        Args:
+            answers_at_first_address: Returns the task that answers at the
+                former leader's address, or None, given the former leader.
+
+        Returns:
+            The time from the election of a successor until the keys are
+            granted to another owner.
+        """
+        store, link = self.store, _StoreLink(self.store)
+        self.store = link
+        former = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.store = store
+        link.cut = True
+        self.instances.silent_ids.add('a')
+        answers = answers_at_first_address(former)
+        if answers is not None:
+            self.peers.vms_by_address[_address('one')] = answers
+        await self.start_coordinator('two', fakes.endpoint('bb'))
+
+        async def elected():
+            return (await self.record()).vm_id == 'two'
+
+        await self.wait_for(elected)
+        elected_at_s = self.clock.now_s()
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        return self.clock.now_s() - elected_at_s
+
+    @mock.patch.object(rangeleases, 'LEASE_S', 0.5)
+    async def test_keys_do_not_wait_for_a_leader_that_says_it_has_stopped(self):
+        self.assertLess(await self.moved_after_s(lambda former: former), 2.0)
+
+    @mock.patch.object(rangeleases, 'LEASE_S', 0.5)
+    async def test_keys_do_not_wait_for_a_leader_whose_process_has_ended(self):
+        later = coordinators.Coordinators(self.make, 'one', 'later process')
+        await self.start(later)
+        self.assertLess(await self.moved_after_s(lambda former: later), 2.0)
+
+    @mock.patch.object(rangeleases, 'LEASE_S', 0.5)
+    @mock.patch.object(rangeleases, 'AUTHORITY_S', 4.0)
+    async def test_keys_wait_for_a_former_leader_that_is_silent(self):
+        self.assertGreater(await self.moved_after_s(lambda former: None), 4.0)
+        asked = [address for address, _ in self.peers.asked]
+        self.assertLessEqual(len(asked), 4)
+        self.assertEqual(set(asked), {_address('one')})
+
+    @mock.patch.object(rangeleases, 'LEASE_S', 0.5)
+    @mock.patch.object(rangeleases, 'AUTHORITY_S', 4.0)
+    async def test_keys_wait_if_another_vm_has_the_former_leaders_address(self):
+        other = coordinators.Coordinators(self.make, 'three', 'process')
+        await self.start(other)
+        self.assertGreater(await self.moved_after_s(lambda former: other), 4.0)
+
+    async def test_a_leader_says_that_it_has_stopped_after_its_grants(self):
+        self.instances.may_answer.clear()
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        asking = asyncio.create_task(leader.ask(messages.EndTerms('svc', 99)))
+        await asyncio.sleep(0.1)
+        self.assertFalse(asking.done())
+        self.instances.may_answer.set()
+        async with asyncio.timeout(1):
+            statement = await asking
+        expected = leaderelection.TermsEnded('one', 'process of one', 99)
+        self.assertEqual(statement, expected)
+        count = len(self.instances.grants)
+        await asyncio.sleep(rangeleases.RENEW_INTERVAL_S + 0.2)
+        self.assertEqual(len(self.instances.grants), count)
+
+    async def test_a_takeover_in_progress_ends_with_the_earlier_terms(self):
+        self.store = _HeldStore()
+        self.store.may_answer.clear()
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.store.writes)
+        async with asyncio.timeout(1):
+            await started.ask(messages.EndTerms('svc', 99))
+        self.store.may_answer.set()
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.instances.grants, [])
+
+    async def test_a_later_term_goes_on_when_earlier_ones_end(self):
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        async with asyncio.timeout(1):
+            await leader.ask(messages.EndTerms('svc', 1))
+        count = len(self.instances.grants)
+        await self.wait_for(lambda: len(self.instances.grants) > count)
+
     async def test_grants_are_renewed_during_a_store_outage(self):
         await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
@@ -351,6 +477,10 @@
         await self.wait_for(lambda: len(self.instances.grants) > before + 1)
 
 
+def _address(vm_id):
+    return f'{vm_id}:80'
+
+
 class DocumentsTest(basecase.BaseCase):
     """Stored key maps and leader records are validated when decoded."""
 
--- a/libs/direct/tests/test_coordinators.py
+++ b/libs/direct/tests/test_coordinators.py
@@ -2,8 +2,9 @@
 
 import fakes
 
+from oriolefold_coordination import leaderelection
 from oriolefold_core import tasks
-from oriolefold_direct import coordinators
+from oriolefold_direct import coordinators, messages
 from oriolefold_testbed import basecase
 
 
@@ -30,7 +31,7 @@
 
     async def asyncSetUp(self):
         self.made = []
-        self.supervisor = coordinators.Coordinators(self.make)
+        self.supervisor = coordinators.Coordinators(self.make, 'vm', 'process')
         await self.start(self.supervisor)
 
     def make(self, service_id):
@@ -50,6 +51,11 @@
         await self.settle(self.supervisor)
         self.assertEqual(self.made, [])
 
+    async def test_process_that_never_led_a_service_says_so(self):
+        statement = await self.supervisor.ask(messages.EndTerms('svc', 7))
+        expected = leaderelection.TermsEnded('vm', 'process', 7)
+        self.assertEqual(statement, expected)
+
     async def settle(self, task):
         """Waits until a task has handled what was posted before."""
         await task.ask(fakes.load_report())
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -13,16 +13,16 @@
 REPLY = b'{"told_at_s":1.0,"relay_address":"10.0.0.7:80"}'
 
 
-class CompressedReplyTest(basecase.AsyncCase):
-    """A compressed reply is bounded by its size after decompression."""
+class _PeerCase(basecase.AsyncCase):
+    """Base class of tests with a peer that replies as scripted."""
 
-    async def poll(self, body: bytes):
-        """Polls a peer that replies with a body."""
+    async def connect(self, body: bytes, status='200 OK'):
+        """Returns the client and the address of a peer that has one reply."""
         address = basecase.free_address()
 
         async def reply(reader, writer):
             await reader.readuntil(b'\r\n\r\n')
-            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            head = f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n'
             writer.write(head.encode() + body)
             await reader.read()
             writer.close()
@@ -33,7 +33,34 @@
         self.addCleanup(listening.close)
         peers = peering.HttpPeers()
         self.addCleanup(peers.close)
-        return await peers.changes(str(address), fakes.follower(), {})
+        return peers, str(address)
+
+
+class EndTermsTest(_PeerCase):
+    """A peer of another version proves nothing."""
+
+    async def test_a_reply_of_another_version_is_no_statement(self):
+        for body, status in (
+            (b'', '404 Not Found'),
+            (b'{}', '200 OK'),
+            (
+                b'{"vm_id":"v","incarnation":"p","version":7,"more":1}',
+                '200 OK',
+            ),
+        ):
+            with self.subTest(body=body, status=status):
+                peers, address = await self.connect(body, status)
+                with self.assertRaises(errors.OriolefoldError):
+                    await peers.end_terms(address, 'svc', 7)
+
+
+class CompressedReplyTest(_PeerCase):
+    """A compressed reply is bounded by its size after decompression."""
+
+    async def poll(self, body: bytes):
+        """Polls a peer that replies with a body."""
+        peers, address = await self.connect(body)
+        return await peers.changes(address, fakes.follower(), {})
 
     async def test_a_compressed_reply_is_read(self):
         for body in (REPLY, zlib.compress(REPLY)):
--- a/libs/direct/tests/test_status.py
+++ b/libs/direct/tests/test_status.py
@@ -6,6 +6,7 @@
 
 import fakes
 
+from oriolefold_coordination import leaderelection
 from oriolefold_core import clock, errors
 from oriolefold_direct import changefeed, peering, status
 from oriolefold_telemetry import counters
@@ -24,6 +25,7 @@
         self.address = str(address)
         self.feed = changefeed.ChangeFeed(clock.BootClock())
         self.coordinators = basecase.RecordingTask()
+        await self.start(self.coordinators)
         server = status.StatusServer(
             address,
             '/ready',
@@ -48,6 +50,17 @@
                 with self.assertRaises(errors.ProtocolError):
                     await self.peers.changes(self.address, fakes.follower(), {})
 
+    async def test_former_leader_states_that_its_terms_have_ended(self):
+        asking = asyncio.create_task(
+            self.peers.end_terms(self.address, 'svc', 7)
+        )
+        await self.wait_for(lambda: self.coordinators.messages)
+        (ask,) = self.coordinators.messages
+        self.assertEqual((ask.service_id, ask.version), ('svc', 7))
+        statement = leaderelection.TermsEnded('vm', 'process', 7)
+        ask.answer(statement)
+        self.assertEqual(await asking, statement)
+
 
 class EndlessRequestTest(basecase.AsyncCase):
     """Requests of peers that have no end are cut off."""
