Ignore empty lines between the requests of a caller

What callers saw: an empty line after a request, which some clients send after a body, counted as the beginning of the next request: it was in progress for a drain, got 408 and a closed connection at the time limit for heads, and two of them got 400. The head of a pipelined request of which a part arrived together with the request before had no time limit of its own and was not in progress.

Cause: any bytes after a request began the next one, and only those that came in a read of their own.

Change: the stream drops line ends that arrive between requests, unless bytes of the next request are buffered already, and those that were read together with a body (RFC 9112, section 2.2). A request begins when other bytes of it are in the buffer. The idle time-out looks again after bytes that it found in the kernel, as empty lines set no other timer.

Evidence, on the code before: test_an_empty_line_after_a_request_holds_up_no_drain: 2 != 0 test_an_empty_line_after_a_request_gets_no_408: 408 != 200 test_empty_lines_before_a_request_get_no_400: 0 != 1, 0 != 1, 1 != 2 test_empty_lines_keep_no_connection_open: b'HTTP/1.1 400 Bad Request...' test_a_pipelined_head_that_is_too_slow_gets_408: TimeoutError 6 failures and 1 error (subtests counted) in 6 tests test_a_line_end_of_a_pipelined_head_is_kept passed before: it guards the change. After: gateway 67 passed, 0 failed; of platform test_end_to_end, test_rolling_stop and test_endless, 19 passed; make lint passes. The rest of platform, with the soak, was not run on this commit.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -9,6 +9,8 @@
 
 from tornado import iostream
 
+_LINE_ENDS = b'\r\n'
+
 
 class CallerStream(iostream.IOStream):
     """Stream whose `close` ends only its output, once all of it is written.
@@ -27,6 +29,7 @@
         connection: socket.socket,
         on_input: Callable[[], None],
         on_output_ended: Callable[[], None],
+        is_between_requests: Callable[[], bool],
     ):
         """Initializes the stream.
 
@@ -35,10 +38,14 @@
             on_input: Called when bytes have arrived.
             on_output_ended: Called when all output has been written and the
                 caller has been sent the end of the output.
+            is_between_requests: Returns whether the bytes that arrive next
+                belong to no request that has begun. Empty lines are dropped
+                then (RFC 9112, section 2.2).
         """
         super().__init__(connection)
         self._on_input = on_input
         self._on_output_ended = on_output_ended
+        self._is_between_requests = is_between_requests
         self._input_ended = False
         self._output_ended = False
         self._sent_bytes = 0
@@ -59,9 +66,23 @@
         except OSError:
             return False
 
+    def skip_empty_lines(self) -> bool:
+        """Drops empty lines that were read between two requests.
+
+        Returns:
+            Whether bytes of the next request were read, too.
+        """
+        unread = self._read_buffer
+        if unread and unread[0] in _LINE_ENDS:
+            self._consume(len(unread) - len(unread.lstrip(_LINE_ENDS)))
+        return self._read_buffer_size > 0
+
     def read_from_fd(self, buf):
         """Reads bytes and reports that they have arrived."""
         size = super().read_from_fd(buf)
+        if size and buf[0] in _LINE_ENDS and not self._read_buffer_size:
+            if self._is_between_requests():
+                size = _drop_empty_lines(buf, size) or None
         if size:
             self._on_input()
         elif size == 0:
@@ -137,6 +158,13 @@
         self._on_output_ended()
 
 
+def _drop_empty_lines(buf: bytearray | memoryview, size: int) -> int:
+    """Removes leading line ends from a buffer and returns the size left."""
+    kept = bytes(buf[:size]).lstrip(_LINE_ENDS)
+    buf[: len(kept)] = kept
+    return len(kept)
+
+
 def _unacknowledged_bytes(connected: socket.socket) -> int:
     """Returns how many written bytes the peer has not acknowledged.
 
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -33,13 +33,15 @@
         self._dispatcher = dispatcher
         self._loop = asyncio.get_running_loop()
         self._stream = callerstream.CallerStream(
-            accepted, self._on_input, self._on_output_ended
+            accepted,
+            self._on_input,
+            self._on_output_ended,
+            self._is_between_requests,
         )
         self._accepted_at_s = self._loop.time()
         self._idle_since_s = self._accepted_at_s
         self._last_input_s = self._accepted_at_s
         self._has_received = False
-        self._has_next = False  # Bytes of the next request have arrived.
         self._has_late_input = False
         self._exchange: exchange.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -118,8 +120,7 @@
         )
         self._exchange = current
         self._idle_since_s = self._loop.time()
-        if self._has_next:
-            self._has_next = False
+        if self._stream.skip_empty_lines():
             self._begin(current)
         else:
             idle_timeout_s = self._frontend.idle_timeout_s
@@ -150,11 +151,13 @@
         if self._stream.output_ended:
             if current is None or not current.has_begun:
                 self._has_late_input = True
-        elif current is None or current.is_read:
-            self._has_next = True
-        elif not current.has_begun:
+        elif current is not None and not current.has_begun:
             self._begin(current)
 
+    def _is_between_requests(self) -> bool:
+        current = self._exchange
+        return current is None or current.is_read or not current.has_begun
+
     def _begin(self, current: exchange.Exchange) -> None:
         current.begin()
         self._set_timer(
@@ -172,7 +175,10 @@
         remaining_s = self._frontend.idle_timeout_s - idle_s
         if remaining_s > 0:
             self._set_timer(remaining_s, self._on_idle_timeout)
-        elif not self._stream.has_unread_input():
+        elif self._stream.has_unread_input():
+            # Empty lines begin no request, which would set a timer of its own.
+            self._set_timer(0, self._on_idle_timeout)
+        else:
             self._end_idle()
 
     def _on_header_timeout(self) -> None:
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests that callers get whole answers, whatever ends their connections."""
 
 import asyncio
+import contextlib
 import fcntl
 import json
 import socket
@@ -713,6 +714,87 @@
             self.assertEqual(await caller.read_to_end(), b'')
 
 
+class EmptyLineTest(ConnectionCase):
+    """Empty lines between requests belong to none (RFC 9112, section 2.2)."""
+
+    async def test_an_empty_line_after_a_request_holds_up_no_drain(self):
+        after_request = await self.connect_used()
+        after_request.send(b'\r\n')
+        before_request = self.connect()
+        before_request.send(b'\r\n')
+        with_body = self.connect()
+        with_body.send(POST + b'x' * 10 + b'\r\n')
+        self.assertEqual((await with_body.read_answer())[0], 200)
+        await asyncio.sleep(frontend.FIRST_REQUEST_S)
+        self.assertEqual(self.frontend.in_flight, 0)
+        async with asyncio.timeout(frontend.STALL_S / 2):
+            await self.frontend.drain()
+
+    async def test_an_empty_line_after_a_request_gets_no_408(self):
+        self.frontend.set_limits(16384, 1000, 30.0, header_timeout_s=0.2)
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(POST + b'x' * 10)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        caller.send(b'\r\n')
+        await asyncio.sleep(0.05)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await asyncio.sleep(0.4)
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_empty_lines_before_a_request_get_no_400(self):
+        for parts in (
+            (b'\r\n\r\n' + GET,),
+            (b'\r\n', b'\r\n', b'\r', b'\n' + GET),
+            (POST + b'x' * 10 + b'\r\n\r\n', b'\r\n\r\n', GET),
+        ):
+            with self.subTest(parts=parts):
+                self.dispatcher.dispatches.clear()
+                caller = await self.connect_used()
+                for part in parts:
+                    caller.send(part)
+                    await asyncio.sleep(0.05)
+                received = b''
+                expected = b''.join(parts).count(b'HTTP/1.1')
+                while received.count(b'\r\n\r\nok') < expected:
+                    piece = await caller.read_some()
+                    self.assertNotEqual(piece, b'')
+                    received += piece
+                self.assertEqual(received.count(b'HTTP/1.1 200'), expected)
+                self.assertEqual(len(self.dispatcher.dispatches), expected + 1)
+
+    async def test_a_line_end_of_a_pipelined_head_is_kept(self):
+        caller = self.connect()
+        first_line, line_end, rest = GET.partition(b'\r\n')
+        caller.send(POST + b'x' * 10 + first_line)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        caller.send(line_end)
+        await asyncio.sleep(0.05)
+        caller.send(rest)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_pipelined_head_that_is_too_slow_gets_408(self):
+        self.frontend.set_limits(16384, 1000, 30.0, header_timeout_s=0.2)
+        caller = self.connect()
+        caller.send(POST + b'x' * 10 + GET[:30])
+        self.assertEqual((await caller.read_answer())[0], 200)
+        self.assert_refused(parse(await caller.read_to_end()), 408)
+
+    async def test_empty_lines_keep_no_connection_open(self):
+        self.frontend.set_limits(16384, 1000, 0.3)
+        caller = await self.connect_used()
+        ended = asyncio.create_task(caller.read_to_end())
+        for _ in range(10):
+            await asyncio.sleep(0.05)
+            with contextlib.suppress(ConnectionError):
+                caller.send(b'\r\n')
+        self.assertEqual(await ended, b'')
+        self.assertEqual(self.cuts(), [])
+
+
 class CutTest(ConnectionCase):
     """Each connection that ends inside a request leaves a line."""
 
