Write an answer on after its caller has ended its sending side

What callers saw: a part of a large answer, when they half closed their connection after the whole request, as HTTP/1.1 allows.

Cause: the end of the input closed the stream, with all that was not written yet. It was noticed while the first part of the answer waited for room.

Evidence: a test on the code before gets 3,904,863 of 12,000,000 bytes.

Change: while output is being written and nothing is being read, the end of the input is left until the output is written. The answer ends when a write fails, or when the caller takes nothing for the idle timeout, as before. Before the answer begins, the end of the input goes on counting as leaving: only a write tells the two apart, and requests of callers that have left must not go on at instances for more than half a second. docs/design/requests.md says so.

Tests: before, test_half_close_does_not_cut_an_answer_under_way ("3904863 !=", and 3904844 with "Connection: close"), test_half_closed_caller_that_takes_nothing_is_given_up ("0.012 not greater than 0.3"; it also counts reads, so that waiting does not spin) and test_reset_ends_an_answer_under_way_after_a_half_close ("0 != 1" in progress) fail. test_half_close_before_the_answer_cancels_the_request holds the other side and passes on both.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -18,6 +18,10 @@
     not read yet. So the owner reads on after `close`, and then calls `abort`.
     A stream that has failed, or that the caller has closed, is closed at once.
 
+    A caller that ends only its sending side looks like one that has left, until
+    something is written. So output that has begun is written until that fails
+    or stalls; without any, the end of the input closes the stream.
+
     Attributes:
         stalled: Whether it was closed since the caller took no more output.
     """
@@ -65,6 +69,9 @@
         if size:
             self._on_input()
         elif size == 0:
+            if self.writing() and not self.reading():
+                # The end is read again once the output is written.
+                return None
             self._input_ended = True
         return size
 
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -9,7 +9,7 @@
 
 from oriolefold_backend import headers as backend_headers
 from oriolefold_core import data, tasks
-from oriolefold_gateway import frontend
+from oriolefold_gateway import callerstream, frontend
 from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
@@ -432,6 +432,64 @@
                     await asyncio.sleep(PIECE_INTERVAL_S)
 
 
+class HalfCloseTest(ConnectionCase):
+    """A caller that has ended its output still gets an answer under way."""
+
+    async def half_close_while_the_answer_is_written(self, header: bytes = b''):
+        self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
+        caller = self.connect(receive_bytes=65536)
+        caller.send(GET.replace(b'\r\n\r\n', b'\r\n' + header + b'\r\n'))
+        first = await caller.read_some(1000)
+        caller.socket.shutdown(socket.SHUT_WR)
+        return caller, first
+
+    async def test_half_close_does_not_cut_an_answer_under_way(self):
+        for header in (b'', b'Connection: close\r\n'):
+            with self.subTest(header=header):
+                result = await self.half_close_while_the_answer_is_written(
+                    header
+                )
+                caller, first = result
+                await asyncio.sleep(0.05)
+                _, _, body = parse(first + await caller.read_to_end())
+                self.assertEqual(len(body), len(LARGE_BODY))
+                await self.wait_for(lambda: not self.frontend.in_flight)
+                self.assertEqual(self.cuts(), [])
+
+    async def test_half_closed_caller_that_takes_nothing_is_given_up(self):
+        self.frontend.set_limits(65536, MAX_BODY_BYTES, 0.4)
+        read = callerstream.CallerStream.read_from_fd
+        with mock.patch.object(
+            callerstream.CallerStream, 'read_from_fd', autospec=True
+        ) as reading:
+            reading.side_effect = read
+            await self.half_close_while_the_answer_is_written()
+            started_s = time.monotonic()
+            await self.wait_for(lambda: not self.frontend.in_flight)
+        self.assertGreater(time.monotonic() - started_s, 0.3)
+        self.assertLess(reading.call_count, 10)
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('writing', 'vm'))
+
+    async def test_reset_ends_an_answer_under_way_after_a_half_close(self):
+        caller, _ = await self.half_close_while_the_answer_is_written()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.frontend.in_flight, 1)
+        caller.close()
+        async with asyncio.timeout(0.5):
+            await self.wait_for(lambda: not self.frontend.in_flight)
+
+    async def test_half_close_before_the_answer_cancels_the_request(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        caller.socket.shutdown(socket.SHUT_WR)
+        (dispatch,) = self.dispatcher.dispatches
+        async with asyncio.timeout(0.5):
+            await self.wait_for(dispatch.reply.cancelled)
+
+
 class ExceptionTest(ConnectionCase):
     """Exceptions outside the tree leave no caller without an answer."""
 
