Test that the stop limit tells true outcomes of an entry VM's requests

Cause: a reviewer removed EndRequests, where it is asked and where it is handled, and no test failed: the stop of the front end answers 502 to whatever is left, and no test had a request that was sent nowhere at the limit.

Change: test_request_sent_nowhere_is_not_run_at_the_stop_limit. It lets the drain refuse nothing, so that a queued request is left.

--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -10,7 +10,7 @@
 from oriolefold_core import errors
 from oriolefold_direct import application, documents, watching
 from oriolefold_gateway import frontend
-from oriolefold_routing import attempts, topology
+from oriolefold_routing import attempts, draining, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
 from oriolefold_testbed import basecase
@@ -199,6 +199,24 @@
         self.assertLess(took_s - STOP_LIMIT_S, frontend.CLOSE_LIMIT_S + 0.1)
         self.assertIn(' 502 ', await self.busy)
 
+    async def test_request_sent_nowhere_is_not_run_at_the_stop_limit(self):
+        await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
+        self.instances.outcomes = {'one': [4.0, 4.0]}
+        exchanges_by_id = {
+            request_id: asyncio.create_task(
+                self.exchange(await self.connect(), request_id)
+            )
+            for request_id in ('q0', 'q1', 'q2')
+        }
+        await self.wait_for(lambda: len(self.sent_ids()) == 2)
+        # A drain would refuse the queued request before the stop limit.
+        with mock.patch.object(draining, 'may_send', return_value=True):
+            await self.stop_entry()
+        self.assertEqual(len(self.sent_ids()), 2)
+        for request_id, exchange in exchanges_by_id.items():
+            sent = request_id in self.sent_ids()
+            self.assertIn(' 502 ' if sent else ' 503 ', await exchange)
+
     async def test_queued_request_is_refused_while_draining(self):
         await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
         await self.occupy(4.0)
