Test what keeps requests from being lost in the gateway's drain

Cause: a reviewer removed single lines of the drain, and no test failed.

Change, with what each test reports when the line is removed: - refusing is set after a drain: test_a_request_between_drain_and_stop_is_not_run, "200 != 503". - output_ended counts as busy: test_a_drain_waits_for_connections_that_are_being_closed, "True is not false". - the idle time-out looks for unread bytes: test_the_idle_timeout_cuts_no_request_in_the_kernel, "EOFError: cut after b''". - the dispatcher's check before each send: test_draining_does_not_retry_what_could_be_cut, "StoppingError not raised".

--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -24,6 +24,7 @@
 QUEUED_CONNECTIONS = 20
 BURST_CONNECTIONS = 300
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
+CLOSING_GET = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
 POST = (
     b'POST /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n'
     b'Content-Length: 10\r\n\r\n'
@@ -352,6 +353,24 @@
             answer = parse(await caller.read_to_end())
             self.assert_refused(answer, 503)
 
+    async def test_a_request_between_drain_and_stop_is_not_run(self):
+        caller = await self.connect_used()
+        await self.frontend.drain()
+        caller.send(GET)
+        self.assert_refused(await caller.read_answer(), 503)
+        self.assertEqual(len(self.dispatcher.dispatches), 1)
+
+    async def test_a_drain_waits_for_connections_that_are_being_closed(self):
+        caller = self.connect()
+        caller.send(CLOSING_GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        draining = asyncio.create_task(self.frontend.drain())
+        await asyncio.sleep(0.1)
+        self.assertFalse(draining.done())
+        caller.close()
+        async with asyncio.timeout(0.5):
+            await draining
+
     async def test_a_caller_that_ignores_the_close_gets_whole_answers(self):
         callers = [await self.connect_used() for _ in range(5)]
         using = [asyncio.create_task(self.use(caller)) for caller in callers]
@@ -412,8 +431,7 @@
 
     async def test_bytes_after_the_close_do_not_destroy_the_answer(self):
         caller = self.connect()
-        closing = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
-        caller.send(closing)
+        caller.send(CLOSING_GET)
         await asyncio.sleep(0.1)
         caller.send(b'GET /svc/b HTTP/1.1\r\n')
         await asyncio.sleep(0.1)
@@ -611,6 +629,15 @@
                 time.sleep(0.4)  # noqa: ASYNC251
                 self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_the_idle_timeout_cuts_no_request_in_the_kernel(self):
+        self.set_timeouts(5.0, 0.2)
+        caller = await self.connect_used()
+        await asyncio.sleep(0.05)
+        # After the pause both are due, the request before the timeout.
+        asyncio.get_running_loop().call_later(0.01, caller.send, GET)
+        time.sleep(0.4)  # noqa: ASYNC251
+        self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_a_caller_that_takes_nothing_does_not_hold_its_answer(self):
         self.frontend.set_limits(65536, MAX_BODY_BYTES, 0.4)
         self.dispatcher.answer = data.Answer(200, (), LARGE_BODY, 's0')
--- a/libs/gateway/tests/test_dispatcher.py
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -6,7 +6,8 @@
 
 from oriolefold_core import clock, data, errors, notices, tasks
 from oriolefold_gateway import dispatcher, messages
-from oriolefold_routing import retries
+from oriolefold_routing import draining, retries
+from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import metrics
 from oriolefold_testbed import basecase
 
@@ -72,6 +73,18 @@
             await self.ask()
         self.assertGreater(self.sender.sends, 1)
 
+    async def test_draining_does_not_retry_what_could_be_cut(self):
+        self.sender.outcomes = [errors.UnreachableError('down')]
+        with mock.patch.object(retries, 'backoff_s', return_value=0.3):
+            asking = asyncio.create_task(self.ask('POST'))
+            await self.wait_for(lambda: self.sender.sends)
+            now_s = clock.BootClock().now_s()
+            schedule = draining.Schedule(now_s, now_s + 1.0)
+            self.dispatcher.post(sending_messages.Drain(schedule))
+            with self.assertRaises(errors.StoppingError):
+                await asking
+        self.assertEqual(self.sender.sends, 1)
+
     async def test_requests_in_progress_are_answered_at_the_stop_limit(self):
         cases = [
             ('at an instance', [None], errors.OutcomeUnknownError),
