Test that a pooled exchange leaves nothing behind, and the essential share

Cause: a reviewer removed single lines, and no test of these libraries failed.

Change, with what each test reports when the line is removed: - a connection with unread bytes is not reused: test_bytes_after_a_response_do_not_answer_the_next_request, "[b'a', b'z'] != [b'a', b'a']". - a failed exchange releases its hold: test_a_failed_exchange_gives_its_bytes_back, "39 != 0". - ESSENTIAL_FRACTION is not 0: test_complete_responses_use_up_no_room_of_essential_ones, "'essential' unexpectedly found in ['ordinary', 'essential']".

--- a/libs/core/tests/test_bytebudget.py
+++ b/libs/core/tests/test_bytebudget.py
@@ -87,6 +87,14 @@
         self.assertNotIn('essential', self.aborted_names)
         self.assertLessEqual(self.budget.held_bytes, MAX_BYTES)
 
+    def test_complete_responses_use_up_no_room_of_essential_ones(self):
+        while 'ordinary' not in self.aborted_names:
+            complete = self.open('ordinary', bytebudget.SMALL_BYTES)
+            complete.settle(complete.size)
+            self.kept.append(complete)
+        self.open('essential', MAX_BYTES // 10, essential=True)
+        self.assertNotIn('essential', self.aborted_names)
+
     def test_small_holds_fit_beside_a_budget_used_by_complete_ones(self):
         complete = self.open('complete', 7_900_000)
         complete.settle(7_900_000)
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -4,6 +4,7 @@
 import contextlib
 from unittest import mock
 
+from oriolefold_core import bytebudget, errors
 from oriolefold_http import connections, pooledstream
 from oriolefold_testbed import basecase
 
@@ -49,3 +50,47 @@
         self.assertGreaterEqual(
             len(sleeps), CHUNKS // pooledstream.MAX_CHUNKS_PER_TURN
         )
+
+
+class ReuseTest(basecase.AsyncCase):
+    """What an exchange leaves behind harms no later one."""
+
+    async def start_pool(self, *responses):
+        """Starts a server with these responses on each connection."""
+        self.address = basecase.free_address()
+
+        async def serve(reader, writer):
+            for response in responses:
+                with contextlib.suppress(EOFError, ConnectionError):
+                    await reader.readuntil(b'\r\n\r\n')
+                    writer.write(response)
+                    await writer.drain()
+            writer.close()
+
+        listening = await asyncio.start_server(
+            serve, self.address.host, self.address.port
+        )
+        self.addCleanup(listening.close)
+        self.budget = bytebudget.ByteBudget(1_000_000)
+        self.pool = connections.ConnectionPool(10_000, budget=self.budget)
+        self.addCleanup(self.pool.close)
+
+    async def exchange(self):
+        return await self.pool.exchange(
+            self.address,
+            connections.OutgoingRequest('GET', '/', []),
+            timeout_s=5.0,
+            connect_timeout_s=1.0,
+        )
+
+    async def test_bytes_after_a_response_do_not_answer_the_next_request(self):
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n'
+        await self.start_pool(head + b'a' + head + b'z', head + b'b')
+        bodies = [(await self.exchange()).body for _ in range(2)]
+        self.assertEqual(bodies, [b'a', b'a'])
+
+    async def test_a_failed_exchange_gives_its_bytes_back(self):
+        await self.start_pool(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx')
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.exchange()
+        self.assertEqual(self.budget.held_bytes, 0)
