--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -70,7 +70,8 @@
         """Counts the announced bytes of a response before they arrive.
 
         Waits for room, so that its sender has to wait instead of losing the
-        response. After the limit it grows like a response of unknown length.
+        response. After the limit its bytes are counted as they arrive, and may
+        cause it or another response to be aborted.
         """
         self.announced_size = size
         if size <= SMALL_BYTES or self.essential:
