Write a resignation only after the grants in flight have ended

A resignation tells the next leader that it need not wait for the authority of the former one; it counts leases from its own election. A leader that stopped wrote it at once, though a renewal could be on its way for up to its time-out of 0.6 s and then last longer than the next leader waits. Nothing was seen to fail by it: a grant that is this late is one that was held up.

Found by looking for other places that say that a leader has ended. The new test failed before the change. A leader that stops now waits for its grants in flight, which end within their time-out.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -162,6 +162,8 @@
         if self._lease_manager is not None:
             led = self._leader_record(self._heartbeat_number)
             self._step_down('stopping')
+            # The next leader counts leases from its own election.
+            await self._wait_for_grants()
         # A takeover in progress gives the leadership back before it ends. The
         # record of a heartbeat in progress is the one to replace.
         async with self._record_lock:
@@ -402,14 +404,18 @@
         self.spawn(self._answer_after_grants(ask), ask)
 
     async def _answer_after_grants(self, ask: messages.EndTerms) -> None:
-        if self._grants_in_flight:
-            await asyncio.wait(set(self._grants_in_flight))
+        await self._wait_for_grants()
         ask.answer(
             leaderelection.TermsEnded(
                 self._vm_id, self._incarnation, ask.version
             )
         )
 
+    async def _wait_for_grants(self) -> None:
+        """Waits until the grants of the ended term have ended."""
+        if self._grants_in_flight:
+            await asyncio.wait(set(self._grants_in_flight))
+
     def _ask_former_leader(self) -> None:
         """Asks the former leader once in a term to end its own ones.
 
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -260,6 +260,18 @@
         self.assertEqual(self.instances.grants, [])
         self.assertEqual((await self.record()).vm_id, '')
 
+    async def test_resignation_is_written_after_the_grants_in_flight(self):
+        self.instances.may_answer.clear()
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        resigning = asyncio.create_task(started.resign())
+        await asyncio.sleep(0.1)
+        self.assertEqual((await self.record()).vm_id, 'one')
+        self.instances.may_answer.set()
+        async with asyncio.timeout(1):
+            await resigning
+        self.assertEqual((await self.record()).vm_id, '')
+
     async def test_resignation_replaces_a_heartbeat_in_progress(self):
         self.store = _HeldStore()
         started = await self.start_coordinator('one', fakes.endpoint('a'))
