Test what ends the requests of a daemon whose drain fails

Cause: a reviewer removed RefuseQueued, RefuseWaiting, EndRequests, DrainCalls and the handling of an unexpected error in the stop, each alone, and no test failed. Those of the hand-over and of a failed refusal now cover some; none covered RefuseWaiting or a drain that fails.

Change: test_failed_drain_does_not_leave_requests_unanswered. It does not depend on the order of the steps. It lets the announcement refuse nothing, so that a queued request is left.

That the three last asks have their effect is left to the tests of their libraries.

--- a/libs/daemon/tests/test_application.py
+++ b/libs/daemon/tests/test_application.py
@@ -7,7 +7,9 @@
 from oriolefold_backend import memory, ports
 from oriolefold_core import clock, errors, notices, tasks
 from oriolefold_daemon import application, settings
+from oriolefold_gateway import frontend
 from oriolefold_ownership import leasemanager
+from oriolefold_routing import draining
 from oriolefold_sending import messages, sender
 from oriolefold_testbed import basecase
 
@@ -48,7 +50,8 @@
         ):
             self.application = application.Application(values)
 
-    async def test_queued_request_is_refused_as_not_run_at_a_stop(self):
+    async def fill_instance(self):
+        """Returns requests at an instance; the last one is queued."""
         await self.application.start()
         register = basecase.make_register(instance_count=1, keyed=False)
         self.senders[0].post(
@@ -69,6 +72,10 @@
         for ask in asks:
             self.senders[0].post(ask)
         await self.wait_for(lambda: len(state.ran) == 6)
+        return asks
+
+    async def test_queued_request_is_refused_as_not_run_at_a_stop(self):
+        asks = await self.fill_instance()
         await self.application.stop()
         with self.assertRaises(errors.StoppingError):
             await asks[-1].reply
@@ -147,3 +154,21 @@
         with hanging, limit:
             async with asyncio.timeout(STOP_LIMIT_S + 2):
                 await self.application.stop()
+
+    async def test_failed_drain_does_not_leave_requests_unanswered(self):
+        asks = await self.fill_instance()
+        names = self.record_asks()
+        # The announcement would refuse the queued request before the drain.
+        may_send = mock.patch.object(
+            draining, 'may_send_request', return_value=True
+        )
+        drain = mock.patch.object(
+            frontend.Frontend, 'drain', side_effect=[ValueError('x'), None]
+        )
+        with may_send, drain, self.assertLogs('oriolefold_daemon', 'ERROR'):
+            await self.application.stop()
+        replies = (ask.reply for ask in asks)
+        outcomes = await asyncio.gather(*replies, return_exceptions=True)
+        self.assertIsInstance(outcomes[-1], errors.StoppingError)
+        for name in ('RefuseWaiting', 'EndRequests', 'DrainCalls'):
+            self.assertIn(name, names)
