Hand over the keys of a home as soon as it refuses requests before its stop

What callers saw: nothing with the default stop limit (30 s) and deadlines of 3 s: a home serves forwarded requests until 3.1 s before its limit. When the stop limit is shorter than the deadlines, a home refused every forwarded request from SIGTERM on, but kept its keys until its own callers were drained. The entry VM waits for the new owner within the deadline (may_wait_for_owner), so callers waited, and when the drain reached the limit, the lease was never handed over and the standby had to wait for its end: 504 and 502.

Cause: the order of the stop: drain of the own callers, then StepDown, which is skipped at the limit. The home refuses before its standby may act.

Change: a shard manager that refuses the first request since it stops asks for the hand-over at once. Until then it serves forwarded requests, as before. A StepDown that comes while one is under way is answered with it, so that a stop does not cut the last heartbeats.

Daemon, gateway and platform were not run on this commit.

--- a/libs/ownership/src/oriolefold_ownership/leasemanager.py
+++ b/libs/ownership/src/oriolefold_ownership/leasemanager.py
@@ -74,6 +74,7 @@
         self._peers = peers
         self._shard_manager = shard_manager
         self._guard_recorder: tasks.Task | None = None
+        self._stepping_down: asyncio.Task | None = None
         self._protocol = protocol.LeaseProtocol(
             vm_id, incarnation, terms, time.now_s()
         )
@@ -232,6 +233,9 @@
         call.answer(self._protocol.finish_hand_back(call.body, drained, now_s))
 
     def _step_down(self, ask: messages.StepDown, now_s: float) -> None:
+        if self._stepping_down is not None:
+            self._stepping_down.add_done_callback(lambda _: ask.answer(None))
+            return
         own = self._protocol.own
         if own is None or not own.holds(now_s):
             ask.answer(None)
@@ -239,7 +243,7 @@
         logs.event('right.stepping_down', home=self._vm_id)
         self._protocol.step_down()
         self._publish_lease()
-        self.spawn(self._finish_step_down(ask), ask)
+        self._stepping_down = self.spawn(self._finish_step_down(ask), ask)
 
     async def _finish_step_down(self, ask: messages.StepDown) -> None:
         while not await self._shard_manager.ask(messages.CheckAllDrained()):
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -72,6 +72,7 @@
         self._loads_by_service_id: dict[str, loads.ShardLoads] = {}
         self._acquiring_maps: set[tuple[str, int]] = set()
         self._drain_schedule: draining.Schedule | None = None
+        self._has_stepped_down = False
         self._sender: tasks.Task | None = None
         self._granter: tasks.Task | None = None
         self._lease_manager: tasks.Task | None = None
@@ -270,6 +271,7 @@
             ask.fail(errors.NoOwnerError(text))
         elif not self._may_send(ask.request):
             ask.fail(self._stopping_error())
+            self._step_down()
         elif state.phase is shardstate.Phase.SERVING:
             self._send(key, state, ask)
         else:
@@ -289,6 +291,13 @@
             for ask in late:
                 waiting.remove(ask)
                 ask.fail(self._stopping_error())
+                self._step_down()
+
+    def _step_down(self) -> None:
+        """Hands over the keys, which a standby can serve from now on."""
+        if not self._has_stepped_down:
+            self._has_stepped_down = True
+            self._lease_manager.post(messages.StepDown())
 
     def _stopping_error(self) -> errors.StoppingError:
         text = f'{self._vm_id} stops before the request is sure to end'
--- a/libs/ownership/tests/test_leasemanager.py
+++ b/libs/ownership/tests/test_leasemanager.py
@@ -18,6 +18,49 @@
         raise ValueError('unexpected')
 
 
+class _HeldTask(tasks.Task):
+    """Shard manager that is drained once the test says so."""
+
+    def __init__(self):
+        super().__init__('held')
+        self.is_drained = False
+
+    async def handle(self, message):
+        if isinstance(message, messages.CheckAllDrained):
+            message.answer(self.is_drained)
+
+
+class StepDownTest(basecase.AsyncCase):
+    """A stop waits for a step-down that has begun."""
+
+    async def test_second_step_down_waits_for_the_first(self):
+        lease_protocol = mock.create_autospec(
+            protocol.LeaseProtocol, instance=True
+        )
+        lease_protocol.tick.return_value = []
+        lease_protocol.final_heartbeats.return_value = []
+        lease_protocol.own = mock.Mock()
+        held = _HeldTask()
+        with mock.patch.object(
+            protocol, 'LeaseProtocol', return_value=lease_protocol
+        ):
+            manager = leasemanager.LeaseManager(
+                'vm0', 'p', lease.DEFAULT_TERMS, clock.BootClock(), held, held
+            )
+        await self.start(held, manager)
+        first, second = messages.StepDown(), messages.StepDown()
+        manager.post(first)
+        await asyncio.sleep(0.05)
+        lease_protocol.own.holds.return_value = False
+        manager.post(second)
+        await asyncio.sleep(0.05)
+        self.assertFalse(second.reply.done())
+        held.is_drained = True
+        async with asyncio.timeout(1):
+            await second.reply
+        self.assertTrue(first.reply.done())
+
+
 class LeaseManagerTest(basecase.AsyncCase):
     """An unexpected error leaves neither a caller nor the protocol waiting."""
 
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -131,6 +131,25 @@
         owner = self.backend.instance(self.map.rows[0].owner_id)
         self.assertNotIn('late', owner.ran)
 
+    async def test_home_that_refuses_requests_before_a_stop_hands_over(self):
+        self.renew_lease()
+        await self.send()
+        now_s = self.time.now_s()
+        schedule = draining.Schedule(now_s, now_s + 6.0)
+        self.shard_manager.post(sending_messages.Drain(schedule))
+        await self.send()
+
+        def step_downs():
+            return self.lease_manager.messages_of_type(messages.StepDown)
+
+        self.assertEqual(step_downs(), [])
+        schedule = draining.Schedule(now_s, now_s + 4.0)
+        self.shard_manager.post(sending_messages.Drain(schedule))
+        for _ in range(3):
+            with self.assertRaises(errors.StoppingError):
+                await self.send()
+        self.assertEqual(len(step_downs()), 1)
+
     async def test_waiting_requests_are_refused_before_a_stop(self):
         for name in ('s0', 's1', 's2'):
             # No owner accepts its grant, so the request waits.
