Reserve the addresses of a test deployment

Cause, as far as shown: the addresses of a deployment were taken from the process ID modulo 200, and nothing kept two runs from having the same. Requests that are answered by servers which the run did not start fit that; the process IDs of the two runs were not kept, so it is not proved.

Change: a process reserves its network with a bound socket and searches on from its process ID.

--- a/testbed/src/oriolefold_testbed/scenarios.py
+++ b/testbed/src/oriolefold_testbed/scenarios.py
@@ -1,7 +1,9 @@
 """Small deployments for tests and measurements, on separate addresses."""
 
+import functools
 import os
 import pathlib
+import socket
 
 import yaml
 
@@ -11,6 +13,8 @@
 REGIONS = ('r1', 'r2', 'r3')
 SERVICE = 'stock'
 UNKEYED_SERVICE = 'orders'
+NETWORKS = range(30, 230)
+RESERVATION_PORT = 9002
 
 
 def write_documents(
@@ -101,6 +105,36 @@
     }
 
 
+def reserve_network(start: int) -> tuple[int, socket.socket]:
+    """Reserves a network that no other process has reserved.
+
+    Args:
+        start: Where to begin the search.
+
+    Returns:
+        Second octet of its addresses, and the socket that reserves them.
+
+    Raises:
+        OSError: If all networks are reserved.
+    """
+    for offset in range(len(NETWORKS)):
+        network = NETWORKS[(start + offset) % len(NETWORKS)]
+        reservation = socket.socket()
+        try:
+            reservation.bind((f'127.{network}.9.3', RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return network, reservation
+    raise OSError('all networks of tests are in use')
+
+
+@functools.cache
+def _own_network() -> tuple[int, socket.socket]:
+    """Returns the network of this process and its reservation."""
+    return reserve_network(os.getpid())
+
+
 def make_deployment(
     run_folder: pathlib.Path, **options
 ) -> deployment.Deployment:
@@ -110,8 +144,7 @@
         run_folder: Folder for the register, the rules, logs and journals.
         **options: Options of `write_documents`.
     """
-    # Taken from the process ID, so that concurrent runs use other addresses.
-    network = 30 + os.getpid() % 200
+    network, _ = _own_network()
     write_documents(run_folder / 'documents', network, **options)
     return deployment.Deployment(
         str(run_folder / 'documents'),
