Send only what is sure to end before the stop of a VM

Cause: in the 2.6 s after SIGTERM a repeatable request was sent beyond its deadline's time if the last 100 requests of its route had each ended in the time left. The next one may be longer.

Change: after SIGTERM, and in retries and queues, a request is sent only if its deadline is 0.1 s before the stop or earlier, repeatable or not; else it is refused as not run, Retry-After 0. The statistics of routes, the time at which the stop is known, and both in the logs, go. The decision does not change with time any more, so queues are looked through once, when the stop begins. The front end, sender and shard manager of the daemon had this rule already.

What callers lose: in the 2.6 s after SIGTERM new callers of routes whose deadline is 2.7 s or more get a refusal from some moment on (5.3 s less the deadline), and need another VM; one whose balancer sends it to the same VM again gets another refusal. A repeatable request from before SIGTERM whose instance fails is not tried again if its deadline is after the stop.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -31,7 +31,7 @@
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_peer import codec, link, server
 from oriolefold_peer import messages as peer_messages
-from oriolefold_routing import balance, draining
+from oriolefold_routing import balance
 from oriolefold_sending import messages as sending_messages
 from oriolefold_sending import sender
 from oriolefold_store import http as store_http
@@ -215,9 +215,9 @@
         """
         logs.event('daemon.stopping', vm=self._values.vm_id)
         now_s = self._clock.now_s()
-        schedule = draining.Schedule(now_s, now_s + self._values.stop_limit_s)
+        drain = sending_messages.Drain(now_s + self._values.stop_limit_s)
         for task in (self._dispatcher, self._shard_manager, self._sender):
-            task.post(sending_messages.Drain(schedule))
+            task.post(drain)
         requests_ended = asyncio.Event()
         handing_over = asyncio.create_task(self._hand_over(requests_ended))
         try:
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -22,7 +22,7 @@
 )
 from oriolefold_gateway import frontend
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import attempts, draining, policy, topology
+from oriolefold_routing import attempts, policy, topology
 from oriolefold_sending import messages as sending_messages
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters, logs
@@ -262,11 +262,8 @@
         )
         self._frontend.draining = True
         now_s = self._clock.now_s()
-        schedule = draining.Schedule(
-            announced_at_s=now_s + self._settings.drain_delay_s,
-            stops_at_s=now_s + self._settings.stop_limit_s,
-        )
-        self._dispatcher.post(sending_messages.Drain(schedule))
+        stops_at_s = now_s + self._settings.stop_limit_s
+        self._dispatcher.post(sending_messages.Drain(stops_at_s))
         try:
             async with asyncio.timeout(self._settings.stop_limit_s):
                 await asyncio.gather(self._resign(), self._drain())
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from typing import Any
 
@@ -77,10 +78,7 @@
         self._budgets_by_service_id: dict[str, attempts.AttemptBudget] = {}
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
-        self._drain_schedule: draining.Schedule | None = None
-        self._recent_times_by_kind: dict[
-            tuple[str, str], draining.RecentTimes
-        ] = {}  # By route and service.
+        self._stops_at_s = math.inf
         self._children_by_request: dict[
             pending.PendingRequest, asyncio.Task
         ] = {}
@@ -91,7 +89,7 @@
             case gateway_messages.Dispatch():
                 self._accept(message)
             case messages.PolicyUpdated():
-                self._update_policy(message.policy)
+                self._policy = message.policy
             case messages.EndpointsUpdated():
                 self._update_endpoints(message.endpoints_by_id)
             case messages.KeyMapUpdated():
@@ -106,8 +104,9 @@
                     if known is not None:
                         known.set_quota(share, now_s)
             case sending_messages.Drain():
-                self._drain_schedule = message.schedule
-                self._wake_all()
+                self._stops_at_s = message.stops_at_s
+                for queue in self._queues_by_service_id.values():
+                    self._refuse_unfinishable(queue)
             case gateway_messages.EndRequests():
                 self._end_requests()
                 message.answer(None)
@@ -126,17 +125,6 @@
         self._instance_table.update(endpoints_by_id, self._clock.now_s())
         self._wake_all()
 
-    def _update_policy(self, updated: policy.Policy) -> None:
-        self._policy = updated
-        kinds = {
-            (route.route_id, share.service_id)
-            for routes in updated.routes_by_host.values()
-            for route in routes
-            for share in route.shares
-        }
-        for kind in self._recent_times_by_kind.keys() - kinds:
-            del self._recent_times_by_kind[kind]
-
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
         service_id = update.key_map.service_id
         if update.version <= self._map_versions_by_service_id.get(
@@ -151,7 +139,7 @@
         now_s = self._clock.now_s()
         try:
             request = self._admit(dispatch, now_s)
-            self._check_may_send(request, now_s)
+            self._check_may_send(request)
         except errors.OriolefoldError as error:
             self._reporter.refused(dispatch, error, self._view())
             dispatch.fail(error)
@@ -209,37 +197,17 @@
             caller_left_s,
         )
 
-    def _check_may_send(
-        self, request: pending.PendingRequest, now_s: float
-    ) -> None:
+    def _check_may_send(self, request: pending.PendingRequest) -> None:
         """Checks that a request can end before this VM stops.
 
         Raises:
             StoppingError: If it may not.
         """
-        schedule = self._drain_schedule
-        if schedule is None:
-            return
-        prospect = draining.Prospect(
-            request.expires_at_s,
-            request.route.idempotent,
-            self._recent_times(request).likely_time_s(),
-        )
-        if not draining.may_send(schedule, prospect, now_s):
-            self._reporter.refused_while_draining(request, schedule, prospect)
+        if not draining.may_send(request.expires_at_s, self._stops_at_s):
+            self._reporter.refused_while_draining(request, self._stops_at_s)
             raise errors.StoppingError(
                 'this VM stops before the request is sure to end'
             )
-        request.likely_time_s = prospect.likely_time_s
-
-    def _recent_times(
-        self, request: pending.PendingRequest
-    ) -> draining.RecentTimes:
-        kind = request.route.route_id, request.service_id
-        times = self._recent_times_by_kind.get(kind)
-        if times is None:
-            times = self._recent_times_by_kind[kind] = draining.RecentTimes()
-        return times
 
     def _key(self, dispatch: gateway_messages.Dispatch) -> int:
         text = dispatch.headers.get(self._key_header, '').strip()
@@ -277,8 +245,6 @@
         if request.error_answer is not None:
             self._finish(request, request.error_answer)
             return
-        if request.may_have_run:
-            self._record_time(request)
         caller_error = self._replace_not_run_error(request, error)
         self._reporter.failed(
             request, caller_error, self._view(request.service_id)
@@ -300,13 +266,8 @@
     ) -> None:
         view = self._view(request.service_id)
         self._reporter.answered(request, answer.status, view)
-        self._record_time(request)
         request.dispatch.answer(answer)
 
-    def _record_time(self, request: pending.PendingRequest) -> None:
-        took_s = self._clock.now_s() - request.received_at_s
-        self._recent_times(request).record(took_s)
-
     async def _answer_in_time(
         self, request: pending.PendingRequest
     ) -> data.Answer:
@@ -403,7 +364,7 @@
         """
         queue = self._queue(request.service_id)
         now_s = self._clock.now_s()
-        self._check_may_send(request, now_s)
+        self._check_may_send(request)
         # Requests for one busy owner must not delay those for other owners,
         # so keyed requests skip the check for queued requests.
         if request.key is not None or not queue.count_ahead(request.route.rank):
@@ -548,7 +509,6 @@
         if not queue:
             return
         now_s = self._clock.now_s()
-        self._refuse_unfinishable(queue, now_s)
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
@@ -563,18 +523,14 @@
         if queue:
             self._schedule_wake(service_id)
 
-    def _refuse_unfinishable(
-        self, queue: waitqueue.WaitQueue, now_s: float
-    ) -> None:
+    def _refuse_unfinishable(self, queue: waitqueue.WaitQueue) -> None:
         """Refuses the queued requests that may no longer be sent."""
-        if self._drain_schedule is None:
-            return
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
                 continue
             try:
-                self._check_may_send(request, now_s)
+                self._check_may_send(request)
             except errors.StoppingError as error:
                 assignment.set_exception(error)
                 queue.discard(waiter)
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -5,7 +5,7 @@
 from oriolefold_core import clock, data
 from oriolefold_direct import ports
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import concurrency, draining, policy
+from oriolefold_routing import concurrency, policy
 from oriolefold_telemetry import counters, logs
 
 MIN_FAILURE_STATUS = 500  # Lowest status that reports a server error.
@@ -30,8 +30,6 @@
         may_have_run: Whether an instance may have begun to run it.
         error_answer: Server error from an instance, returned if no retry
             succeeds.
-        likely_time_s: Time in which it was likely to end when it was last sent
-            by a VM that was about to stop, if it was known.
     """
 
     dispatch: gateway_messages.Dispatch
@@ -46,7 +44,6 @@
     sends: int = 0
     may_have_run: bool = False
     error_answer: data.Answer | None = None
-    likely_time_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,26 +83,18 @@
         )
 
     def refused_while_draining(
-        self,
-        request: PendingRequest,
-        schedule: draining.Schedule,
-        prospect: draining.Prospect,
+        self, request: PendingRequest, stops_at_s: float
     ) -> None:
         """Logs why a request may not be sent before this VM stops."""
         now_s = self._clock.now_s()
-        likely_s = prospect.likely_time_s
         logs.event(
             'drain.refused',
             request=request.call.request_id,
             service=request.service_id,
-            idempotent=prospect.idempotent,
+            idempotent=request.route.idempotent,
             sends=request.sends,
-            left_ms=round((prospect.expires_at_s - now_s) * 1000),
-            stops_in_ms=round((schedule.stops_at_s - now_s) * 1000),
-            announcement_left_ms=round(
-                (schedule.announced_at_s - now_s) * 1000
-            ),
-            likely_ms=None if likely_s is None else round(likely_s * 1000),
+            left_ms=round((request.expires_at_s - now_s) * 1000),
+            stops_in_ms=round((stops_at_s - now_s) * 1000),
         )
 
     def owner_unavailable(
@@ -201,7 +190,6 @@
         self, request: PendingRequest, status: int, reason: str, view: View
     ) -> None:
         now_s = self._clock.now_s()
-        likely_s = request.likely_time_s
         logs.event(
             'request.failed',
             request=request.call.request_id,
@@ -216,6 +204,5 @@
             waiting=view.waiting,
             policy=view.policy_version,
             key_map=view.next_token,
-            likely_ms=None if likely_s is None else round(likely_s * 1000),
             reason=reason,
         )
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from typing import Any
 
@@ -92,7 +93,7 @@
         # Where to send for each home: to the home itself or to a standby of it.
         self._holders_by_home_id: dict[str, str] = {}
         self._budgets_by_service_id: dict[str, retries.RetryBudget] = {}
-        self._drain_schedule: draining.Schedule | None = None
+        self._stops_at_s = math.inf
         self._children_by_request: dict[_PendingRequest, asyncio.Task] = {}
 
     async def handle(self, message: Any) -> None:
@@ -112,7 +113,7 @@
             case messages.DescribeView():
                 message.answer(self._describe())
             case sending_messages.Drain():
-                self._drain_schedule = message.schedule
+                self._stops_at_s = message.stops_at_s
             case messages.EndRequests():
                 self._end_requests()
                 message.answer(None)
@@ -166,14 +167,9 @@
         Raises:
             StoppingError: If it may not.
         """
-        schedule = self._drain_schedule
-        if schedule is None:
-            return
         request = pending.request
-        now_s = self._clock.now_s()
-        # No new callers arrive from the stop on, so the likely time of the
-        # service, which could allow a longer request, plays no part.
-        if not draining.may_send_request(schedule, request, now_s):
+        if not draining.may_send(request.expires_at_s, self._stops_at_s):
+            now_s = self._clock.now_s()
             logs.event(
                 'drain.refused',
                 request=request.request_id,
@@ -181,7 +177,7 @@
                 idempotent=request.idempotent,
                 sends=pending.attempts,
                 left_ms=round((request.expires_at_s - now_s) * 1000),
-                stops_in_ms=round((schedule.stops_at_s - now_s) * 1000),
+                stops_in_ms=round((self._stops_at_s - now_s) * 1000),
             )
             raise errors.StoppingError(
                 'this VM stops before the request is sure to end'
@@ -416,5 +412,5 @@
                 service_id: shard_map.epoch
                 for service_id, shard_map in self._maps_by_service_id.items()
             },
-            'draining': self._drain_schedule is not None,
+            'draining': math.isfinite(self._stops_at_s),
         }
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import math
 from typing import Any
 
 from oriolefold_backend import ports
@@ -71,7 +72,7 @@
         self._acquired_epochs_by_shard: dict[ShardKey, int] = {}
         self._loads_by_service_id: dict[str, loads.ShardLoads] = {}
         self._acquiring_maps: set[tuple[str, int]] = set()
-        self._drain_schedule: draining.Schedule | None = None
+        self._stops_at_s = math.inf
         self._has_stepped_down = False
         self._sender: tasks.Task | None = None
         self._granter: tasks.Task | None = None
@@ -104,7 +105,7 @@
             case _DeadlinePassed():
                 self._on_deadline_passed(message)
             case sending_messages.Drain():
-                self._drain(message.schedule)
+                self._drain(message.stops_at_s)
             case messages.LeaseUpdated():
                 self._on_lease_updated(message.lease)
             case messages.Granted():
@@ -279,13 +280,11 @@
 
     def _may_send(self, request: data.Request) -> bool:
         """Whether a request can end before this VM stops."""
-        return draining.may_send_request(
-            self._drain_schedule, request, self._clock.now_s()
-        )
+        return draining.may_send(request.expires_at_s, self._stops_at_s)
 
-    def _drain(self, schedule: draining.Schedule) -> None:
+    def _drain(self, stops_at_s: float) -> None:
         """Refuses the waiting requests that cannot end before the stop."""
-        self._drain_schedule = schedule
+        self._stops_at_s = stops_at_s
         for waiting in self._waiting_by_shard.values():
             late = [ask for ask in waiting if not self._may_send(ask.request)]
             for ask in late:
--- a/libs/sending/src/oriolefold_sending/messages.py
+++ b/libs/sending/src/oriolefold_sending/messages.py
@@ -4,7 +4,6 @@
 
 from oriolefold_backend import ports
 from oriolefold_core import data, tasks
-from oriolefold_routing import draining
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -34,10 +33,10 @@
     """Tells a task to send only what can end before the stop.
 
     Attributes:
-        schedule: Times of the stop, by the clock of the process.
+        stops_at_s: When the requests in progress are ended.
     """
 
-    schedule: draining.Schedule
+    stops_at_s: float
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/sending/src/oriolefold_sending/sender.py
+++ b/libs/sending/src/oriolefold_sending/sender.py
@@ -4,6 +4,7 @@
 a concurrency limit and a queue of waiting requests.
 """
 
+import math
 from typing import Any
 
 from oriolefold_backend import ports
@@ -76,7 +77,7 @@
         self._ids_by_service_id: dict[str, tuple[str, ...]] = {}
         self._jobs_by_instance_id: dict[str, set[_Job]] = {}
         self._leaving_ids: frozenset[str] = frozenset()
-        self._drain_schedule: draining.Schedule | None = None
+        self._stops_at_s = math.inf
 
     async def on_stop(self) -> None:
         """Closes the connections."""
@@ -92,7 +93,7 @@
             case messages.AbandonInstance():
                 self._abandon(message.instance_id)
             case messages.Drain():
-                self._drain_schedule = message.schedule
+                self._stops_at_s = message.stops_at_s
                 for queue in self._queues_by_id.values():
                     self._refuse_late(queue)
             case messages.RefuseQueued():
@@ -234,14 +235,10 @@
 
     def _may_send(self, request: data.Request) -> bool:
         """Whether a request can end before this VM stops."""
-        return draining.may_send_request(
-            self._drain_schedule, request, self._clock.now_s()
-        )
+        return draining.may_send(request.expires_at_s, self._stops_at_s)
 
     def _refuse_late(self, queue: admission.AdmissionQueue) -> None:
         """Refuses the queued requests that cannot end before the stop."""
-        if self._drain_schedule is None:
-            return
         for waiter in queue.pop_where(
             lambda waiter: not self._may_send(waiter.payload.ask.request)
         ):
@@ -265,7 +262,6 @@
             return
         load.in_flight -= 1
         load.record(finished.job.failed)
-        self._refuse_late(queue)
         next_waiter, expired = queue.release(
             self._clock.now_s(), finished.job.took_s
         )
