Keep lines about lost requests when the budget of the log is used up

What callers saw: nothing by itself.

Cause: one token bucket, 200 lines a second after a burst of 400, for all lines. Under load, `request.failed`, `send.failed` and `drain.refused` take all of it, and `request.cut`, `daemon.stop_limit` or the traceback of a failed task are left out with the rest.

Evidence: the test writes 2,000 lines of `send.failed` and one `request.cut`; the latter was left out.

Change: `request.cut`, `daemon.*`, `accept.failed`, `answer.unwritable` and exceptions take from a second bucket once the first one is empty: 20 lines a second after a burst of 100.

--- a/libs/telemetry/src/oriolefold_telemetry/logs.py
+++ b/libs/telemetry/src/oriolefold_telemetry/logs.py
@@ -2,6 +2,8 @@
 
 Writing never blocks, and a token bucket limits its rate. Lines beyond the rate
 limit, or while the reader of the output is too slow, are omitted and counted.
+Lines about lost requests and about the process have a second bucket, so that
+lines about requests that were answered do not displace them.
 """
 
 import logging
@@ -16,17 +18,52 @@
 
 LINES_PER_S = 200.0
 BURST_LINES = 400.0
+RESERVED_LINES_PER_S = 20.0
+RESERVED_BURST_LINES = 100.0
+# Beginnings of the names of the lines that have the second bucket; those of
+# `eliot:` report exceptions.
+RESERVED_NAMES = (
+    'request.cut',
+    'daemon.',
+    'accept.failed',
+    'answer.unwritable',
+    'eliot:',
+)
 REPORT_INTERVAL_S = 1.0  # Minimum time between reports of omitted lines.
 
 
+class _TokenBucket:
+    """Rate limit that allows bursts."""
+
+    def __init__(self, lines_per_s: float, burst_lines: float):
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
+        self._tokens = burst_lines
+        self._refilled_at_s = time.monotonic()
+
+    def take(self, now_s: float) -> bool:
+        """Takes a token, if there is one."""
+        passed_s = now_s - self._refilled_at_s
+        self._refilled_at_s = now_s
+        self._tokens = min(
+            self._burst_lines, self._tokens + passed_s * self._lines_per_s
+        )
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 class _Output:
-    """Destination of Eliot messages with a token bucket as rate limit."""
+    """Destination of Eliot messages with token buckets as rate limits."""
 
     def __init__(self, stream: TextIO):
         self._descriptor = stream.fileno()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
-        self._tokens = BURST_LINES
-        self._refilled_at_s = time.monotonic()
+        self._bucket = _TokenBucket(LINES_PER_S, BURST_LINES)
+        self._reserved = _TokenBucket(
+            RESERVED_LINES_PER_S, RESERVED_BURST_LINES
+        )
         self._reported_at_s = 0.0
         self.omitted = 0
         os.set_blocking(self._descriptor, False)
@@ -34,13 +71,9 @@
     def __call__(self, message: dict) -> None:
         """Writes a message, or counts it as omitted."""
         now_s = time.monotonic()
-        passed_s = now_s - self._refilled_at_s
-        self._refilled_at_s = now_s
-        self._tokens = min(BURST_LINES, self._tokens + passed_s * LINES_PER_S)
-        if self._tokens < 1:
+        if not self._may_write(message, now_s):
             self.omitted += 1
             return
-        self._tokens -= 1
         if self.omitted and now_s - self._reported_at_s > REPORT_INTERVAL_S:
             message = message | {'omitted_before': self.omitted}
             self._reported_at_s = now_s
@@ -50,6 +83,12 @@
         except BlockingIOError:
             self.omitted += 1
 
+    def _may_write(self, message: dict, now_s: float) -> bool:
+        if self._bucket.take(now_s):
+            return True
+        name = message.get('message_type', '')
+        return name.startswith(RESERVED_NAMES) and self._reserved.take(now_s)
+
 
 def set_up(program: str, identity: str, output: TextIO | None = None) -> None:
     """Configures logging of all messages as JSON lines.
