Name the request that crosses the close of its connection

The only line about it, of stage `crossed` 3.52 s after SIGTERM of front-sohar-a-5, said neither which request it was, nor how long its connection had been idle, nor how long after the close it arrived.

Cause: a request on a connection that has been ended is read and dropped before its id is taken from the headers.

Change: `crossed` lines have the id, if the headers arrived, and `idle_before_ms` and `after_close_ms`.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -42,7 +42,9 @@
         self._idle_since_s = self._accepted_at_s
         self._last_input_s = self._accepted_at_s
         self._has_received = False
-        self._has_late_input = False
+        self._ended_at_s = self._accepted_at_s
+        self._late_input_at_s: float | None = None
+        self._late_exchange: exchange.Exchange | None = None
         self._exchange: exchange.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._serving: asyncio.Task | None = None
@@ -118,8 +120,7 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._stream.abort()
-            if self._has_late_input:
-                self._frontend.request_cut('', CROSSED, closed_by='vm')
+            self._log_late_input()
             self._frontend.connection_ended(self)
 
     async def _serve_request(self) -> None:
@@ -160,11 +161,28 @@
         self._last_input_s = self._loop.time()
         current = self._exchange
         if self._stream.output_ended:
-            if current is None or not current.has_begun:
-                self._has_late_input = True
+            is_late = current is None or not current.has_begun
+            if is_late and self._late_input_at_s is None:
+                self._late_input_at_s = self._last_input_s
+                self._late_exchange = current
         elif current is not None and not current.has_begun:
             self._begin(current)
 
+    def _log_late_input(self) -> None:
+        """Logs a request that arrived after the end and was not passed on."""
+        if self._late_input_at_s is None:
+            return
+        late = self._late_exchange
+        idle_s = self._late_input_at_s - self._idle_since_s
+        late_s = self._late_input_at_s - self._ended_at_s
+        self._frontend.request_cut(
+            late.request_id if late is not None else '',
+            CROSSED,
+            closed_by='vm',
+            idle_before_ms=round(idle_s * 1000),
+            after_close_ms=round(late_s * 1000),
+        )
+
     def _is_between_requests(self) -> bool:
         current = self._exchange
         return current is None or current.is_read or not current.has_begun
@@ -176,6 +194,7 @@
         )
 
     def _on_output_ended(self) -> None:
+        self._ended_at_s = self._loop.time()
         self._set_timer(LINGER_S, self._stream.abort)
 
     def _on_idle_timeout(self) -> None:
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -91,6 +91,11 @@
         """Whether the whole request has arrived."""
         return self._is_read
 
+    @property
+    def request_id(self) -> str:
+        """Id of the request; empty before its head has arrived."""
+        return self._request_id
+
     def begin(self) -> None:
         """Notes that the request begins to arrive."""
         self._stage = Stage.READING
@@ -99,13 +104,13 @@
 
     def headers_received(self, start_line, headers):
         """Checks the sizes of headers and body, and reserves room for it."""
+        self._start_line = start_line
+        self._headers = headers
+        self._request_id = self._choose_request_id()
         if self._is_ignored:
             return
         if not self.has_begun:
             self.begin()
-        self._start_line = start_line
-        self._headers = headers
-        self._request_id = self._choose_request_id()
         # The limits may have been changed since the connection became idle.
         self._max_body_bytes = self._frontend.max_body_bytes
         self._http.set_max_body_size(
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -932,6 +932,19 @@
         self.assertEqual((cut['stage'], cut['closed_by']), ('crossed', 'vm'))
         self.assertEqual(len(self.dispatcher.dispatches), 1)
 
+    async def test_a_request_that_crosses_the_close_is_named(self):
+        caller = await self.connect_used()
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.frontend.stop())
+        self.assertEqual(await caller.read_to_end(), b'')
+        await asyncio.sleep(0.05)
+        caller.send(GET)
+        await stopping
+        (cut,) = self.cuts()
+        self.assertEqual(cut['request'], 'a1')
+        self.assertGreaterEqual(cut['after_close_ms'], 49)
+        self.assertGreaterEqual(cut['idle_before_ms'], 99)
+
     async def test_a_malformed_request_is_logged(self):
         caller = await self.send_part(b'GET /svc/a\r\n\r\n')
         self.assertIn(b' 400 ', await caller.read_to_end())
