Do not apply the time limit of a request's headers to the next request

What callers would see: an answer 408 and the close of a connection that had just become idle, if the answer to a request was written while the time limit for its headers ran out.

Cause: the limit runs on while a request waits for its answer. When it is over, the check is put off by one iteration of the event loop, outside the timer of the connection, so that the next request, which sets a timer of its own, does not cancel it; the check then finds a request without headers.

Evidence: found by reading; the test lets the limit end between the answer and the next idle time, and got 408.

Change: the checks of headers and body are put off by the timer itself.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -213,8 +213,8 @@
 
     def _on_header_timeout(self) -> None:
         # After a pause of this process, the headers may have been read without
-        # having been handled yet.
-        self._loop.call_soon(self._check_head)
+        # having been handled yet. The next request cancels the timer.
+        self._set_timer(0, self._check_head)
 
     def _check_head(self) -> None:
         current = self._exchange
@@ -230,7 +230,7 @@
         current.cut_reading(errors.RequestTimeoutError(text))
 
     def _on_body_timeout(self) -> None:
-        self._loop.call_soon(self._check_body)
+        self._set_timer(0, self._check_body)
 
     def _check_body(self) -> None:
         """Refuses a request whose body, which has room reserved, stalls."""
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -767,6 +767,21 @@
         self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
         self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_header_timeout_does_not_refuse_the_next_request(self):
+        self.set_timeouts(0.2, 30.0)
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        # The time limit ends between the answer and the next idle time.
+        asyncio.get_running_loop().call_soon(time.sleep, 0.4)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await asyncio.sleep(0.05)
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_a_pause_of_the_process_cuts_nothing_that_has_arrived(self):
         self.set_timeouts(0.2, 0.2)
         caller = await self.connect_used()
