--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -767,6 +767,21 @@
         self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
         self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_header_timeout_does_not_refuse_the_next_request(self):
+        self.set_timeouts(0.2, 30.0)
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        # The time limit ends between the answer and the next idle time.
+        asyncio.get_running_loop().call_soon(time.sleep, 0.4)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await asyncio.sleep(0.05)
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_a_pause_of_the_process_cuts_nothing_that_has_arrived(self):
         self.set_timeouts(0.2, 0.2)
         caller = await self.connect_used()
@@ -932,6 +947,19 @@
         self.assertEqual((cut['stage'], cut['closed_by']), ('crossed', 'vm'))
         self.assertEqual(len(self.dispatcher.dispatches), 1)
 
+    async def test_a_request_that_crosses_the_close_is_named(self):
+        caller = await self.connect_used()
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.frontend.stop())
+        self.assertEqual(await caller.read_to_end(), b'')
+        await asyncio.sleep(0.05)
+        caller.send(GET)
+        await stopping
+        (cut,) = self.cuts()
+        self.assertEqual(cut['request'], 'a1')
+        self.assertGreaterEqual(cut['after_close_ms'], 49)
+        self.assertGreaterEqual(cut['idle_before_ms'], 99)
+
     async def test_a_malformed_request_is_logged(self):
         caller = await self.send_part(b'GET /svc/a\r\n\r\n')
         self.assertIn(b' 400 ', await caller.read_to_end())
