Wait for a descriptor before the next connection is accepted

What callers would see: slow answers, up to their time limits, while a VM has no descriptors left, and the VM uses a whole core.

Cause: the listening socket stays readable while a connection waits that cannot be accepted. Tornado's handler raises the error and is called again at once, and each time a traceback is logged.

Change: `accepting.Acceptor` owns the listening sockets of the front end, the status server and the admin server. After an error it logs `accept.failed` and does not watch them for 0.5 s. The peer server uses asyncio's own, which pauses for 1 s.

--- a/libs/daemon/src/oriolefold_daemon/admin.py
+++ b/libs/daemon/src/oriolefold_daemon/admin.py
@@ -6,6 +6,7 @@
 from tornado import httpserver, httputil, web
 
 from oriolefold_core import data, errors, results, tasks
+from oriolefold_gateway import accepting
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_ownership import messages as ownership_messages
 from oriolefold_telemetry import metrics
@@ -38,16 +39,16 @@
             log_function=lambda handler: None,
         )
         self._server: httpserver.HTTPServer | None = None
+        self._acceptor: accepting.Acceptor | None = None
 
     def start(self) -> None:
         """Opens the listening socket."""
-        self._server = self._application.listen(
-            self._address.port, self._address.host
-        )
+        self._server = httpserver.HTTPServer(self._application)
+        self._acceptor = accepting.serve(self._server, self._address)
 
     async def stop(self) -> None:
         """Closes all connections."""
-        self._server.stop()
+        self._acceptor.stop()
         await self._server.close_all_connections()
 
 
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from tornado import httpserver, httputil, netutil
+from tornado import httpserver, httputil
 
 from oriolefold_core import data, errors, tasks
 from oriolefold_direct import changefeed, peering
+from oriolefold_gateway import accepting
 from oriolefold_telemetry import counters, logs
 
 _LOGGER = logging.getLogger(__name__)
@@ -52,6 +53,7 @@
         self._feed = feed
         self._poll_tasks: set[asyncio.Task] = set()
         self._server: httpserver.HTTPServer | None = None
+        self._acceptor: accepting.Acceptor | None = None
 
     def start(self) -> None:
         """Opens the listening socket."""
@@ -61,15 +63,13 @@
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=HEADER_TIMEOUT_S,
         )
-        self._server.add_sockets(
-            netutil.bind_sockets(self._address.port, self._address.host)
-        )
+        self._acceptor = accepting.serve(self._server, self._address)
 
     async def stop(self) -> None:
         """Cancels pending polls and closes all connections."""
         for poll_task in self._poll_tasks:
             poll_task.cancel()
-        self._server.stop()
+        self._acceptor.stop()
         await self._server.close_all_connections()
 
     def _answer(self, request: httputil.HTTPServerRequest) -> None:
--- a/libs/direct/tests/test_status.py
+++ b/libs/direct/tests/test_status.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import contextlib
+import socket
 import time
+from unittest import mock
 
 import fakes
 
 from oriolefold_coordination import leaderelection
 from oriolefold_core import clock, errors
 from oriolefold_direct import changefeed, peering, status
-from oriolefold_telemetry import counters
+from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
 
 MAX_BODY_BYTES = 2 * 1024 * 1024  # More than any report or poll has.
@@ -61,6 +63,20 @@
         ask.answer(statement)
         self.assertEqual(await asking, statement)
 
+    async def test_a_connection_without_descriptor_uses_no_processor(self):
+        waiting = socket.socket()
+        self.addCleanup(waiting.close)
+        host, port = self.address.split(':')
+        with (
+            basecase.no_descriptors(),
+            mock.patch.object(logs, 'event') as log,
+        ):
+            waiting.connect((host, int(port)))
+            started_s = time.process_time()
+            await asyncio.sleep(0.4)
+            self.assertLess(time.process_time() - started_s, 0.1)
+        log.assert_called_once_with('accept.failed', error=mock.ANY)
+
 
 class EndlessRequestTest(basecase.AsyncCase):
     """Requests of peers that have no end are cut off."""
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -2,18 +2,16 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 
 from tornado import http1connection, netutil
 
 from oriolefold_core import bytebudget, data, results, tasks
-from oriolefold_gateway import connections
+from oriolefold_gateway import accepting, connections
 from oriolefold_telemetry import logs
 
 IDLE_TIMEOUT_S = 75.0
 HEADER_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 64 * 1024
-MAX_QUEUED_CONNECTIONS = 1024  # Held by the kernel until they are accepted.
 STALL_S = 1.0  # Pause after which a partial request holds up no drain.
 DELIVERY_CHECK_S = 0.05  # The kernel does not report acknowledged bytes.
 FIRST_REQUEST_S = 0.5  # Time for the first request of a new connection.
@@ -68,9 +66,7 @@
         self.http_parameters = http1connection.HTTP1ConnectionParameters()
         self.set_limits(MAX_HEADER_BYTES, max_body_bytes, IDLE_TIMEOUT_S)
         self.http_parameters.max_header_size = MAX_HEADER_BYTES
-        self._stop_accepting_by_socket: dict[
-            socket.socket, Callable[[], None]
-        ] = {}
+        self._acceptor: accepting.Acceptor | None = None
         self._connections: set[connections.Connection] = set()
         self.draining = False
         self.refusing = False
@@ -128,15 +124,14 @@
 
     def start(self, reuse_port: bool) -> None:
         """Opens the listening socket."""
-        for listening in netutil.bind_sockets(
+        listening = netutil.bind_sockets(
             self._address.port,
             self._address.host,
-            backlog=MAX_QUEUED_CONNECTIONS,
+            backlog=accepting.MAX_QUEUED_CONNECTIONS,
             reuse_port=reuse_port,
-        ):
-            self._stop_accepting_by_socket[listening] = (
-                netutil.add_accept_handler(listening, self._on_accepted)
-            )
+        )
+        self._acceptor = accepting.Acceptor(listening, self._on_accepted)
+        self._acceptor.start()
 
     def set_limits(
         self,
@@ -178,7 +173,7 @@
         refused, since their connections are about to be closed.
         """
         self.draining = True
-        self._stop_listening()
+        self._acceptor.stop()
         await self._wait_for_first_requests()
         while True:
             if any(c.is_busy(STALL_S) for c in self._connections):
@@ -194,7 +189,7 @@
         self.draining = True
         self.refusing = True
         self._is_closing = True
-        self._stop_listening()
+        self._acceptor.stop()
         try:
             async with asyncio.timeout(CLOSE_LIMIT_S):
                 while self._connections:
@@ -206,31 +201,11 @@
         for connection in list(self._connections):
             await connection.abort()
 
-    def _on_accepted(self, accepted: socket.socket, _) -> None:
+    def _on_accepted(self, accepted: socket.socket) -> None:
         connection = connections.Connection(accepted, self, self._dispatcher)
         self._connections.add(connection)
         connection.start()
 
-    def _stop_listening(self) -> None:
-        """Accepts the connections that the kernel has queued, then no more."""
-        for listening, stop_accepting in self._stop_accepting_by_socket.items():
-            stop_accepting()
-            self._accept_queued(listening)
-            listening.close()
-        self._stop_accepting_by_socket.clear()
-
-    def _accept_queued(self, listening: socket.socket) -> None:
-        for _ in range(MAX_QUEUED_CONNECTIONS + 1):
-            try:
-                self._on_accepted(*listening.accept())
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            except OSError as error:
-                logs.event('accept.failed', error=repr(error))
-                return
-
     async def _wait_for_first_requests(self) -> None:
         while any(
             connection.awaits_first_request(FIRST_REQUEST_S)
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -840,6 +840,46 @@
             self.assertEqual(await caller.read_to_end(), b'')
 
 
+class DescriptorTest(ConnectionCase):
+    """No descriptors are left for new connections of callers."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.kept = await self.connect_used()
+        self.waiting = socket.socket()
+        self.addCleanup(self.waiting.close)
+        self.used = self.enterContext(contextlib.ExitStack())
+        self.used.enter_context(basecase.no_descriptors())
+        self.waiting.connect((self.address.host, self.address.port))
+        self.waiting.setblocking(False)
+
+    async def test_requests_of_open_connections_are_answered(self):
+        await asyncio.sleep(0.05)
+        self.kept.send(GET)
+        self.assertEqual((await self.kept.read_answer())[0], 200)
+
+    async def test_a_connection_without_descriptor_uses_no_processor(self):
+        started_s = time.process_time()
+        await asyncio.sleep(0.4)
+        self.assertLess(time.process_time() - started_s, 0.1)
+        failures = [call.args for call in self.log.call_args_list]
+        self.assertEqual(failures, [('accept.failed',)])
+
+    async def test_a_connection_is_served_once_it_has_a_descriptor(self):
+        await asyncio.sleep(0.05)
+        self.used.close()
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            await loop.sock_sendall(self.waiting, GET)
+            answer = await loop.sock_recv(self.waiting, PIECE_BYTES)
+        self.assertEqual(parse(answer)[0], 200)
+
+    async def test_a_stop_waits_for_no_connection_without_descriptor(self):
+        await asyncio.sleep(0.05)
+        await self.frontend.stop()
+        self.assertEqual(await self.kept.read_to_end(), b'')
+
+
 class EmptyLineTest(ConnectionCase):
     """Empty lines between requests belong to none (RFC 9112, section 2.2)."""
 
--- a/testbed/src/oriolefold_testbed/basecase.py
+++ b/testbed/src/oriolefold_testbed/basecase.py
@@ -1,23 +1,40 @@
 """Base test cases and factories of test data, shared by all libraries."""
 
 import asyncio
+import contextlib
 import errno
 import itertools
+import os
 import random
+import resource
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from oriolefold_core import data, tasks
 
 SEED = 7
+MAX_DESCRIPTORS = 256  # While a test uses them up.
 WAIT_TIMEOUT_S = 20.0  # Only a hung test reaches it; no assertion uses it.
 _RESERVATIONS_BY_ADDRESS: dict[data.Address, socket.socket] = {}
 # Starts at a random port, so that concurrent runs rarely share ports.
 _PORTS = itertools.count(20_000 + random.SystemRandom().randrange(8_000))
 
 
+@contextlib.contextmanager
+def no_descriptors() -> Iterator[None]:
+    """Uses up the descriptors of this process."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, limits[1]))
+    with contextlib.ExitStack() as used:
+        used.callback(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        with contextlib.suppress(OSError):
+            while True:
+                used.callback(os.close, os.dup(0))
+        yield
+
+
 class BaseCase(unittest.TestCase):
     """Test case with a seeded random number generator."""
 
