Test that the ends of idle connections lose no request that was passed on

Callers send at about the time at which their connections are ended, by the idle timeout, by one that changes, or by a stop; and the idle timeout is shortened while a request waits. What has been passed on gets an answer.

--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -25,6 +25,7 @@
 CONNECT_LIMIT_S = 0.5
 QUEUED_CONNECTIONS = 20
 BURST_CONNECTIONS = 300
+RACING_REQUESTS = 100
 GET = b'GET /svc/a HTTP/1.1\r\nHost: x\r\nX-Request-Id: a1\r\n\r\n'
 CLOSING_GET = GET.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
 POST = (
@@ -755,6 +756,16 @@
         caller.send(GET)
         self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_a_shorter_idle_timeout_cuts_no_request_that_waits(self):
+        self.dispatcher.answer = None
+        caller = self.connect()
+        caller.send(GET)
+        await self.wait_for(lambda: self.dispatcher.dispatches)
+        self.set_timeouts(0.1, 0.1)
+        await asyncio.sleep(0.3)
+        self.dispatcher.dispatches[0].answer(data.Answer(200, (), b'', 's0'))
+        self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_no_timeout_cuts_a_request_that_has_arrived(self):
         self.set_timeouts(0.2, 0.2)
         self.dispatcher.answer = None
@@ -840,6 +851,62 @@
             self.assertEqual(await caller.read_to_end(), b'')
 
 
+class RaceTest(ConnectionCase):
+    """Requests meet the end of their idle connections at any moment."""
+
+    async def send(self, request_id: str, idle_s: float) -> int:
+        """Sends a request and returns the status of its answer, 0 if cut."""
+        caller = await self.connect_used()
+        await asyncio.sleep(idle_s)
+        try:
+            caller.send(GET.replace(b'a1', request_id.encode()))
+            return (await caller.read_answer())[0]
+        except (EOFError, ConnectionError):
+            return 0
+
+    async def send_all(self, least_s: float, most_s: float) -> dict[str, int]:
+        """Sends requests after various idle times.
+
+        Returns:
+            The status of each answer by the id of its request.
+        """
+        sending = {
+            f'b{number}': asyncio.create_task(
+                self.send(f'b{number}', self.random.uniform(least_s, most_s))
+            )
+            for number in range(RACING_REQUESTS)
+        }
+        return {name: await task for name, task in sending.items()}
+
+    def assert_none_lost(self, statuses_by_id: dict[str, int]) -> None:
+        passed_on = {ask.request_id for ask in self.dispatcher.dispatches}
+        cut = {name for name, status in statuses_by_id.items() if not status}
+        self.assertEqual(passed_on & cut, set())
+        # Some met an open connection, and some an ended one.
+        self.assertGreater(len(passed_on - {'a1'}), 0)
+        self.assertGreater(len(cut), 0)
+
+    async def test_the_idle_timeout_loses_no_request(self):
+        self.frontend.set_limits(16384, MAX_BODY_BYTES, 0.5)
+        self.assert_none_lost(await self.send_all(0.1, 1.0))
+
+    async def test_a_changed_idle_timeout_loses_no_request(self):
+        self.frontend.set_limits(16384, MAX_BODY_BYTES, 0.5)
+        sending = asyncio.create_task(self.send_all(0.1, 1.0))
+        for idle_timeout_s in (0.7, 0.3, 0.5):
+            await asyncio.sleep(0.2)
+            self.frontend.set_limits(16384, MAX_BODY_BYTES, idle_timeout_s)
+        self.assert_none_lost(await sending)
+
+    async def test_a_stop_loses_no_request(self):
+        sending = asyncio.create_task(self.send_all(0.2, 1.0))
+        await self.wait_for(
+            lambda: len(self.dispatcher.dispatches) > 1.2 * RACING_REQUESTS
+        )
+        await self.frontend.stop()
+        self.assert_none_lost(await sending)
+
+
 class DescriptorTest(ConnectionCase):
     """No descriptors are left for new connections of callers."""
 
