End a cancelled exchange whose response waits for room

What callers saw, or would see: a caller leaves while the response to its safe request waits for room in the byte budget. The request is sent again, to another instance, which works on it although nobody waits; the first instance counts as failed.

Cause: the wait is in a coroutine that Tornado awaits for its delegate. Tornado turns every exception of a delegate into the end of the connection, also CancelledError, so the exchange ended as truncated (OutcomeUnknownError), and the dispatcher, whose cancellation was lost, tried again.

Change: the collector ends the read by an exception that Tornado knows and does not log, and the exchange raises CancelledError itself when its task is being cancelled.

Test: test_a_cancelled_exchange_that_waits_for_room_is_not_a_failure; before, "OutcomeUnknownError: the response was truncated".

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -110,8 +110,7 @@
             or self.status in STATUSES_WITHOUT_BODY
         ):
             return None
-        left_s = self._ends_at_s - asyncio.get_running_loop().time()
-        return self._hold.announce(int(length), left_s * ROOM_WAIT_FRACTION)
+        return self._wait_for_room(int(length))
 
     def data_received(self, chunk):
         """Stores a part of the body."""
@@ -121,6 +120,14 @@
         """Marks the response as complete."""
         self.complete = True
 
+    async def _wait_for_room(self, size: int) -> None:
+        left_s = self._ends_at_s - asyncio.get_running_loop().time()
+        try:
+            await self._hold.announce(size, left_s * ROOM_WAIT_FRACTION)
+        except asyncio.CancelledError as error:
+            # Tornado replaces and logs any other exception of a delegate.
+            raise httputil.HTTPInputError('cancelled') from error
+
 
 class _Connection:
     """One connection with at most one request in progress.
@@ -416,6 +423,9 @@
             http.finish()
             for _ in range(MAX_UNRELATED_RESPONSES):
                 await http.read_response(collector)
+                if asyncio.current_task().cancelling():
+                    # The collector cannot raise it through Tornado.
+                    raise asyncio.CancelledError
                 incoming = _complete_response(collector, stream)
                 if is_own_response is None or is_own_response(incoming.headers):
                     return incoming
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -135,3 +135,41 @@
         received = await asyncio.gather(*(receive() for _ in range(6)))
         self.assertEqual(received, [len(body)] * 6)
         self.assertEqual(budget.held_bytes, 0)
+
+    async def test_a_cancelled_exchange_that_waits_for_room_is_not_a_failure(
+        self,
+    ):
+        address = basecase.free_address()
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n')
+            await reader.read()
+            writer.close()
+            closed.set()
+
+        listening = await asyncio.start_server(
+            serve, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        budget = bytebudget.ByteBudget(1_000_000)
+        other = budget.open(lambda: None)
+        other.settle(600_000)
+        pool = connections.ConnectionPool(500_000, budget=budget)
+        self.addCleanup(pool.close)
+        receiving = asyncio.create_task(
+            pool.exchange(
+                address,
+                connections.OutgoingRequest('GET', '/', []),
+                timeout_s=20.0,
+                connect_timeout_s=1.0,
+            )
+        )
+        await asyncio.sleep(0.2)
+        receiving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await receiving
+        async with asyncio.timeout(1):
+            await closed.wait()
+        self.assertEqual(budget.held_bytes, other.size)
