Stop: each step after the stop limit has a limit of its own

What callers would see: a VM that is still there when its grace period is over is killed, and a platform that counts such processes blames it. A request that is in progress at the stop limit stays unanswered if the dispatcher does not reply.

Cause: after the stop limit, ending the requests, the status server, the stop of each task, the clients of instances and store were waited for without a limit, also if their cancellation had no effect; an exception in one of them skipped the rest. Connections of callers were aborted one by one, with a turn of the event loop each.

Change: each step has a limit (requests 0.1 s, front end 0.25 s, status server and tasks together 0.05 s, clients 0.05 s: 0.45 s of the 0.6 s that the grace period leaves), is cancelled there and not waited for; `daemon.step_cut` names it, and `daemon.stopped` has the times of all steps. Connections are aborted together.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import uuid
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 
 from oriolefold_core import bytebudget, clock, data, tasks
 from oriolefold_direct import (
@@ -32,6 +32,11 @@
 READY_CHECK_S = 0.05  # Interval of readiness checks.
 # Other VMs elect a leader without a resignation, too, only later.
 RESIGN_LIMIT_S = 2.0
+# Limits of the steps after the drain. All of them together have to end well
+# before the grace period, also on a busy core.
+END_REQUESTS_LIMIT_S = 0.1
+FRONTEND_LIMIT_S = frontend.CLOSE_LIMIT_S + 0.05
+CLOSE_LIMIT_S = 0.05
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -130,6 +135,7 @@
         self._settings = settings
         self._instances = instances
         self._stopping = asyncio.Event()
+        self._step_times_ms: dict[str, int] = {}
         time = clock.BootClock()
         self._clock = time
         self._peers = peering.HttpPeers(budget)
@@ -267,20 +273,66 @@
             stops_at_s=now_s + self._settings.stop_limit_s,
         )
         self._dispatcher.post(sending_messages.Drain(schedule))
-        try:
-            async with asyncio.timeout(self._settings.stop_limit_s):
-                await asyncio.gather(self._resign(), self._drain())
-        except TimeoutError:
+        if not await self._complete(
+            'drain', self._resign_and_drain(), self._settings.stop_limit_s
+        ):
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
-        await self._frontend.stop()
-        await self._status.stop()
-        for task in reversed(self._tasks):
-            await task.stop()
-        await self._instances.close()
-        await self._store.close()
+        await self._complete(
+            'frontend', self._frontend.stop(), FRONTEND_LIMIT_S
+        )
+        await asyncio.gather(
+            self._complete('status', self._status.stop(), CLOSE_LIMIT_S),
+            *(
+                self._complete(task.name, task.stop(), CLOSE_LIMIT_S)
+                for task in reversed(self._tasks)
+            ),
+        )
+        await asyncio.gather(
+            self._complete('instances', self._instances.close(), CLOSE_LIMIT_S),
+            self._complete('store', self._store.close(), CLOSE_LIMIT_S),
+        )
         self._peers.close()
-        logs.event('daemon.stopped', vm=self._settings.vm_id)
+        logs.event(
+            'daemon.stopped',
+            vm=self._settings.vm_id,
+            steps_ms=self._step_times_ms,
+        )
+
+    async def _complete(
+        self, name: str, step: Coroutine, limit_s: float
+    ) -> bool:
+        """Runs a step of the stop and goes on without it after its limit.
+
+        A step that does not end although it is cancelled is not waited for.
+
+        Args:
+            name: Name of the step, for the log.
+            step: The step.
+            limit_s: Time limit, in seconds.
+
+        Returns:
+            Whether the step ended in time, possibly with an exception.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        running = asyncio.create_task(step)
+        await asyncio.wait({running}, timeout=limit_s)
+        self._step_times_ms[name] = round((loop.time() - started_s) * 1000)
+        if not running.done():
+            running.cancel()
+            logs.event('daemon.step_cut', step=name, limit_s=limit_s)
+            return False
+        if not running.cancelled() and running.exception() is not None:
+            _LOGGER.error(
+                'step %s of the stop failed',
+                name,
+                exc_info=running.exception(),
+            )
+        return True
+
+    async def _resign_and_drain(self) -> None:
+        await asyncio.gather(self._resign(), self._drain())
 
     async def _resign(self) -> None:
         """Resigns leadership, as far as the store answers in time."""
@@ -303,9 +355,9 @@
             await self._end_requests()
 
     async def _end_requests(self) -> None:
-        """Answers the requests in progress."""
-        try:
-            await self._dispatcher.ask(gateway_messages.EndRequests())
-        except Exception:
-            # The front end still answers them when it stops.
-            _LOGGER.exception('requests in progress were not ended')
+        """Answers the requests in progress.
+
+        Those that it leaves are answered by the front end when it stops.
+        """
+        asking = self._dispatcher.ask(gateway_messages.EndRequests())
+        await self._complete('requests', asking, END_REQUESTS_LIMIT_S)
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -1,14 +1,24 @@
 """Tests of oriolefold_direct.application: how an entry VM stops."""
 
 import asyncio
+import contextlib
 import re
+import socket
 import time
 from unittest import mock
 
 import fakes
 
 from oriolefold_core import errors, tasks
-from oriolefold_direct import application, coordinators, documents, watching
+from oriolefold_direct import (
+    application,
+    coordinators,
+    dispatcher,
+    documents,
+    peering,
+    status,
+    watching,
+)
 from oriolefold_gateway import frontend
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, draining, topology
@@ -20,6 +30,11 @@
 STOP_LIMIT_S = 1.0
 DRAIN_DELAY_S = 0.3
 LATE_S = 0.6  # After the drain delay and before the stop limit.
+# The platform leaves 0.6 s from the stop limit to the end of the grace period.
+CLOSE_LIMIT_S = 0.5
+SHARE_OF_CORE = 0.43  # Of the smallest VM.
+CALLERS = 1000
+PEERS = 100
 
 
 class _Store(store_ports.Store):
@@ -55,6 +70,9 @@
             await asyncio.sleep(timeout_s)
         return store_ports.Changes(1, (), complete=True)
 
+    async def close(self):
+        """Does nothing."""
+
     async def _respond(self):
         if self.silent:
             await asyncio.sleep(3600)
@@ -76,8 +94,8 @@
         return self._message
 
 
-class StopTest(basecase.AsyncCase):
-    """A stop answers the requests that were accepted, and accepts no others."""
+class StopCase(basecase.AsyncCase):
+    """Test case with an entry VM that is stopped."""
 
     async def asyncSetUp(self):
         self.instances = fakes.FakeInstances()
@@ -85,11 +103,12 @@
         self.address = basecase.free_address()
 
     async def start_entry(self, *routes, keyed=False):
+        self.status_address = basecase.free_address()
         values = application.DirectSettings(
             'vm-1',
             LOCALITY,
             self.address,
-            basecase.free_address(),
+            self.status_address,
             '/ready',
             '/metrics',
             'Deadline-Ms',
@@ -152,6 +171,10 @@
     def sent_ids(self):
         return [sent.request_id for sent in self.instances.sent]
 
+
+class StopTest(StopCase):
+    """A stop answers the requests that were accepted, and accepts no others."""
+
     async def test_request_that_would_be_cut_is_refused_before_it_is_sent(
         self,
     ):
@@ -315,3 +338,125 @@
         with failing, self.assertLogs('oriolefold_direct', 'ERROR'):
             await self.stop_entry()
         self.assertIn(' 502 ', await self.busy)
+
+
+class StepLimitTest(StopCase):
+    """No step of the stop keeps the process beyond its grace period."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # The debug mode multiplies the processor time of each callback.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def stop_at_limit(self):
+        """Stops while a request is in progress; returns times after the limit.
+
+        Returns:
+            The time and the processor time from the stop limit to the end.
+        """
+        await self.occupy(4.0)
+        self.entry.request_stop()
+        await asyncio.sleep(STOP_LIMIT_S - 0.05)
+        started_s, started_cpu_s = time.monotonic(), time.process_time()
+        async with asyncio.timeout(5):
+            await asyncio.shield(self.running)
+        return (
+            time.monotonic() - started_s - 0.05,
+            time.process_time() - started_cpu_s,
+        )
+
+    async def check_hanging(self, owner, name):
+        """Checks a stop in which a method of the application's parts hangs."""
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        released = asyncio.Event()
+        self.addCleanup(released.set)
+
+        async def hang(*_):
+            while not released.is_set():
+                with contextlib.suppress(asyncio.CancelledError):
+                    await released.wait()
+
+        with mock.patch.object(owner, name, hang):
+            took_s, _ = await self.stop_at_limit()
+        self.assertLess(took_s, CLOSE_LIMIT_S)
+        self.assertIn(' 502 ', await self.busy)
+
+    async def test_hanging_frontend_does_not_hold_the_stop(self):
+        await self.check_hanging(frontend.Frontend, 'stop')
+
+    async def test_hanging_status_server_does_not_hold_the_stop(self):
+        await self.check_hanging(status.StatusServer, 'stop')
+
+    async def test_hanging_watcher_does_not_hold_the_stop(self):
+        await self.check_hanging(watching.Watcher, 'on_stop')
+
+    async def test_hanging_coordinators_do_not_hold_the_stop(self):
+        await self.check_hanging(coordinators.Coordinators, 'on_stop')
+
+    async def test_hanging_dispatcher_does_not_hold_the_stop(self):
+        await self.check_hanging(dispatcher.Dispatcher, 'on_stop')
+
+    async def test_hanging_close_of_instances_does_not_hold_the_stop(self):
+        await self.check_hanging(fakes.FakeInstances, 'close')
+
+    async def test_hanging_close_of_the_store_does_not_hold_the_stop(self):
+        await self.check_hanging(_Store, 'close')
+
+    async def test_dispatcher_that_does_not_answer_does_not_hold_the_stop(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        ask = tasks.Task.ask
+        released = asyncio.Event()
+        self.addCleanup(released.set)
+
+        async def hang_at_end(task, message):
+            if isinstance(message, gateway_messages.EndRequests):
+                await released.wait()
+            return await ask(task, message)
+
+        with mock.patch.object(tasks.Task, 'ask', hang_at_end):
+            took_s, _ = await self.stop_at_limit()
+        self.assertLess(took_s, CLOSE_LIMIT_S)
+        self.assertIn(' 502 ', await self.busy)
+
+    async def test_failing_step_does_not_prevent_the_next_ones(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        failing = mock.patch.object(
+            status.StatusServer, 'stop', side_effect=ValueError('unexpected')
+        )
+        closing = mock.patch.object(_Store, 'close')
+        with (
+            failing,
+            closing as close,
+            self.assertLogs('oriolefold_direct', 'ERROR'),
+        ):
+            await self.stop_at_limit()
+        close.assert_awaited_once()
+
+    def open_connections(self, address, count, sent=b''):
+        for _ in range(count):
+            connection = socket.create_connection((address.host, address.port))
+            self.addCleanup(connection.close)
+            connection.sendall(sent)
+
+    async def test_callers_that_stay_do_not_hold_the_stop(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        for sent in (b'', b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n'):
+            for _ in range(CALLERS // 20):
+                self.open_connections(self.address, 10, sent)
+                await asyncio.sleep(0.02)
+        took_s, cpu_s = await self.stop_at_limit()
+        self.assertLess(took_s, CLOSE_LIMIT_S)
+        self.assertLess(cpu_s, CLOSE_LIMIT_S * SHARE_OF_CORE)
+
+    async def test_slow_peers_do_not_hold_the_stop(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        poll = (
+            f'POST {peering.CHANGES_PATH} HTTP/1.1\r\nHost: h\r\n'
+            f'Content-Length: 2\r\n\r\n'
+        ).encode()
+        for sent in (b'', poll, poll + b'{', poll + b'{}'):
+            self.open_connections(self.status_address, PEERS // 4, sent)
+            await asyncio.sleep(0.02)
+        took_s, cpu_s = await self.stop_at_limit()
+        self.assertLess(took_s, CLOSE_LIMIT_S)
+        self.assertLess(cpu_s, CLOSE_LIMIT_S * SHARE_OF_CORE)
--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -203,8 +203,9 @@
                     await self._wait_for_change(CLOSE_LIMIT_S)
         except TimeoutError:
             pass
-        for connection in list(self._connections):
-            await connection.abort()
+        await asyncio.gather(
+            *(connection.abort() for connection in self._connections)
+        )
 
     def _on_accepted(self, accepted: socket.socket, _) -> None:
         connection = connections.Connection(accepted, self, self._dispatcher)
