Tie the results of grants and map writes to the term that began them

What callers would see: two instances that run requests on the same keys, a service without renewals for seconds, keys moved off sound instances. Not seen at callers; found by reading.

Cause: a process that leads again within a second or two of its last term took late results of that term for those of its new one. The result of a map write set the earlier map and its version back; a conflict of it ended the new term; a grant that was found stale excluded its owner. And a grant that waited for its connection asked the new term whether it may be written.

Evidence: five new tests, each with a second term of the same process after another VM has led and resigned.

Change: results carry the lease manager of their term and are dropped in any other; a grant is written only in the term that began it; a map write has the version that its term had read.

What is lost with a late result: the lease that a late grant extended is within the time that the new term inherits, since the record chain bounds it without knowing of the grant: the VM that led in between counted a lease and the authority from its own election, or a lease from the earlier leader's statement, which comes after its grants in flight; after its own record a process allows for a leader that still acts. A map write that takes effect after the map was read makes the first write of the new term conflict, and before that one it sends no grant, as it has no tokens; it steps down and follows itself after 2.6 s.

After: the five tests passed.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -45,27 +45,38 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _GrantEnded:
+class _CallEnded:
+    """Result of a call.
+
+    Attributes:
+        lease_manager: That of the term in which the call began. The result is
+            of no use to a later term, which has other calls in flight.
+    """
+
+    lease_manager: rangeleases.RangeLeaseManager
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GrantEnded(_CallEnded):
     grant: rangeleases.Grant
     outcome: ports.GrantOutcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _ReleaseEnded:
+class _ReleaseEnded(_CallEnded):
     release: rangeleases.Release
     result: ports.ReleaseResult
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _PublishEnded:
+class _PublishEnded(_CallEnded):
     document: updates.Document | None
     key_map: ranges.KeyMap
     error: Exception | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _FormerLeaderAnswered:
-    lease_manager: rangeleases.RangeLeaseManager
+class _FormerLeaderAnswered(_CallEnded):
     former: leaderelection.LeaderRecord
     statement: leaderelection.TermsEnded
 
@@ -191,6 +202,8 @@
         match message:
             case messages.EndpointsUpdated():
                 self._update_endpoints(message)
+            case _CallEnded() if not self._is_term_of(message.lease_manager):
+                pass
             case _GrantEnded():
                 self._handle_grant_ended(message)
             case _ReleaseEnded():
@@ -440,10 +453,9 @@
         lease_manager: rangeleases.RangeLeaseManager,
         version: int,
     ) -> None:
-        while (
-            self._lease_manager is lease_manager
-            and lease_manager.awaits_previous_leader(self._clock.now_s())
-        ):
+        while self._is_term_of(
+            lease_manager
+        ) and lease_manager.awaits_previous_leader(self._clock.now_s()):
             try:
                 statement = await self._peers.end_terms(
                     former.address, self._service_id, version
@@ -460,8 +472,6 @@
     def _handle_former_leader_answered(
         self, answered: _FormerLeaderAnswered
     ) -> None:
-        if self._lease_manager is not answered.lease_manager:
-            return
         has_ended = leaderelection.has_ended(
             answered.former, self._term_version, answered.statement
         )
@@ -525,6 +535,10 @@
         self._lease_manager = None
         self._feed.stop_leading(self._service_id)
 
+    def _is_term_of(self, lease_manager: rangeleases.RangeLeaseManager) -> bool:
+        """Whether a lease manager is that of the current term."""
+        return self._lease_manager is lease_manager
+
     def _has_authority(self) -> bool:
         return (
             self._lease_manager is not None
@@ -618,15 +632,27 @@
         ):
             match action:
                 case rangeleases.Grant():
-                    granting = self.spawn(self._grant(action))
+                    granting = self.spawn(
+                        self._grant(self._lease_manager, action)
+                    )
                     self._grants_in_flight.add(granting)
                     granting.add_done_callback(self._grants_in_flight.discard)
                 case rangeleases.Release():
-                    self.spawn(self._release(action))
+                    self.spawn(self._release(self._lease_manager, action))
                 case rangeleases.Publish():
-                    self.spawn(self._publish(action.key_map))
-
-    async def _grant(self, grant: rangeleases.Grant) -> None:
+                    self.spawn(
+                        self._publish(
+                            self._lease_manager,
+                            self._map_document,
+                            action.key_map,
+                        )
+                    )
+
+    async def _grant(
+        self,
+        lease_manager: rangeleases.RangeLeaseManager,
+        grant: rangeleases.Grant,
+    ) -> None:
         # An exception does not tell whether the grant was written, and no
         # connection has the number 0.
         outcome = ports.GrantOutcome(ports.GrantResult.UNKNOWN, 0)
@@ -635,16 +661,29 @@
                 dataclasses.replace(grant.key_range, token=grant.token),
                 rangeleases.LEASE_S,
                 grant.handover,
-                self._is_sole_leader
-                if grant.sole_leader_only
-                else self._has_authority,
+                lambda: self._may_send(lease_manager, grant),
                 grant.newest_connection,
             )
         finally:
             self._metrics.count_grant('grant', outcome.result.value)
-            self.post(_GrantEnded(grant, outcome))
+            self.post(_GrantEnded(lease_manager, grant, outcome))
+
+    def _may_send(
+        self,
+        lease_manager: rangeleases.RangeLeaseManager,
+        grant: rangeleases.Grant,
+    ) -> bool:
+        if not self._is_term_of(lease_manager):
+            return False
+        if grant.sole_leader_only:
+            return self._is_sole_leader()
+        return self._has_authority()
 
-    async def _release(self, release: rangeleases.Release) -> None:
+    async def _release(
+        self,
+        lease_manager: rangeleases.RangeLeaseManager,
+        release: rangeleases.Release,
+    ) -> None:
         result = ports.ReleaseResult(False)
         try:
             result = await self._instances.release(
@@ -652,14 +691,19 @@
             )
         finally:
             self._metrics.count_grant('release', str(result.released))
-            self.post(_ReleaseEnded(release, result))
+            self.post(_ReleaseEnded(lease_manager, release, result))
 
-    async def _publish(self, key_map: ranges.KeyMap) -> None:
+    async def _publish(
+        self,
+        lease_manager: rangeleases.RangeLeaseManager,
+        before: updates.Document,
+        key_map: ranges.KeyMap,
+    ) -> None:
         document, publish_error = None, None
         try:
             document = await updates.replace(
                 self._store,
-                self._map_document,
+                before,
                 documents.encode_key_map(key_map),
                 accept_later=False,
             )
@@ -670,11 +714,11 @@
             raise
         finally:
             # No other map is published until this one has ended.
-            self.post(_PublishEnded(document, key_map, publish_error))
+            self.post(
+                _PublishEnded(lease_manager, document, key_map, publish_error)
+            )
 
     def _handle_grant_ended(self, ended: _GrantEnded) -> None:
-        if self._lease_manager is None:
-            return
         result = ended.outcome.result
         now_s = self._clock.now_s()
         sent = dataclasses.replace(
@@ -706,8 +750,6 @@
             self._step()
 
     def _handle_release_ended(self, ended: _ReleaseEnded) -> None:
-        if self._lease_manager is None:
-            return
         result = ended.result
         handover = result.handover if result.released else None
         self._lease_manager.release_ended(
@@ -722,8 +764,6 @@
         self._step()
 
     def _handle_publish_ended(self, ended: _PublishEnded) -> None:
-        if self._lease_manager is None:
-            return
         if ended.document is None:
             self._lease_manager.publishing_failed(self._clock.now_s())
             self._log('key_map.write_failed', error=str(ended.error))
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -15,6 +15,7 @@
     coordinators,
     documents,
     messages,
+    ports,
 )
 from oriolefold_store import envelopes, memory, updates
 from oriolefold_store import ports as store_ports
@@ -89,6 +90,45 @@
         )
 
 
+class _HeldCall:
+    """Holds the first matching call of a method.
+
+    Attributes:
+        reached: Set when the call has been reached.
+        may_go_on: Set by the test to let the call go on.
+    """
+
+    def __init__(self, target, method, matches, before=False, result=None):
+        """Replaces the method of an object.
+
+        Args:
+            target: The object.
+            method: Name of the method.
+            matches: Whether to hold a call, given its first argument.
+            before: Whether to hold the call before it takes effect; otherwise
+                its result is held.
+            result: Returned by the call instead of its own result.
+        """
+        self.reached = asyncio.Event()
+        self.may_go_on = asyncio.Event()
+        self._call = getattr(target, method)
+        self._matches = matches
+        self._before = before
+        self._result = result
+        setattr(target, method, self._call_and_hold)
+
+    async def _call_and_hold(self, first, *arguments):
+        if self.reached.is_set() or not self._matches(first):
+            return await self._call(first, *arguments)
+        self.reached.set()
+        if self._before:
+            await self.may_go_on.wait()
+        result = await self._call(first, *arguments)
+        if not self._before:
+            await self.may_go_on.wait()
+        return self._result or result
+
+
 class CoordinatorTest(basecase.AsyncCase):
     """Leader election, handover of keys and takeover with the same tokens."""
 
@@ -481,6 +521,147 @@
         count = len(self.instances.grants)
         await self.wait_for(lambda: len(self.instances.grants) > count)
 
+    async def end_term(self):
+        """Lets another VM lead and resign, so that the same process follows."""
+        name = documents.LEADER_PREFIX + 'svc'
+        document = await updates.read(self.store, name)
+        ended = dataclasses.replace(
+            documents.decode_leader_record(document.body, name),
+            vm_id='',
+            incarnation='process of other',
+            inherited_s=1.0,
+        )
+        await updates.replace(
+            self.store, document, documents.encode_leader_record(ended)
+        )
+
+    async def begin_next_term(self):
+        """Ends the term and waits until the next one has written its map."""
+        name = documents.KEY_MAP_PREFIX + 'svc'
+        before = await updates.read(self.store, name)
+        await self.end_term()
+
+        async def has_reserved_tokens():
+            stored = await updates.read(self.store, name)
+            return stored.version > before.version
+
+        await self.wait_for(has_reserved_tokens)
+
+    def hold_map_write(self, before=False):
+        name = documents.KEY_MAP_PREFIX + 'svc'
+        return _HeldCall(
+            self.store, 'write', lambda written: written == name, before
+        )
+
+    async def test_late_map_write_does_not_bring_an_earlier_map_back(
+        self,
+    ):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        held = self.hold_map_write()
+        second = fakes.endpoint('bb')
+        started.post(fakes.endpoints_updated(second))
+        await held.reached.wait()
+        await self.begin_next_term()
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        started.post(
+            fakes.endpoints_updated(
+                dataclasses.replace(second, draining=True),
+                fakes.endpoint('ccc'),
+            )
+        )
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'ccc'
+        )
+        count = len(self.instances.grants)
+        self.store.down = True
+        held.may_go_on.set()
+        await asyncio.sleep(rangeleases.RENEW_INTERVAL_S + 0.3)
+        granted_ids = {
+            g.owner.instance_id for g in self.instances.grants[count:]
+        }
+        self.assertEqual(granted_ids, {'ccc'})
+
+    async def test_late_conflict_of_an_earlier_term_does_not_end_the_next(self):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        held = self.hold_map_write(before=True)
+        started.post(
+            fakes.endpoints_updated(fakes.endpoint('a'), fakes.endpoint('bb'))
+        )
+        await held.reached.wait()
+        await self.begin_next_term()
+        held.may_go_on.set()
+        count = len(self.instances.grants)
+        await asyncio.sleep(rangeleases.RENEW_INTERVAL_S + 0.3)
+        self.assertGreater(len(self.instances.grants), count)
+
+    async def test_map_of_an_earlier_term_that_comes_late_is_not_overwritten(
+        self,
+    ):
+        """It is written after the next term has read the map."""
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        earlier = self.hold_map_write(before=True)
+        started.post(fakes.endpoints_updated(fakes.endpoint('bb')))
+        await earlier.reached.wait()
+        later = self.hold_map_write(before=True)
+        await self.end_term()
+        await later.reached.wait()
+        count = len(self.instances.grants)
+        earlier.may_go_on.set()
+        await asyncio.sleep(0.5)
+        late_map = await self.key_map()
+        self.assertEqual(len(self.instances.grants), count)
+        later.may_go_on.set()
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        granted = self.instances.grants[-1]
+        self.assertGreaterEqual(granted.token, late_map.next_token)
+
+    async def test_late_stale_grant_of_an_earlier_term_moves_no_keys(self):
+        await self.start_coordinator(
+            'one', fakes.endpoint('a'), fakes.endpoint('bb')
+        )
+        await self.wait_for(lambda: len(self.instances.grants) >= 2)
+        held = _HeldCall(
+            self.instances,
+            'grant',
+            lambda key_range: key_range.owner.instance_id == 'a',
+            result=ports.GrantOutcome(ports.GrantResult.STALE, 1),
+        )
+        await held.reached.wait()
+        await self.begin_next_term()
+        owners = [r.owner for r in (await self.key_map()).ranges]
+        count = len(self.instances.grants)
+        await self.wait_for(lambda: len(self.instances.grants) >= count + 2)
+        held.may_go_on.set()
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.instances.releases, [])
+        self.assertEqual(
+            [r.owner for r in (await self.key_map()).ranges], owners
+        )
+
+    async def test_delayed_grant_of_an_earlier_term_is_not_sent_in_the_next(
+        self,
+    ):
+        await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        held = _HeldCall(
+            self.instances, 'grant', lambda key_range: True, before=True
+        )
+        await held.reached.wait()
+        earlier = self.instances.grants[-1].token
+        await self.begin_next_term()
+        await self.wait_for(lambda: self.instances.grants[-1].token > earlier)
+        held.may_go_on.set()
+        await asyncio.sleep(0.1)
+        tokens = [g.token for g in self.instances.grants]
+        self.assertEqual(tokens, sorted(tokens))
+
     async def test_grants_are_renewed_during_a_store_outage(self):
         await self.start_coordinator('one', fakes.endpoint('a'))
         await self.wait_for(lambda: self.instances.grants)
