A request for which no socket could be opened was not sent

What callers would see: 500, outcome unknown, for a request that reached no instance, while a VM has no descriptors left. Not retried by the VM, nor by a caller whose request must not run twice.

Cause: the pool opened the socket outside of the block that turns errors of a connect into UnreachableError, so the dispatcher got an OSError, which it can only report as unexpected.

The test failed before: OSError: [Errno 24] Too many open files.

Change: such an error is an UnreachableError, too.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -374,7 +374,11 @@
         return errors.OutcomeUnknownError(text)
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
-        stream = pooledstream.PooledStream(open_socket())
+        try:
+            stream = pooledstream.PooledStream(open_socket())
+        except OSError as error:
+            text = f'no socket for a connection to {address}: {error!r}'
+            raise errors.UnreachableError(text) from error
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((address.host, address.port))
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -96,6 +96,22 @@
         self.assertEqual(self.budget.held_bytes, 0)
 
 
+class DescriptorTest(basecase.AsyncCase):
+    """No descriptor is left for a connection."""
+
+    async def test_a_request_without_descriptor_was_not_sent(self):
+        address = basecase.free_address()
+        pool = connections.ConnectionPool(10_000)
+        with basecase.no_descriptors():
+            with self.assertRaises(errors.UnreachableError):
+                await pool.exchange(
+                    address,
+                    connections.OutgoingRequest('GET', '/', []),
+                    timeout_s=1.0,
+                    connect_timeout_s=1.0,
+                )
+
+
 class RoomTest(basecase.AsyncCase):
     """Responses of announced lengths share a budget that is too small."""
 
