Callers leave descriptors for the connections to instances

What callers would see: requests on open connections fail while a VM has more callers than descriptors, and new callers wait for as long as that lasts.

Cause: the front end accepted connections until the last descriptor was used. It took work for which it could open no connection to an instance.

Change: callers get three quarters of the descriptors. A connection beyond that is closed before anything is read, so its caller can go to another VM at once, also with a request that must not run twice; connection.refused is logged.

Tests of gateway: 90 passed; the three new ones failed before (no such limit; the second connection stayed open).

--- a/libs/gateway/src/oriolefold_gateway/frontend.py
+++ b/libs/gateway/src/oriolefold_gateway/frontend.py
@@ -1,7 +1,9 @@
 """HTTP server for callers, based on Tornado."""
 
 import asyncio
+import resource
 import socket
+import sys
 
 from tornado import http1connection, netutil
 
@@ -18,6 +20,8 @@
 BODY_STALL_S = 10.0  # Pause after which a body gives up its room.
 DEFAULT_BODIES_BYTES = 80 * 1024 * 1024  # All bodies of requests together.
 CLOSE_LIMIT_S = 0.2  # Time to end all connections at a stop.
+# Of this process's descriptors. Connections to instances need the rest.
+DESCRIPTORS_FRACTION = 0.75
 
 
 class Frontend:
@@ -36,6 +40,8 @@
         deadline_header: Header with the time that a caller is willing to wait,
             in milliseconds.
         bodies: Budget of the bodies of all requests.
+        max_connections: Largest number of connections of callers; more are
+            closed before anything is read.
         http_parameters: Parameters of the HTTP protocol for Tornado.
     """
 
@@ -68,6 +74,7 @@
         self.http_parameters.max_header_size = MAX_HEADER_BYTES
         self._acceptor: accepting.Acceptor | None = None
         self._connections: set[connections.Connection] = set()
+        self.max_connections = _max_connections()
         self.draining = False
         self.refusing = False
         self._is_closing = False
@@ -75,6 +82,11 @@
         self._cut_count = 0
         self._changed = asyncio.Event()
 
+    @property
+    def connection_count(self) -> int:
+        """Number of connections of callers."""
+        return len(self._connections)
+
     @property
     def in_flight(self) -> int:
         """Number of requests in progress.
@@ -203,6 +215,10 @@
         )
 
     def _on_accepted(self, accepted: socket.socket) -> None:
+        if self.connection_count >= self.max_connections:
+            accepted.close()
+            logs.event('connection.refused', open=self.connection_count)
+            return
         connection = connections.Connection(accepted, self, self._dispatcher)
         self._connections.add(connection)
         connection.start()
@@ -226,3 +242,11 @@
                 await self._changed.wait()
         except TimeoutError:
             pass
+
+
+def _max_connections() -> int:
+    """Returns how many callers the descriptor limit of the process allows."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(limit * DESCRIPTORS_FRACTION)
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -907,6 +907,32 @@
         self.assert_none_lost(await sending)
 
 
+class ConnectionLimitTest(ConnectionCase):
+    """Callers leave descriptors for the connections to instances."""
+
+    async def test_connections_beyond_the_limit_are_closed_unread(self):
+        self.frontend.max_connections = 1
+        kept = await self.connect_used()
+        refused = self.connect()
+        self.assertEqual(await refused.read_to_end(), b'')
+        kept.send(GET)
+        self.assertEqual((await kept.read_answer())[0], 200)
+        names = [call.args[0] for call in self.log.call_args_list]
+        self.assertEqual(names, ['connection.refused'])
+
+    async def test_a_connection_that_has_ended_makes_room(self):
+        self.frontend.max_connections = 1
+        ended = await self.connect_used()
+        ended.close()
+        await self.wait_for(lambda: not self.frontend.connection_count)
+        await self.connect_used()
+
+    async def test_the_limit_leaves_descriptors_for_instances(self):
+        with basecase.no_descriptors():
+            limited = frontend.Frontend(self.address, self.dispatcher, 1000)
+        self.assertLess(limited.max_connections, basecase.MAX_DESCRIPTORS)
+
+
 class DescriptorTest(ConnectionCase):
     """No descriptors are left for new connections of callers."""
 
