Log a pipelined request that is dropped by the end of its connection

What callers saw: nothing new. A request that had been read behind another one when the VM answered the latter with Connection: close was not passed on, as RFC 9112 (section 9.3) wants it, and left no line.

Cause: only input that arrives after the end counted as late.

Evidence: found by a reviewer; the test of such requests expects the line now, and failed before.

Change: what has been read of a next request when the output ends is logged as crossed. Tests of the connections of callers: 74 passed.

--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -195,6 +195,11 @@
 
     def _on_output_ended(self) -> None:
         self._ended_at_s = self._loop.time()
+        current = self._exchange
+        if current is None or current.is_read:
+            if self._stream.skip_empty_lines():
+                # A pipelined request was read before the end.
+                self._late_input_at_s = self._ended_at_s
         self._set_timer(LINGER_S, self._stream.abort)
 
     def _on_idle_timeout(self) -> None:
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -468,6 +468,10 @@
         status, _, body = parse(await caller.read_to_end())
         self.assertEqual((status, body), (200, b'ok'))
         self.assertEqual(len(self.dispatcher.dispatches), 1)
+        caller.close()
+        await self.wait_for(lambda: not self.frontend.connection_count)
+        (cut,) = self.cuts()
+        self.assertEqual((cut['stage'], cut['closed_by']), ('crossed', 'vm'))
 
     async def test_a_body_without_end_is_discarded_for_a_bounded_time(self):
         caller = self.connect()
