Exceptions have a log budget apart from lost requests

What callers see: nothing. Of a request that was lost while many exceptions were logged, no line was left.

Cause: since the lines about lost requests have a budget that exceptions share.

Evidence: found by a reviewer: after 600 exceptions neither request.cut nor daemon.stopped was written.

Change: exceptions have a budget of their own, as large. Two tests, both failed before.

--- a/libs/telemetry/src/oriolefold_telemetry/logs.py
+++ b/libs/telemetry/src/oriolefold_telemetry/logs.py
@@ -2,8 +2,9 @@
 
 Writing never blocks, and a token bucket limits its rate. Lines beyond the rate
 limit, or while the reader of the output is too slow, are omitted and counted.
-Lines about lost requests and about the process have a second bucket, so that
-lines about requests that were answered do not displace them.
+Lines about lost requests and about the process have a bucket of their own
+beside it, and exceptions another one, so that frequent lines do not displace
+rare ones.
 """
 
 import logging
@@ -20,14 +21,11 @@
 BURST_LINES = 400.0
 RESERVED_LINES_PER_S = 20.0
 RESERVED_BURST_LINES = 100.0
-# Beginnings of the names of the lines that have the second bucket; those of
-# `eliot:` report exceptions.
+# Beginnings of the names of the lines that share a bucket beside the common
+# one; those of `eliot:` report exceptions.
 RESERVED_NAMES = (
-    'request.cut',
-    'daemon.',
-    'accept.failed',
-    'answer.unwritable',
-    'eliot:',
+    ('request.cut', 'daemon.', 'accept.failed', 'answer.unwritable'),
+    ('eliot:',),
 )
 REPORT_INTERVAL_S = 1.0  # Minimum time between reports of omitted lines.
 
@@ -61,9 +59,10 @@
         self._descriptor = stream.fileno()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._bucket = _TokenBucket(LINES_PER_S, BURST_LINES)
-        self._reserved = _TokenBucket(
-            RESERVED_LINES_PER_S, RESERVED_BURST_LINES
-        )
+        self._reserved_by_names = {
+            names: _TokenBucket(RESERVED_LINES_PER_S, RESERVED_BURST_LINES)
+            for names in RESERVED_NAMES
+        }
         self._reported_at_s = 0.0
         self.omitted = 0
         os.set_blocking(self._descriptor, False)
@@ -87,7 +86,10 @@
         if self._bucket.take(now_s):
             return True
         name = message.get('message_type', '')
-        return name.startswith(RESERVED_NAMES) and self._reserved.take(now_s)
+        return any(
+            name.startswith(names) and reserved.take(now_s)
+            for names, reserved in self._reserved_by_names.items()
+        )
 
 
 def set_up(program: str, identity: str, output: TextIO | None = None) -> None:
--- a/libs/telemetry/tests/test_logs.py
+++ b/libs/telemetry/tests/test_logs.py
@@ -47,6 +47,17 @@
             self.write({'message_type': name})
             self.assertEqual(self.counts_by_name()[name], 1, name)
 
+    def test_a_flood_of_exceptions_does_not_hide_a_lost_request(self):
+        self.flood('eliot:stdlib')
+        for name in ('request.cut', 'daemon.stopped'):
+            self.write({'message_type': name})
+            self.assertEqual(self.counts_by_name()[name], 1, name)
+
+    def test_a_flood_of_lost_requests_does_not_hide_an_exception(self):
+        self.flood('request.cut')
+        self.write({'message_type': 'eliot:stdlib'})
+        self.assertEqual(self.counts_by_name()['eliot:stdlib'], 1)
+
     def test_a_flood_of_lost_requests_is_bounded(self):
         self.flood('request.cut')
         most = logs.BURST_LINES + logs.RESERVED_BURST_LINES
