Requests wait for a moved range that its new owner holds

Cause: VMs sent to a moving range only after the map write without the former holders, which is not needed for safety and which the store may refuse. The leader granted and renewed the range meanwhile.

Evidence: 'moving' in owner.unavailable, matched with grant.accepted of the leader by key and by the map version in request.failed; key_map.write_failed twelve times from 18.5 to 25.0 s.

Change: the reply to a load report names the moving ranges that are granted, with the version of the map that lists them. A VM that has this version treats them as owned until it has another one. VMs ask for the new reply with a query, which leaders of the previous version ignore; VMs of the previous version do not ask and get the shares alone, as before.

Safety: no grant, release or map write depends on the reply. Instances check key and token, so a send to one that does not hold the key is answered 421 and costs a retry from the budget. A leader says so only while it may act.

The tests that a request is sent without the second write, at the leader and at another VM, failed before.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -246,6 +246,16 @@
         """Whether the owner has acknowledged the range."""
         return _range_id(key_range) in self._granted
 
+    def held_moving(self) -> tuple[ranges.KeyRange, ...]:
+        """Returns the held ranges that the stored map lists as moving."""
+        return tuple(
+            key_range
+            for key_range in self.key_map.ranges
+            if key_range.priors
+            and self.is_held(key_range)
+            and _incarnation(key_range.owner) not in self._ended
+        )
+
     def published(self, key_map: ranges.KeyMap) -> None:
         """Handles a successful map write."""
         self._publishing = None
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -573,23 +573,45 @@
             return
         self._load_updated_at_s = now_s
         load = await self._collect_load()
-        shares_by_id = self._record_load(self._vm_id, load)
-        self._dispatcher.post(messages.SharesUpdated(shares_by_id))
+        self._apply_reply(self._record_load(self._vm_id, load))
         self._update_candidates()
 
     def _record_load(
         self, vm_id: str, load: messages.ObservedLoad
-    ) -> dict[str, float]:
-        """Records the load of a VM and returns its shares of busy owners."""
+    ) -> messages.LoadReply:
+        """Records the load of a VM and returns the reply to it."""
         if self._lease_manager is None:
-            return {}
-        return self._load_tracker.record(
+            return messages.LoadReply({})
+        shares_by_id = self._load_tracker.record(
             vm_id,
             load,
             self._lease_manager.key_map,
             self._endpoints,
             self._clock.now_s(),
         )
+        return messages.LoadReply(shares_by_id, self._granted_ranges())
+
+    def _granted_ranges(self) -> messages.GrantedRanges | None:
+        """Returns the moving ranges that are granted, or None without any.
+
+        The map write that ends their move may take as long as an outage of
+        the store.
+        """
+        if not self._has_authority():
+            return None
+        held = self._lease_manager.held_moving()
+        if not held:
+            return None
+        return messages.GrantedRanges(
+            self._service_id,
+            self._map_document.version,
+            frozenset((r.first, r.last, r.token) for r in held),
+        )
+
+    def _apply_reply(self, reply: messages.LoadReply) -> None:
+        self._dispatcher.post(messages.SharesUpdated(reply.shares_by_id))
+        if reply.granted is not None:
+            self._dispatcher.post(reply.granted)
 
     async def _report_load(self) -> None:
         """Reports the keys of recent requests to the leader.
@@ -612,13 +634,12 @@
             load = dataclasses.replace(load, times_by_id={})
         report = messages.LoadReport(self._vm_id, self._service_id, load)
         try:
-            shares_by_id = await self._peers.report(
-                self._leader_address, report
-            )
-            self._dispatcher.post(messages.SharesUpdated(shares_by_id))
+            reply = await self._peers.report(self._leader_address, report)
         except errors.OriolefoldError as error:
             # Not sent again: the leader uses the reports of the other VMs.
             self._log('load.report_failed', error=str(error))
+        else:
+            self._apply_reply(reply)
 
     def _step(self) -> None:
         if not self._has_authority():
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -45,7 +45,7 @@
         elif isinstance(message, messages.LoadReport):
             running = self._by_service_id.get(message.service_id)
             if running is None:
-                message.answer({})
+                message.answer(messages.LoadReply({}))
             else:
                 running.post(message)
         elif isinstance(message, messages.EndTerms):
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import math
 import random
 from typing import Any
@@ -94,6 +95,8 @@
                 self._update_endpoints(message.endpoints_by_id)
             case messages.KeyMapUpdated():
                 self._update_key_map(message)
+            case messages.GrantedRanges():
+                self._apply_granted(message)
             case messages.Wake():
                 self._wake_scheduled_ids.discard(message.service_id)
                 self._wake(message.service_id)
@@ -135,6 +138,27 @@
         self._maps_by_service_id[service_id] = update.key_map
         self._wake(service_id)
 
+    def _apply_granted(self, granted: messages.GrantedRanges) -> None:
+        """Lets requests go to ranges that their owners hold already.
+
+        The ranges of any other version of the map may have moved since.
+        """
+        service_id = granted.service_id
+        version = self._map_versions_by_service_id.get(service_id)
+        if granted.map_version != version:
+            return
+        key_map = self._maps_by_service_id[service_id]
+        self._maps_by_service_id[service_id] = dataclasses.replace(
+            key_map,
+            ranges=tuple(
+                dataclasses.replace(r, priors=())
+                if (r.first, r.last, r.token) in granted.bounds
+                else r
+                for r in key_map.ranges
+            ),
+        )
+        self._wake(service_id)
+
     def _accept(self, dispatch: gateway_messages.Dispatch) -> None:
         now_s = self._clock.now_s()
         try:
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class LoadReport(tasks.Ask):
-    """Load of another VM; the reply is its shares of busy owners by instance.
+    """Load of another VM; the reply is `LoadReply`.
 
     Attributes:
         vm_id: The reporting VM.
@@ -83,6 +83,34 @@
     load: ObservedLoad
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantedRanges:
+    """Moving ranges of one version of a key map that their owners hold already.
+
+    Attributes:
+        service_id: The service.
+        map_version: Version of the stored key map.
+        bounds: First key, last key and token of each range, as in that map.
+    """
+
+    service_id: str
+    map_version: int
+    bounds: frozenset[tuple[int, int, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReply:
+    """Reply of the leader to a load report.
+
+    Attributes:
+        shares_by_id: The VM's shares of the slots of busy owners, by instance.
+        granted: Moving ranges that may be sent to, or None.
+    """
+
+    shares_by_id: dict[str, float]
+    granted: GrantedRanges | None = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class EndTerms(tasks.Ask):
     """Ends the terms in which a VM led before another one was elected.
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -11,6 +11,9 @@
 from oriolefold_store import ports as store_ports
 
 REPORT_PATH = '/load'
+# Asks for a reply with granted ranges. Leaders of earlier versions ignore it,
+# and VMs of earlier versions, which read only shares, do not send it.
+GRANTED_QUERY = 'granted'
 CHANGES_PATH = '/changes'
 END_TERMS_PATH = '/end-terms'
 CHANGES_TIMEOUT_S = 1.4  # The peer holds a poll for up to 1 s.
@@ -30,6 +33,12 @@
     times_by_id: dict[str, float] = {}
 
 
+class _LoadReply(msgspec.Struct, forbid_unknown_fields=True):
+    shares_by_id: dict[str, float]
+    map_version: int = 0
+    granted: list[tuple[int, int, int]] = []
+
+
 class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
     service_id: str
     version: int
@@ -82,7 +91,7 @@
 
     async def report(
         self, address: str, report: messages.LoadReport
-    ) -> dict[str, float]:
+    ) -> messages.LoadReply:
         """Sends a load report to the leader at an address."""
         body = msgspec.json.encode(
             _Report(
@@ -92,8 +101,10 @@
                 report.load.times_by_id,
             )
         )
-        answer = await self._call(address, REPORT_PATH, body, REPORT_TIMEOUT_S)
-        return _decode(answer, dict[str, float])
+        answer = await self._call(
+            address, f'{REPORT_PATH}?{GRANTED_QUERY}', body, REPORT_TIMEOUT_S
+        )
+        return _decode_load_reply(report.service_id, answer)
 
     async def end_terms(
         self, address: str, service_id: str, version: int
@@ -173,9 +184,34 @@
     return messages.LoadReport(decoded.vm_id, decoded.service_id, load)
 
 
-def encode_shares(shares_by_id: dict[str, float]) -> bytes:
+def encode_shares(reply: messages.LoadReply) -> bytes:
+    """Encodes the reply to a load report of a VM that reads only shares."""
+    return msgspec.json.encode(reply.shares_by_id)
+
+
+def encode_load_reply(reply: messages.LoadReply) -> bytes:
     """Encodes the reply to a load report."""
-    return msgspec.json.encode(shares_by_id)
+    if reply.granted is None:
+        return encode_shares(reply)
+    return msgspec.json.encode(
+        _LoadReply(
+            reply.shares_by_id,
+            reply.granted.map_version,
+            sorted(reply.granted.bounds),
+        )
+    )
+
+
+def _decode_load_reply(service_id: str, body: bytes) -> messages.LoadReply:
+    try:
+        decoded = msgspec.json.decode(body, type=_LoadReply)
+    except msgspec.MsgspecError:
+        # Without granted ranges the reply has only shares.
+        return messages.LoadReply(_decode(body, dict[str, float]))
+    granted = messages.GrantedRanges(
+        service_id, decoded.map_version, frozenset(decoded.granted)
+    )
+    return messages.LoadReply(decoded.shares_by_id, granted)
 
 
 def decode_end_terms(body: bytes) -> messages.EndTerms:
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -85,12 +85,9 @@
     @abc.abstractmethod
     async def report(
         self, address: str, report: messages.LoadReport
-    ) -> dict[str, float]:
+    ) -> messages.LoadReply:
         """Sends a load report to the leader at an address.
 
-        Returns:
-            This VM's share of the slots of busy owners, by instance.
-
         Raises:
             OriolefoldError: If the report may not have arrived.
         """
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -83,7 +83,11 @@
                 request,
                 'load.unreadable',
                 peering.decode_report,
-                peering.encode_shares,
+                (
+                    peering.encode_load_reply
+                    if request.query == peering.GRANTED_QUERY
+                    else peering.encode_shares
+                ),
             )
             return
         elif request.path == peering.END_TERMS_PATH:
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -122,7 +122,8 @@
 
     Attributes:
         reports: Address and content of each report.
-        vms_by_address: Peers that answer the request to end their terms.
+        vms_by_address: Peers that answer reports and the request to end their
+            terms.
         asked: Address and version of each such request.
     """
 
@@ -133,7 +134,9 @@
 
     async def report(self, address, report):
         self.reports.append((address, report))
-        return {}
+        if address not in self.vms_by_address:
+            return messages.LoadReply({})
+        return await self.vms_by_address[address].ask(report)
 
     async def end_terms(self, address, service_id, version):
         self.asked.append((address, version))
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -13,15 +13,20 @@
     changefeed,
     coordinator,
     coordinators,
+    dispatcher,
     documents,
     messages,
     ports,
 )
+from oriolefold_gateway import messages as gateway_messages
+from oriolefold_routing import attempts, topology
 from oriolefold_store import envelopes, memory, updates
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters
 from oriolefold_testbed import basecase
 
+KEY_HEADER = 'Key'
+
 
 class Dispatcher(basecase.RecordingTask):
     """Dispatcher that has observed no load."""
@@ -129,8 +134,8 @@
         return self._result or result
 
 
-class CoordinatorTest(basecase.AsyncCase):
-    """Leader election, handover of keys and takeover with the same tokens."""
+class _CoordinatorCase(basecase.AsyncCase):
+    """Base class of tests with coordinators of one service."""
 
     async def asyncSetUp(self):
         self.store = memory.MemoryStore()
@@ -179,6 +184,10 @@
         await self.start(started)
         return started
 
+
+class CoordinatorTest(_CoordinatorCase):
+    """Leader election, handover of keys and takeover with the same tokens."""
+
     async def test_grants_match_the_stored_key_map(self):
         await self.start_coordinator(
             'one', fakes.endpoint('a'), fakes.endpoint('bb')
@@ -670,6 +679,137 @@
         await self.wait_for(lambda: len(self.instances.grants) > before + 1)
 
 
+class GrantedRangesTest(_CoordinatorCase):
+    """Requests go to a granted range before the end of its move is written."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.dispatcher = await self.start_dispatcher()
+
+    async def start_dispatcher(self):
+        started = dispatcher.Dispatcher(
+            topology.Locality('z1', {}),
+            KEY_HEADER,
+            self.instances,
+            self.clock,
+            attempts.BudgetLimits(0.2, 10.0, 56.0, 1),
+            counters.Counters(),
+            self.random,
+        )
+        started.post(fakes.policy_updated(keyed=True))
+        started.post(
+            fakes.endpoints_updated(fakes.endpoint('a'), fakes.endpoint('bb'))
+        )
+        await self.start(started)
+        return started
+
+    async def grant_moved_keys_without_store(self):
+        """Moves all keys; the store is down when the new owner accepts them.
+
+        Returns:
+            The leader.
+        """
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.may_answer.clear()
+        await self.start_moving(leader)
+        self.store.down = True
+        self.instances.may_answer.set()
+        return leader
+
+    async def start_moving(self, leader):
+        """Waits until the keys are being granted to another owner."""
+        leader.post(
+            fakes.endpoints_updated(
+                fakes.endpoint('a', draining=True), fakes.endpoint('bb')
+            )
+        )
+        await self.wait_for(
+            lambda: self.instances.grants[-1].owner.instance_id == 'bb'
+        )
+        stored = await self.store.read(documents.KEY_MAP_PREFIX + 'svc')
+        self.moving = messages.KeyMapUpdated(
+            await self.key_map(), stored.version
+        )
+        self.assertTrue(all(r.priors for r in self.moving.key_map.ranges))
+
+    async def is_answered(self):
+        headers = {'Host': 'h.example', KEY_HEADER: '7'}
+        dispatch = gateway_messages.Dispatch(
+            'q', 'GET', '/a/x', headers, (), b'', '800'
+        )
+        try:
+            await self.dispatcher.ask(dispatch)
+        except errors.OverloadedError:
+            return False
+        return True
+
+    async def test_the_leader_sends_without_the_write_that_ends_a_move(self):
+        await self.grant_moved_keys_without_store()
+        await self.wait_for(self.is_answered)
+        self.assertEqual(self.instances.sent[-1].instance_id, 'bb')
+
+    async def test_other_vms_send_without_the_write_that_ends_a_move(self):
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.peers.vms_by_address[_address('one')] = leader
+        self.dispatcher = await self.start_dispatcher()
+        await self.start_coordinator('two')
+        self.dispatcher.post(messages.KeyMapUpdated(await self.key_map(), 1))
+        # A report shows that it follows the leader.
+        await self.wait_for(self.is_following)
+        self.instances.may_answer.clear()
+        await self.start_moving(leader)
+        self.dispatcher.post(self.moving)
+        self.store.down = True
+        self.assertFalse(await self.is_answered())
+        self.instances.may_answer.set()
+        await self.wait_for(self.is_answered)
+        self.assertEqual(self.instances.sent[-1].instance_id, 'bb')
+
+    async def is_following(self):
+        await self.is_answered()
+        return bool(self.peers.reports)
+
+    async def test_a_grant_that_is_not_accepted_lets_nobody_send(self):
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.may_answer.clear()
+        await self.start_moving(leader)
+        self.store.down = True
+        reply = await leader.ask(fakes.load_report())
+        self.assertIsNone(reply.granted)
+        self.instances.may_answer.set()
+
+    async def test_a_granted_owner_that_has_ended_is_not_reported(self):
+        leader = await self.grant_moved_keys_without_store()
+        (moved,) = self.moving.key_map.ranges
+
+        async def granted():
+            return (await leader.ask(fakes.load_report())).granted
+
+        await self.wait_for(granted)
+        self.assertEqual(
+            await granted(),
+            messages.GrantedRanges(
+                'svc',
+                self.moving.version,
+                frozenset({(moved.first, moved.last, moved.token)}),
+            ),
+        )
+        self.instances.replaced_ids.add('bb')
+        await self.wait_for(lambda: self.instances.rejected_grants)
+        await asyncio.sleep(0.05)
+        self.assertIsNone(await granted())
+
+    @mock.patch.object(rangeleases, 'AUTHORITY_S', 1.6)
+    async def test_a_leader_without_authority_reports_nothing_as_granted(self):
+        leader = await self.grant_moved_keys_without_store()
+        await asyncio.sleep(1.8)
+        reply = await leader.ask(fakes.load_report())
+        self.assertIsNone(reply.granted)
+
+
 def _address(vm_id):
     return f'{vm_id}:80'
 
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -235,6 +235,29 @@
         self.versions += 1
         self.dispatcher.post(messages.KeyMapUpdated(key_map, self.versions))
 
+    async def test_granted_ranges_of_another_map_let_nobody_send(self):
+        self.prepare(keyed=True)
+        former = ranges.Holder('two', 1, 'a2')
+        bounds = frozenset({(0, 65535, 1)})
+        for version in (1, 2, 4):
+            self.dispatcher.post(messages.GrantedRanges('svc', version, bounds))
+            if version == 1:
+                self.versions = 2
+                self.post_key_map(former)
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask(key=7)
+        other_token = frozenset({(0, 65535, 2)})
+        self.dispatcher.post(messages.GrantedRanges('svc', 3, other_token))
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask(key=7)
+        self.dispatcher.post(messages.GrantedRanges('svc', 3, bounds))
+        await self.ask(key=7)
+        # The range moves again.
+        self.post_key_map(former)
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask(key=7)
+        self.assertEqual(len(self.instances.sent), 1)
+
     async def test_what_keeps_a_request_from_its_owner_is_logged(self):
         self.prepare(keyed=True, endpoints=[fakes.endpoint('one', slots=1)])
         self.instances.outcomes = {'one': [0.6, 0.6]}
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -7,7 +7,7 @@
 import fakes
 
 from oriolefold_core import errors
-from oriolefold_direct import peering
+from oriolefold_direct import messages, peering
 from oriolefold_testbed import basecase
 
 REPLY = b'{"told_at_s":1.0,"relay_address":"10.0.0.7:80"}'
@@ -54,6 +54,32 @@
                     await peers.end_terms(address, 'svc', 7)
 
 
+class LoadReplyTest(_PeerCase):
+    """Replies of leaders of this and the previous version are read."""
+
+    async def test_a_leader_of_the_previous_version_replies_with_shares(self):
+        for body, shares_by_id in (
+            (b'{}', {}),
+            (b'{"i1":0.5,"i2":1.0}', {'i1': 0.5, 'i2': 1.0}),
+            (b'{"shares_by_id":0.5}', {'shares_by_id': 0.5}),
+        ):
+            with self.subTest(body=body):
+                peers, address = await self.connect(body)
+                reply = await peers.report(address, fakes.load_report())
+                self.assertEqual(reply, messages.LoadReply(shares_by_id))
+
+    async def test_an_invalid_reply_is_an_error(self):
+        for body in (
+            b'{"i1":"x"}',
+            b'{"shares_by_id":{},"granted":[[1,2]]}',
+            b'{"shares_by_id":{},"more":1}',
+        ):
+            with self.subTest(body=body):
+                peers, address = await self.connect(body)
+                with self.assertRaises(errors.ProtocolError):
+                    await peers.report(address, fakes.load_report())
+
+
 class CompressedReplyTest(_PeerCase):
     """A compressed reply is bounded by its size after decompression."""
 
--- a/libs/direct/tests/test_status.py
+++ b/libs/direct/tests/test_status.py
@@ -10,13 +10,17 @@
 
 from oriolefold_coordination import leaderelection
 from oriolefold_core import clock, errors
-from oriolefold_direct import changefeed, peering, status
+from oriolefold_direct import changefeed, messages, peering, status
 from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
 
 MAX_BODY_BYTES = 2 * 1024 * 1024  # More than any report or poll has.
 PART = b'x' * 65536
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+GRANTED_REPLY = messages.LoadReply(
+    {'i1': 0.5},
+    messages.GrantedRanges('svc', 9, frozenset({(0, 99, 3), (200, 299, 5)})),
+)
 
 
 class StatusServerTest(basecase.AsyncCase):
@@ -63,6 +67,34 @@
         ask.answer(statement)
         self.assertEqual(await asking, statement)
 
+    async def reply_to_reports(self):
+        """Replies to reports as a leader with a granted range."""
+        await self.wait_for(lambda: self.coordinators.messages)
+        self.coordinators.messages.pop().answer(GRANTED_REPLY)
+
+    async def test_reporting_vm_is_told_of_granted_ranges(self):
+        reporting = asyncio.create_task(
+            self.peers.report(self.address, fakes.load_report())
+        )
+        await self.reply_to_reports()
+        self.assertEqual(await reporting, GRANTED_REPLY)
+
+    async def test_vm_of_the_previous_version_is_told_its_shares_only(self):
+        body = b'{"vm_id":"v","service_id":"svc","keys":[7]}'
+        replying = asyncio.create_task(self.reply_to_reports())
+        host, port = self.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        length = b'Content-Length: %d' % len(body)
+        writer.write(
+            b'POST /load HTTP/1.1\r\nHost: v\r\n%b\r\n\r\n' % length + body
+        )
+        answer = await reader.readuntil(b'}')
+        writer.close()
+        await writer.wait_closed()
+        await replying
+        self.assertIn(b' 200 ', answer)
+        self.assertTrue(answer.endswith(b'\r\n\r\n{"i1":0.5}'))
+
     async def test_a_connection_without_descriptor_uses_no_processor(self):
         waiting = socket.socket()
         self.addCleanup(waiting.close)
