Test stops of all daemons in turn with callers that keep their connections

What callers saw: nothing new; no test with real processes stopped daemons in turn while clients went on using their connections.

The test: three daemons, two instances of each service, 48 callers that use a connection until it ends; half of them rest for up to 4 s, half read responses of up to 6 MB slowly, a fifth of the requests works for 0.2 to 1.5 s. Keyed and unkeyed, GET and POST. Each daemon gets SIGTERM, has 3 s to stop, and is started again. Checked: each request that was read (it ran, or a `request.cut` names it, or it waited for more than 0.5 s) has an answer; none ends as unknown before its own deadline; answers are whole; what is called not run was not run; no POST ran twice; one owner at a time; each process ends with code 0 within the stop limit plus 3.5 s (2 s of which are the limit of the hand-over).

--- a/testbed/src/oriolefold_testbed/deployment.py
+++ b/testbed/src/oriolefold_testbed/deployment.py
@@ -42,7 +42,20 @@
         store_address: data.Address = STORE_ADDRESS,
         vm_list_address: data.Address = VM_LIST_ADDRESS,
         one_process_per_instance: bool = False,
+        stop_limit_s: float | None = None,
     ):
+        """Initializes the deployment; `start` starts its processes.
+
+        Args:
+            folder: Folder with `register.yaml` and `rules.yaml`.
+            run_folder: Folder for logs and journals.
+            store_address: Address of the store.
+            vm_list_address: Address of the VM list.
+            one_process_per_instance: Whether each instance is a process, so
+                that it can be killed alone.
+            stop_limit_s: Time limit of a graceful stop of a daemon, in
+                seconds; by default that of its settings.
+        """
         self.folder = folder
         self.run_folder = pathlib.Path(run_folder)
         self.store_address = store_address
@@ -50,6 +63,7 @@
         self.configuration = documents.validate(documents.read_folder(folder))
         self.processes_by_name: dict[str, asyncio.subprocess.Process] = {}
         self._one_process_per_instance = one_process_per_instance
+        self._stop_limit_s = stop_limit_s
         self._client = client.HttpClient(MAX_CLIENTS)
 
     async def start(self) -> None:
@@ -119,6 +133,8 @@
             f'--vm-list-port={self.vm_list_address.port}',
             f'--log-file={self.run_folder}/{vm_id}.jsonl',
         ]
+        if self._stop_limit_s is not None:
+            arguments.append(f'--stop-limit-s={self._stop_limit_s}')
         self.processes_by_name[vm_id] = await self._start_process(
             vm_id, '-m', 'oriolefold_daemon.cmdline', *arguments
         )
--- a/testbed/src/oriolefold_testbed/scenarios.py
+++ b/testbed/src/oriolefold_testbed/scenarios.py
@@ -136,12 +136,14 @@
 
 
 def make_deployment(
-    run_folder: pathlib.Path, **options
+    run_folder: pathlib.Path, stop_limit_s: float | None = None, **options
 ) -> deployment.Deployment:
     """Returns a deployment that has not been started.
 
     Args:
         run_folder: Folder for the register, the rules, logs and journals.
+        stop_limit_s: Time limit of a graceful stop of a daemon, in seconds; by
+            default that of its settings.
         **options: Options of `write_documents`.
     """
     network, _ = _own_network()
@@ -152,4 +154,5 @@
         data.Address(f'127.{network}.9.1', 9000),
         data.Address(f'127.{network}.9.2', 9001),
         one_process_per_instance=True,
+        stop_limit_s=stop_limit_s,
     )
--- a/testbed/src/oriolefold_testbed/servers.py
+++ b/testbed/src/oriolefold_testbed/servers.py
@@ -2,7 +2,8 @@
 
 `PUT /control` with a JSON object changes the behaviour of an instance; its
 members are attributes of `Behaviour`. `GET /journal` returns the requests that
-the instance has executed.
+the instance has executed. The query arguments of a request choose the `size` of
+its answer, in bytes, and its service time, `work_ms`.
 """
 
 import asyncio
@@ -322,7 +323,7 @@
         stand_in.in_flight += 1
         begun_s = now_s()
         try:
-            await asyncio.sleep(stand_in.service_time_s())
+            await asyncio.sleep(self._work_s())
         finally:
             stand_in.in_flight -= 1
         if self._must_abort(started_s, shard, token):
@@ -344,6 +345,12 @@
         )
         self._answer()
 
+    def _work_s(self) -> float:
+        work_ms = self.get_query_argument('work_ms', '')
+        if work_ms:
+            return int(work_ms) / 1000
+        return self._stand_in.service_time_s()
+
     def _must_abort(self, started_s: float, shard: int, token: int) -> bool:
         """Whether the request was cancelled, is late or has lost its grant."""
         if self._connection_closed or self.request.connection.stream.closed():
