Stop of the daemon: each step has a limit of its own

What callers and other VMs would see: a daemon that never ends after SIGTERM, or that ends without handing over its keys, so that other VMs wait until its lease has run out.

Cause: as in libs/direct before. Ending the requests, the front end, the admin server, the stop of each task and the store client were waited for without a limit; an exception in one of them skipped the rest. An exception of the front end skipped the hand-over.

Change: `StopSteps` of the gateway library runs a step with a limit, cancels it there and goes on; it was a method of libs/direct, which uses it now. Limits after the drain: 0.1 s for each of the four tasks that end requests, 0.2 s to write the answers, 0.25 s for the front end, 2 s for the hand-over, 1.05 s for all tasks together (the peer server waits for its peers up to 1 s, the others have 0.05 s) and 0.05 s for the store client, 3.95 s in all. `daemon.stopped` has the times.

--- a/libs/daemon/src/oriolefold_daemon/application.py
+++ b/libs/daemon/src/oriolefold_daemon/application.py
@@ -1,7 +1,6 @@
 """Application object of the daemon: construction, start and graceful stop."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import uuid
@@ -17,7 +16,7 @@
     settings,
     vmlist,
 )
-from oriolefold_gateway import dispatcher, frontend, peering
+from oriolefold_gateway import dispatcher, frontend, peering, stopsteps
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_ownership import (
     acquisition,
@@ -29,7 +28,7 @@
     watcher,
 )
 from oriolefold_ownership import messages as ownership_messages
-from oriolefold_peer import codec, link, server
+from oriolefold_peer import codec, connection, link, server
 from oriolefold_peer import messages as peer_messages
 from oriolefold_routing import balance
 from oriolefold_sending import messages as sending_messages
@@ -37,11 +36,15 @@
 from oriolefold_store import http as store_http
 from oriolefold_telemetry import logs, metrics
 
-# Time after the stop limit in which the last answers are written.
-WRITE_LIMIT_S = 0.2
-# Time after the stop limit in which the lease is handed over. Without that,
-# other VMs wait until it has run out.
+# Limits of the steps after the drain.
+END_REQUESTS_LIMIT_S = 0.1  # Of each task that ends requests.
+WRITE_LIMIT_S = 0.2  # Time in which the last answers are written.
+FRONTEND_LIMIT_S = frontend.CLOSE_LIMIT_S + 0.05
+# Time in which the lease is handed over. Without that, other VMs wait until it
+# has run out.
 HAND_OVER_LIMIT_S = 2.0
+CLOSE_LIMIT_S = 0.05
+PEER_SERVER_LIMIT_S = connection.LINGER_S + CLOSE_LIMIT_S
 _LOGGER = logging.getLogger(__name__)
 WIRE_MESSAGES = (
     *peer_messages.CONNECTION_MESSAGES,
@@ -58,6 +61,7 @@
     def __init__(self, values: settings.DaemonSettings):
         self._values = values
         self._stopping = asyncio.Event()
+        self._steps = stopsteps.StopSteps(_LOGGER)
         boot_clock = clock.BootClock()
         self._clock = boot_clock
         generator = random.Random(values.random_seed)
@@ -220,30 +224,42 @@
             task.post(drain)
         requests_ended = asyncio.Event()
         handing_over = asyncio.create_task(self._hand_over(requests_ended))
-        try:
-            async with asyncio.timeout(self._values.stop_limit_s):
-                await self._frontend.drain()
-                requests_ended.set()
-                await asyncio.shield(handing_over)
-        except TimeoutError:
+        if not await self._steps.complete(
+            'drain',
+            self._drain(requests_ended, handing_over),
+            self._values.stop_limit_s,
+        ):
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
+        await self._steps.complete(
+            'frontend', self._frontend.stop(), FRONTEND_LIMIT_S
+        )
+        requests_ended.set()
+        if not await self._steps.complete(
+            'hand-over', _end_of(handing_over), HAND_OVER_LIMIT_S
+        ):
+            logs.event('daemon.hand_over_limit', vm=self._values.vm_id)
+        await self._stop_tasks()
+        await self._steps.complete('store', self._store.close(), CLOSE_LIMIT_S)
+        logs.event(
+            'daemon.stopped',
+            vm=self._values.vm_id,
+            steps_ms=self._steps.times_ms,
+        )
+
+    async def _drain(
+        self, requests_ended: asyncio.Event, handing_over: asyncio.Task
+    ) -> None:
+        """Serves the requests in progress, then waits for the hand-over."""
+        try:
+            await self._frontend.drain()
         except Exception:
             # Callers are owed their answers, and other VMs the keys.
             _LOGGER.exception('the drain failed')
             await self._end_requests()
-        await self._frontend.stop()
+            return
         requests_ended.set()
-        try:
-            async with asyncio.timeout(HAND_OVER_LIMIT_S):
-                await handing_over
-        except TimeoutError:
-            logs.event('daemon.hand_over_limit', vm=self._values.vm_id)
-        await self._admin.stop()
-        for task in reversed(self._tasks()):
-            await task.stop()
-        await self._store.close()
-        logs.event('daemon.stopped', vm=self._values.vm_id)
+        await asyncio.shield(handing_over)
 
     async def _end_requests(self) -> None:
         """Answers the requests in progress and waits until that is written."""
@@ -253,10 +269,23 @@
             (self._dispatcher, gateway_messages.EndRequests()),
             (self._peer_server, peer_messages.EndCalls()),
         ):
-            await self._ask(task, ask)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(WRITE_LIMIT_S):
-                await self._frontend.drain()
+            await self._steps.complete(
+                f'requests of {task.name}', task.ask(ask), END_REQUESTS_LIMIT_S
+            )
+        await self._steps.complete(
+            'answers', self._frontend.drain(), WRITE_LIMIT_S
+        )
+
+    async def _stop_tasks(self) -> None:
+        limits_s_by_task = dict.fromkeys(self._tasks(), CLOSE_LIMIT_S)
+        limits_s_by_task[self._peer_server] = PEER_SERVER_LIMIT_S
+        await asyncio.gather(
+            self._steps.complete('admin', self._admin.stop(), CLOSE_LIMIT_S),
+            *(
+                self._steps.complete(task.name, task.stop(), limit_s)
+                for task, limit_s in reversed(limits_s_by_task.items())
+            ),
+        )
 
     async def _hand_over(self, requests_ended: asyncio.Event) -> None:
         """Hands over the lease, then ends the calls of peers."""
@@ -287,3 +316,7 @@
         if self._vm_list is not None:
             running.append(self._vm_list)
         return running
+
+
+async def _end_of(running: asyncio.Task) -> None:
+    await running
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import uuid
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 
 from oriolefold_core import bytebudget, clock, data, tasks
 from oriolefold_direct import (
@@ -20,7 +20,7 @@
     status,
     watching,
 )
-from oriolefold_gateway import frontend
+from oriolefold_gateway import frontend, stopsteps
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, policy, topology
 from oriolefold_sending import messages as sending_messages
@@ -135,7 +135,7 @@
         self._settings = settings
         self._instances = instances
         self._stopping = asyncio.Event()
-        self._step_times_ms: dict[str, int] = {}
+        self._steps = stopsteps.StopSteps(_LOGGER)
         time = clock.BootClock()
         self._clock = time
         self._peers = peering.HttpPeers(budget)
@@ -270,64 +270,34 @@
         now_s = self._clock.now_s()
         stops_at_s = now_s + self._settings.stop_limit_s
         self._dispatcher.post(sending_messages.Drain(stops_at_s))
-        if not await self._complete(
+        if not await self._steps.complete(
             'drain', self._resign_and_drain(), self._settings.stop_limit_s
         ):
             logs.event('daemon.stop_limit', in_flight=self._frontend.in_flight)
             await self._end_requests()
-        await self._complete(
+        await self._steps.complete(
             'frontend', self._frontend.stop(), FRONTEND_LIMIT_S
         )
         await asyncio.gather(
-            self._complete('status', self._status.stop(), CLOSE_LIMIT_S),
+            self._steps.complete('status', self._status.stop(), CLOSE_LIMIT_S),
             *(
-                self._complete(task.name, task.stop(), CLOSE_LIMIT_S)
+                self._steps.complete(task.name, task.stop(), CLOSE_LIMIT_S)
                 for task in reversed(self._tasks)
             ),
         )
         await asyncio.gather(
-            self._complete('instances', self._instances.close(), CLOSE_LIMIT_S),
-            self._complete('store', self._store.close(), CLOSE_LIMIT_S),
+            self._steps.complete(
+                'instances', self._instances.close(), CLOSE_LIMIT_S
+            ),
+            self._steps.complete('store', self._store.close(), CLOSE_LIMIT_S),
         )
         self._peers.close()
         logs.event(
             'daemon.stopped',
             vm=self._settings.vm_id,
-            steps_ms=self._step_times_ms,
+            steps_ms=self._steps.times_ms,
         )
 
-    async def _complete(
-        self, name: str, step: Coroutine, limit_s: float
-    ) -> bool:
-        """Runs a step of the stop and goes on without it after its limit.
-
-        A step that does not end although it is cancelled is not waited for.
-
-        Args:
-            name: Name of the step, for the log.
-            step: The step.
-            limit_s: Time limit, in seconds.
-
-        Returns:
-            Whether the step ended in time, possibly with an exception.
-        """
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        running = asyncio.create_task(step)
-        await asyncio.wait({running}, timeout=limit_s)
-        self._step_times_ms[name] = round((loop.time() - started_s) * 1000)
-        if not running.done():
-            running.cancel()
-            logs.event('daemon.step_cut', step=name, limit_s=limit_s)
-            return False
-        if not running.cancelled() and running.exception() is not None:
-            _LOGGER.error(
-                'step %s of the stop failed',
-                name,
-                exc_info=running.exception(),
-            )
-        return True
-
     async def _resign_and_drain(self) -> None:
         await asyncio.gather(self._resign(), self._drain())
 
@@ -357,4 +327,4 @@
         Those that it leaves are answered by the front end when it stops.
         """
         asking = self._dispatcher.ask(gateway_messages.EndRequests())
-        await self._complete('requests', asking, END_REQUESTS_LIMIT_S)
+        await self._steps.complete('requests', asking, END_REQUESTS_LIMIT_S)
--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -1,7 +1,6 @@
 """Tests of oriolefold_direct.application: how an entry VM stops."""
 
 import asyncio
-import contextlib
 import re
 import socket
 import time
@@ -368,15 +367,7 @@
     async def check_hanging(self, owner, name):
         """Checks a stop in which a method of the application's parts hangs."""
         await self.start_entry(fakes.route(timeout_s=5.0))
-        released = asyncio.Event()
-        self.addCleanup(released.set)
-
-        async def hang(*_):
-            while not released.is_set():
-                with contextlib.suppress(asyncio.CancelledError):
-                    await released.wait()
-
-        with mock.patch.object(owner, name, hang):
+        with mock.patch.object(owner, name, self.make_hanging()):
             took_s, _ = await self.stop_at_limit()
         self.assertLess(took_s, CLOSE_LIMIT_S)
         self.assertIn(' 502 ', await self.busy)
--- a/testbed/src/oriolefold_testbed/basecase.py
+++ b/testbed/src/oriolefold_testbed/basecase.py
@@ -10,7 +10,7 @@
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 
 from oriolefold_core import data, tasks
 
@@ -56,6 +56,21 @@
             await task.start()
             self.addAsyncCleanup(task.stop)
 
+    def make_hanging(self) -> Callable[..., Coroutine]:
+        """Returns a coroutine function that hangs, also when cancelled.
+
+        It returns once the test has ended.
+        """
+        released = asyncio.Event()
+        self.addCleanup(released.set)
+
+        async def hang(*_):
+            while not released.is_set():
+                with contextlib.suppress(asyncio.CancelledError):
+                    await released.wait()
+
+        return hang
+
     async def wait_for(
         self, condition: Callable[[], object | Awaitable[object]]
     ) -> None:
