End the process though a part of it ignores its cancellation

What others would see: a process that is still there after its last log line, until it is killed; a platform counts it as one that did not stop.

Cause: `asyncio.run` cancels the tasks that the program leaves and waits for them without a limit.

Change: `stopsteps.run` gives what is left 0.05 s, then closes the loop.

--- a/libs/daemon/src/oriolefold_daemon/cmdline.py
+++ b/libs/daemon/src/oriolefold_daemon/cmdline.py
@@ -8,6 +8,7 @@
 from oriolefold_config import settings as settings_library
 from oriolefold_core import errors
 from oriolefold_daemon import application, settings, version
+from oriolefold_gateway import stopsteps
 from oriolefold_telemetry import logs
 
 PROGRAM = 'oriolefoldd'
@@ -32,7 +33,7 @@
         output = open(values.log_file, 'a', encoding='utf-8')  # pylint: disable=consider-using-with
     logs.set_up(PROGRAM, values.vm_id, output)
     try:
-        asyncio.run(_run(values))
+        stopsteps.run(_run(values))
     except OSError as error:
         print(f'{PROGRAM}: cannot start: {error}', file=sys.stderr)
         return EXIT_CANNOT_LISTEN
--- a/libs/daemon/tests/test_cmdline.py
+++ b/libs/daemon/tests/test_cmdline.py
@@ -5,12 +5,29 @@
 import io
 import os
 import signal
+import subprocess
+import sys
 from unittest import mock
 
 from oriolefold_daemon import application, cmdline, version
 from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
+STOP_LIMIT_S = 5.0  # From SIGTERM to the end of a process without requests.
+# The daemon, with a part that does not stop, even when it is cancelled.
+HANGING_PROGRAM = """
+import asyncio, contextlib, sys
+from oriolefold_daemon import admin, cmdline
+
+async def hang(server):
+    while True:
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+
+admin.AdminServer.stop = hang
+sys.exit(cmdline.main(sys.argv[1:]))
+"""
+
 
 class CommandLineTest(basecase.BaseCase):
     """Invalid settings end the program with all findings and exit code 2."""
@@ -76,3 +93,32 @@
         self.assertEqual(ended, [])
         event.assert_called_once_with('daemon.reload')
         daemon.return_value.request_stop.assert_not_called()
+
+
+class ProcessTest(basecase.BaseCase):
+    """The process ends with the stop of the daemon."""
+
+    def test_step_that_hangs_does_not_outlast_the_stop(self):
+        arguments = [
+            f'--{name}-port={basecase.free_address().port}'
+            for name in ('caller', 'peer', 'admin', 'store')
+        ]
+        with subprocess.Popen(
+            [
+                *(sys.executable, '-c', HANGING_PROGRAM, '--vm-id=v'),
+                *('--zone=z', '--ip=127.0.0.1', '--store-ip=127.0.0.1'),
+                *arguments,
+            ],
+            stderr=subprocess.PIPE,
+            text=True,
+        ) as process:
+            self.addCleanup(process.kill)
+            while 'daemon.started' not in process.stderr.readline():
+                pass
+            process.terminate()
+            try:
+                code = process.wait(STOP_LIMIT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                self.fail('the process does not end')
+            self.assertEqual(code, 0)
--- a/libs/gateway/src/oriolefold_gateway/stopsteps.py
+++ b/libs/gateway/src/oriolefold_gateway/stopsteps.py
@@ -7,6 +7,26 @@
 
 from oriolefold_telemetry import logs
 
+CANCEL_LIMIT_S = 0.05  # Time for the tasks that a program leaves to end.
+
+
+def run(program: Coroutine[Any, Any, None]) -> None:
+    """Runs a program in an event loop of its own.
+
+    `asyncio.run` would wait for the tasks that the program leaves, also for
+    those that do not end although they are cancelled.
+    """
+    loop = asyncio.new_event_loop()
+    try:
+        loop.run_until_complete(program)
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        if left:
+            loop.run_until_complete(asyncio.wait(left, timeout=CANCEL_LIMIT_S))
+        loop.close()
+
 
 class StopSteps:
     """Runs the steps of a stop, of which none may prevent the next ones.
