Take the hand-back answer of a VM only while that VM is asked

What callers would see: two VMs that send for the same keys, and a home that does not know which instances the other one had declared lost. Not seen at callers; found by reading.

Cause: a home that begins a new epoch while it waits to ask a draining holder again asks that holder twice. The first answer ended its turn and the next holder was asked; the second one, which has the same request, counted as the answer of that next holder, and the lease became active without it.

Evidence: a test with two holders, where the second answer of the first one made the phase ACTIVE while the second holder had not answered.

Change: an answer counts only if its call went to the VM that is being asked.

--- a/libs/coordination/src/oriolefold_coordination/protocol.py
+++ b/libs/coordination/src/oriolefold_coordination/protocol.py
@@ -250,7 +250,7 @@
             case messages.VoteRequest():
                 return self._handle_vote(call.body, reply, now_s)
             case messages.HandBackRequest():
-                return self._handle_hand_back_reply(call.body, reply, now_s)
+                return self._handle_hand_back_reply(call, reply, now_s)
         return []
 
     def _handle_heartbeat_reply(
@@ -274,9 +274,13 @@
         return commands
 
     def _handle_hand_back_reply(
-        self, request, reply, now_s: float
+        self, call: Call, reply, now_s: float
     ) -> list[Command]:
-        if self._reclaim is None or request != self._reclaim.request:
+        if self._reclaim is None or call.body != self._reclaim.request:
+            return []
+        if call.vm_id != self._reclaim.vm_id:
+            # A VM may be asked twice, and its second reply comes when the next
+            # VM is being asked.
             return []
         if self._reclaim.handle_reply(reply, self._guards_by_vm_id):
             return self.ask_holders(now_s)
--- a/libs/coordination/tests/test_protocol.py
+++ b/libs/coordination/tests/test_protocol.py
@@ -487,3 +487,35 @@
         self.assertIs(late.verdict, messages.Verdict.OUTDATED)
         known = guarded_homes.knowledge_of('a')
         self.assertEqual(known.lost_epochs_by_id, {'s': 3})
+
+    def test_late_answer_of_one_holder_does_not_stand_for_the_next(self):
+        machine = protocol.LeaseProtocol('a', 'p', lease.DEFAULT_TERMS, 0.0)
+        machine.begin(shardmap.Guard('b', 'c', 1), False, 0.0)
+        status = messages.HandBackStatus
+
+        def asked(commands):
+            return [
+                command
+                for command in commands
+                if isinstance(command, protocol.Call)
+                and isinstance(command.body, messages.HandBackRequest)
+            ]
+
+        (earlier,) = asked(
+            machine.recorded(shardmap.Guard('b', 'c', 2, ('b', 'c')), 0.1)
+        )
+        draining = messages.HandBackReply(status.DRAINING)
+        (retry,) = machine.replied(earlier, draining, 0.2)
+        self.assertIsInstance(retry, protocol.RetryHandBack)
+        (first,) = asked(
+            machine.recorded(shardmap.Guard('b', 'c', 3, ('b', 'c')), 0.21)
+        )
+        (second,) = asked(machine.ask_holders(0.22))
+        handed_back = messages.HandBackReply(status.HANDED_BACK)
+        (next_call,) = asked(machine.replied(first, handed_back, 0.23))
+        self.assertEqual(next_call.vm_id, 'c')
+        not_held = messages.HandBackReply(status.NOT_HELD)
+        machine.replied(second, not_held, 0.24)
+        self.assertIs(machine.own.phase, homelease.Phase.RECLAIMING)
+        machine.replied(next_call, handed_back, 0.25)
+        self.assertIs(machine.own.phase, homelease.Phase.ACTIVE)
