Do not revive a lease that has ended by a late result

What other VMs would see: a VM that has stepped down takes its keys again and ends without handing them over, or its standby waits for a promise to end. Not seen; found by reading.

Cause: the record of a new epoch that was under way when the VM stepped down began that epoch, with a lease that could become active. And a guard that had restarted got one more heartbeat, after the final one, which prolonged its promise.

Evidence: two tests; before, the phase was ACTIVE after the late record, and the late reply of a guard led to another heartbeat.

Change: after the end of the lease both results are dropped.

--- a/libs/coordination/src/oriolefold_coordination/protocol.py
+++ b/libs/coordination/src/oriolefold_coordination/protocol.py
@@ -195,7 +195,7 @@
     ) -> list[Command]:
         """Handles the outcome of `RecordEpoch`, None if it failed."""
         self._recording = False
-        if guard is None:
+        if guard is None or self.own.phase is homelease.Phase.ENDED:
             return []
         self.own.begin_epoch(guard, now_s)
         self._reclaim = reclaiming.Reclaim(self._vm_id, guard)
@@ -256,7 +256,7 @@
     def _handle_heartbeat_reply(
         self, call: Call, reply, now_s: float
     ) -> list[Command]:
-        if reply is None:
+        if reply is None or self.own.phase is homelease.Phase.ENDED:
             return []
         if self.own.store_nonce(call.vm_id, reply):
             heartbeat = self.own.next_heartbeat(call.vm_id, now_s)
--- a/libs/coordination/tests/test_protocol.py
+++ b/libs/coordination/tests/test_protocol.py
@@ -519,3 +519,17 @@
         self.assertIs(machine.own.phase, homelease.Phase.RECLAIMING)
         machine.replied(next_call, handed_back, 0.25)
         self.assertIs(machine.own.phase, homelease.Phase.ACTIVE)
+
+    def test_late_record_of_an_epoch_does_not_revive_an_ended_lease(self):
+        machine = self.simulation.processes['a'].machine
+        machine.step_down()
+        machine.recorded(shardmap.Guard('b', 'c', 2), self.simulation.now('a'))
+        self.assertIs(machine.own.phase, homelease.Phase.ENDED)
+
+    def test_new_nonce_of_a_guard_does_not_prolong_an_ended_lease(self):
+        machine = self.simulation.processes['a'].machine
+        now_s = self.simulation.now('a')
+        (call,) = [c for c in machine.send_heartbeats(now_s) if c.vm_id == 'b']
+        machine.step_down()
+        lost = messages.HeartbeatReply(messages.Verdict.NO_MEMORY, 'new')
+        self.assertEqual(machine.replied(call, lost, now_s + 0.01), [])
