Keep the later of two acquisitions of a shard

What callers would see: keys without an owner for the time of one more acquisition, refused with 503, after a shard got a new home and a new owner within a short time. And a map that lists the prior home for good, until the shard is acquired again. Not seen at callers; found by reading.

Cause: a new row of the same home keeps the prior homes of the row before it, so acquisitions for both run side by side and end at about the same time. The result for the earlier row, if it came last, replaced the one for the later row, in the shard manager and in the planner.

Evidence: two tests. Before, the request after the late result got `not-home`, and the planner did not clear the prior homes within 20 s.

Change: both keep the highest epoch.

--- a/libs/ownership/src/oriolefold_ownership/planner.py
+++ b/libs/ownership/src/oriolefold_ownership/planner.py
@@ -133,7 +133,8 @@
                 known = self._acquired_epochs_by_service_id.setdefault(
                     message.service_id, {}
                 )
-                known.update(message.epochs_by_shard)
+                for shard, epoch in message.epochs_by_shard.items():
+                    known[shard] = max(known.get(shard, 0), epoch)
                 self._schedule_plan(message.service_id, RETRY_INTERVAL_S)
             case messages.VmListUpdated():
                 changed, self._vm_list = message != self._vm_list, message
--- a/libs/ownership/src/oriolefold_ownership/shardmanager.py
+++ b/libs/ownership/src/oriolefold_ownership/shardmanager.py
@@ -233,7 +233,10 @@
 
     def _on_acquired(self, acquired: messages.ShardsAcquired) -> None:
         for shard, epoch in acquired.epochs_by_shard.items():
-            self._acquired_epochs_by_shard[(acquired.service_id, shard)] = epoch
+            key = (acquired.service_id, shard)
+            known = self._acquired_epochs_by_shard.get(key, 0)
+            # Acquisitions for an earlier and a later map run side by side.
+            self._acquired_epochs_by_shard[key] = max(known, epoch)
         if acquired.service_id in self._maps_by_service_id:
             self._update_targets(acquired.service_id)
         self._planner.post(acquired)
--- a/libs/ownership/tests/test_planner.py
+++ b/libs/ownership/tests/test_planner.py
@@ -74,6 +74,26 @@
         self.backend.instance('s1').up = True
         await self.wait_for(lambda: self.owners()['s1'])
 
+    def prior_epochs(self):
+        """Returns the epochs of the rows that wait for a prior home."""
+        rows = enumerate(self.maps[-1].rows)
+        return {i: row.epoch for i, row in rows if row.prior_home_ids}
+
+    async def test_late_acquisition_of_an_earlier_row_keeps_the_later_one(self):
+        live = frozenset(('vm0', 'vm2'))
+        self.planner.post(messages.VmListUpdated(live, frozenset()))
+        await self.wait_for(self.prior_epochs)
+        earlier = self.prior_epochs()
+        owner_id = self.maps[-1].rows[min(earlier)].owner_id
+        lost = messages.InstanceLost(owner_id, self.maps[-1].epoch)
+        self.planner.post(lost)
+        await self.wait_for(lambda: owner_id not in self.owners())
+        later = self.prior_epochs()
+        self.assertNotEqual(later, earlier)
+        for epochs in (later, earlier):
+            self.planner.post(messages.ShardsAcquired('svc', epochs))
+        await self.wait_for(lambda: not self.prior_epochs())
+
     async def test_store_outage_delays_the_plan(self):
         self.store.down = True
         epoch = self.maps[-1].epoch
--- a/libs/ownership/tests/test_shardmanager.py
+++ b/libs/ownership/tests/test_shardmanager.py
@@ -248,6 +248,21 @@
         self.shard_manager.post(messages.ShardsAcquired('svc', epochs))
         self.assertEqual((await self.send()).status, 200)
 
+    async def test_late_acquisition_of_an_earlier_row_keeps_the_shard(self):
+        """Both rows wait for the same home, which released the shard."""
+        self.renew_lease()
+        self.change_map(prior_home_ids=('vm9',))
+        earlier = {0: self.map.epoch}
+        owner_id = self.map.rows[0].standby_id
+        self.change_map(prior_home_ids=('vm9',), owner_id=owner_id)
+        await self.wait_for(lambda: len(self.acquirer.requested_epochs) == 2)
+        later = {0: self.map.epoch}
+        self.shard_manager.post(messages.ShardsAcquired('svc', later))
+        self.assertEqual((await self.send()).status, 200)
+        self.shard_manager.post(messages.ShardsAcquired('svc', earlier))
+        self.assertEqual((await self.send()).status, 200)
+        self.assertEqual(len(self.acquirer.requested_epochs), 2)
+
     async def test_acquisition_goes_on_after_an_unexpected_error(self):
         self.renew_lease()
         self.acquirer.errors = [ValueError('unexpected')]
