--- a/libs/coordination/src/oriolefold_coordination/protocol.py
+++ b/libs/coordination/src/oriolefold_coordination/protocol.py
@@ -195,7 +195,7 @@
     ) -> list[Command]:
         """Handles the outcome of `RecordEpoch`, None if it failed."""
         self._recording = False
-        if guard is None:
+        if guard is None or self.own.phase is homelease.Phase.ENDED:
             return []
         self.own.begin_epoch(guard, now_s)
         self._reclaim = reclaiming.Reclaim(self._vm_id, guard)
@@ -250,13 +250,13 @@
             case messages.VoteRequest():
                 return self._handle_vote(call.body, reply, now_s)
             case messages.HandBackRequest():
-                return self._handle_hand_back_reply(call.body, reply, now_s)
+                return self._handle_hand_back_reply(call, reply, now_s)
         return []
 
     def _handle_heartbeat_reply(
         self, call: Call, reply, now_s: float
     ) -> list[Command]:
-        if reply is None:
+        if reply is None or self.own.phase is homelease.Phase.ENDED:
             return []
         if self.own.store_nonce(call.vm_id, reply):
             heartbeat = self.own.next_heartbeat(call.vm_id, now_s)
@@ -274,9 +274,13 @@
         return commands
 
     def _handle_hand_back_reply(
-        self, request, reply, now_s: float
+        self, call: Call, reply, now_s: float
     ) -> list[Command]:
-        if self._reclaim is None or request != self._reclaim.request:
+        if self._reclaim is None or call.body != self._reclaim.request:
+            return []
+        if call.vm_id != self._reclaim.vm_id:
+            # A VM may be asked twice, and its second reply comes when the next
+            # VM is being asked.
             return []
         if self._reclaim.handle_reply(reply, self._guards_by_vm_id):
             return self.ask_holders(now_s)
