Keep no answer whose caller left while it was written

What callers saw: 502 for large answers of a proper instance, 0.86 s after the request, while nothing else was in flight.

Cause: when a caller resets its connection while its answer is handed to the kernel, the stream keeps the exception as `error`. Its traceback refers to the frames of the write, these to the exchange and the answer, and the exchange to the stream. The answer is counted against the budget until the garbage collector finds the cycle, which takes long in a process with little to do. Three such answers of 9 MB leave no room for a fourth: it waits for half of its time and is then given up as its bytes arrive.

With the collector switched off each call from the fourth on got it. The chain of referrers of the answers kept (gc.get_referrers) is Future, Exchange, frames of Exchange._write, HTTP1Connection.write_headers, CallerStream.write and write_to_fd, traceback, ConnectionResetError.

Change: the stream drops the traceback of the error that closed it.

--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -160,7 +160,7 @@
     def close(self, exc_info=False):
         """Ends the output; after a failure, closes the stream."""
         if exc_info or self._input_ended:
-            super().close(exc_info)
+            self._close_now(exc_info)
         elif not self._output_ended and not self.closed():
             written = super().write(b'')
             self._output_ended = True
@@ -179,10 +179,16 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError as error:
-            super().close(error)
+            self._close_now(error)
             return
         self._on_output_ended()
 
+    def _close_now(self, exc_info) -> None:
+        super().close(exc_info)
+        if self.error is not None:
+            # Its frames refer to the answer that was being written.
+            self.error.__traceback__ = None
+
 
 def _drop_empty_lines(buf: bytearray | memoryview, size: int) -> int:
     """Removes leading line ends from a buffer and returns the size left."""
