Keep no request whose exchange with an instance failed

The memory of a failed exchange (the request with its body, frames of the pool) stayed until the garbage collector found it, and is counted against no budget meanwhile.

Cause: two cycles. The stream keeps the exception that closed it with the frames of the write, as the stream of a caller did. And an error that `_record_loss` returned unchanged was raised from itself, so that it was its own cause.

Change: the stream drops the traceback; `_record_loss` returns the text that is added, and the error is raised again as it is if there is none.

Measured: the test finds the function that was handed to a failed exchange freed at once with the collector switched off; it failed before, and fails with either half of the change alone.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -287,7 +287,11 @@
             raise
         except errors.OutcomeUnknownError as error:
             connection.stream.close()
-            raise self._record_loss(connection, started_s, error) from error
+            idle_text = self._record_loss(connection, started_s)
+            if not idle_text:
+                raise
+            text = error.message + idle_text
+            raise errors.OutcomeUnknownError(text) from error
         except TimeoutError as error:
             connection.stream.close()
             waited_s = loop.time() - started_s
@@ -354,24 +358,18 @@
             f'no connection to {address} up to number {newest_number} is idle'
         )
 
-    def _record_loss(
-        self,
-        connection: _Connection,
-        started_s: float,
-        error: errors.OutcomeUnknownError,
-    ) -> errors.OutcomeUnknownError:
-        """Updates the idle limit and adds the idle time to the error.
+    def _record_loss(self, connection: _Connection, started_s: float) -> str:
+        """Updates the idle limit and returns a text about the idle time.
 
         On its first use a connection was not idle before, and one on which a
-        response has begun was open, so the error is returned unchanged.
+        response has begun was open, so the text is empty.
         """
         if connection.uses < 2 or connection.stream.received_bytes:
-            return error
+            return ''
         now_s = asyncio.get_running_loop().time()
         idle_for_s = started_s - connection.idle_since_s
         self._idle_limit.record_loss(idle_for_s, now_s - started_s, now_s)
-        text = f'{error.message}, on a connection idle for {idle_for_s:.3f} s'
-        return errors.OutcomeUnknownError(text)
+        return f', on a connection idle for {idle_for_s:.3f} s'
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
         stream = pooledstream.PooledStream(open_socket())
--- a/libs/http/src/oriolefold_http/pooledstream.py
+++ b/libs/http/src/oriolefold_http/pooledstream.py
@@ -57,6 +57,13 @@
             self.hold.grow(count)
         return None if self.closed() else count
 
+    def close(self, exc_info=False):
+        """Closes the stream and keeps the error that caused it."""
+        super().close(exc_info)
+        if self.error is not None:
+            # Its frames refer to the request that was being written.
+            self.error.__traceback__ = None
+
     def abort(self) -> None:
         """Closes the stream in favor of other responses."""
         self.aborted = True
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import contextlib
+import gc
+import socket
+import struct
+import weakref
 from unittest import mock
 
-from oriolefold_core import bytebudget, errors
+from oriolefold_core import bytebudget, data, errors
 from oriolefold_http import connections, pooledstream
 from oriolefold_testbed import basecase
 
@@ -95,6 +99,41 @@
             await self.exchange()
         self.assertEqual(self.budget.held_bytes, 0)
 
+    async def test_a_failed_write_keeps_no_reference_to_its_request(self):
+        listening = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listening.close)
+        address = data.Address(*listening.getsockname())
+        pool = connections.ConnectionPool(10_000)
+        self.addCleanup(pool.close)
+
+        def reset_connection():
+            accepted, _ = listening.accept()
+            option = socket.SO_LINGER, struct.pack('ii', 1, 0)
+            accepted.setsockopt(socket.SOL_SOCKET, *option)
+            accepted.close()
+            return True
+
+        def is_own_response(unused_headers):
+            return True
+
+        # Only a collection would free the request if a cycle referred to it.
+        gc.disable()
+        self.addCleanup(gc.enable)
+        kept = weakref.ref(is_own_response)
+        # `assertRaises` would clear the frames of the error.
+        with contextlib.suppress(errors.OutcomeUnknownError):
+            await pool.exchange(
+                address,
+                connections.OutgoingRequest('POST', '/', [], b'x' * 1000),
+                5.0,
+                1.0,
+                is_own_response,
+                reset_connection,
+            )
+            self.fail('the connection was reset')
+        del is_own_response
+        self.assertIsNone(kept())
+
 
 class RoomTest(basecase.AsyncCase):
     """Responses of announced lengths share a budget that is too small."""
