Read endless responses by turns, so that proper ones are in time

What callers saw: 502 `no answer before the deadline` for a 9 MB answer of a proper instance while 60 requests got responses without an end, on a VM with little processor time (test_endless_instances_do_not_fill_the_vm with the entry process on one core beside three busy processes).

Cause: each response without an end does up to 256 KB or 16 tiny chunks of work in each turn of the event loop. Their number decides how long a turn is, and a proper response goes on by a part per turn.

Change: streams that have read 16 chunks, or 256 KB of a response of unknown length, wait for their turn; a pool lets four of them go on in each turn of the event loop. Responses of an announced length never wait.

--- a/libs/core/src/oriolefold_core/bytebudget.py
+++ b/libs/core/src/oriolefold_core/bytebudget.py
@@ -61,6 +61,11 @@
         """Number of counted bytes that have arrived."""
         return self.size - self._reserved
 
+    @property
+    def is_of_unknown_length(self) -> bool:
+        """Whether more has arrived than was announced, unless it is small."""
+        return self.arrived > self.announced_size + SMALL_BYTES
+
     def grow(self, count: int) -> None:
         """Counts more bytes; may abort this hold or others to make room."""
         used = min(count, self._reserved)
@@ -200,7 +205,7 @@
         endless = [
             other
             for other in self._growing
-            if not other.essential and _is_of_unknown_length(other)
+            if not other.essential and other.is_of_unknown_length
         ]
         if excess > sum(other.size for other in endless):
             return False
@@ -242,10 +247,6 @@
         self._wake_waiting()
 
 
-def _is_of_unknown_length(hold: Hold) -> bool:
-    return hold.arrived > hold.announced_size + SMALL_BYTES
-
-
 class BodyHold:
     """Room for the body of one request.
 
@@ -319,6 +320,6 @@
 def _precedence(hold: Hold) -> tuple[bool, bool, int]:
     return (
         not hold.essential,
-        _is_of_unknown_length(hold),
+        hold.is_of_unknown_length,
         max(hold.size, hold.announced_size),
     )
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -17,7 +17,7 @@
 from tornado import http1connection, httputil, iostream, netutil
 
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import idlelimit, pooledstream
+from oriolefold_http import idlelimit, pooledstream, readturns
 
 KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
 KEEPALIVE_INTERVAL_S = 1  # Interval between the probes.
@@ -193,6 +193,7 @@
         )
         self._idle_s = idle_s
         self._idle_limit = idlelimit.IdleLimit()
+        self._turns = readturns.ReadTurns()
         self._idle_by_address: dict[
             data.Address, collections.deque[_Connection]
         ] = {}
@@ -372,7 +373,7 @@
         return f', on a connection idle for {idle_for_s:.3f} s'
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
-        stream = pooledstream.PooledStream(open_socket())
+        stream = pooledstream.PooledStream(open_socket(), self._turns)
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((address.host, address.port))
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -8,53 +8,146 @@
 import weakref
 from unittest import mock
 
+from tornado import iostream
+
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import connections, pooledstream
+from oriolefold_http import connections, pooledstream, readturns
 from oriolefold_testbed import basecase
 
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 CHUNKS = 10_000
+ENDLESS = 40  # Responses without an end at once.
+READ_BYTES = 64 * 1024  # The most that Tornado reads from a socket at once.
+MOST_BYTES_PER_TURN = pooledstream.MAX_BYTES_PER_TURN + READ_BYTES
+
+
+class _LoopTurns:
+    """Counts the calls of a method in each turn of the event loop.
+
+    Attributes:
+        amounts: What was counted in each turn so far.
+    """
+
+    def __init__(self, owner, name, amount_of):
+        """Initializes without a turn.
+
+        Args:
+            owner: Class of the method.
+            name: Name of the method.
+            amount_of: Returns what a call counts for, from its result.
+        """
+        self.amounts = [0]
+        counted = getattr(owner, name)
+
+        def count(*args, **kwargs):
+            result = counted(*args, **kwargs)
+            self.amounts[-1] += amount_of(result)
+            return result
+
+        self._patch = mock.patch.object(owner, name, count)
+        self._next: asyncio.Handle | None = None
+
+    def __enter__(self):
+        self._patch.start()
+        self._begin_turn()
+        return self
+
+    def __exit__(self, *unused_error):
+        self._next.cancel()
+        self._patch.stop()
+
+    def _begin_turn(self):
+        self.amounts.append(0)
+        self._next = asyncio.get_running_loop().call_soon(self._begin_turn)
 
 
 class TurnsTest(basecase.AsyncCase):
     """An exchange leaves other tasks their turns."""
 
-    async def test_tiny_chunks_do_not_hold_up_other_tasks(self):
+    async def start_server(self, response, repeated=b''):
+        """Starts a server that repeats bytes after a response."""
         address = basecase.free_address()
-        response = CHUNKED + b'1\r\nx\r\n' * CHUNKS + b'0\r\n\r\n'
 
         async def serve(reader, writer):
             with contextlib.suppress(EOFError, ConnectionError):
                 await reader.readuntil(b'\r\n\r\n')
                 writer.write(response)
                 await writer.drain()
+                while repeated:
+                    writer.write(repeated)
+                    await writer.drain()
+                    await asyncio.sleep(0)
             writer.close()
 
         listening = await asyncio.start_server(
             serve, address.host, address.port
         )
         self.addCleanup(listening.close)
-        pool = connections.ConnectionPool(1_000_000)
-        self.addCleanup(pool.close)
-        sleeps = []
-        sleep = asyncio.sleep
-
-        async def count_sleep(delay_s):
-            sleeps.append(delay_s)
-            await sleep(delay_s)
+        return address
 
-        self.enterContext(mock.patch.object(asyncio, 'sleep', count_sleep))
-        incoming = await pool.exchange(
+    async def exchange(self, address, timeout_s):
+        return await self.pool.exchange(
             address,
             connections.OutgoingRequest('GET', '/', []),
-            timeout_s=20.0,
+            timeout_s,
             connect_timeout_s=1.0,
         )
+
+    async def receive_endlessly(self, head, repeated, max_body_bytes):
+        """Receives many responses without an end, up to a size each."""
+        budget = bytebudget.ByteBudget(1_000_000_000)
+        self.pool = connections.ConnectionPool(max_body_bytes, budget=budget)
+        self.addCleanup(self.pool.close)
+        address = await self.start_server(head, repeated)
+        results = await asyncio.gather(
+            *(self.exchange(address, 20.0) for _ in range(ENDLESS)),
+            return_exceptions=True,
+        )
+        for result in results:
+            self.assertIsInstance(result, errors.OutcomeUnknownError)
+
+    async def test_tiny_chunks_do_not_hold_up_other_tasks(self):
+        address = await self.start_server(
+            CHUNKED + b'1\r\nx\r\n' * CHUNKS + b'0\r\n\r\n'
+        )
+        self.pool = connections.ConnectionPool(1_000_000)
+        self.addCleanup(self.pool.close)
+        with _LoopTurns(iostream.IOStream, 'read_until', bool) as turns:
+            incoming = await self.exchange(address, 20.0)
         self.assertEqual(incoming.body, b'x' * CHUNKS)
-        self.assertGreaterEqual(
-            len(sleeps), CHUNKS // pooledstream.MAX_CHUNKS_PER_TURN
+        self.assertEqual(sum(turns.amounts), CHUNKS + 1)
+        self.assertLessEqual(
+            max(turns.amounts), pooledstream.MAX_CHUNKS_PER_TURN
         )
 
+    async def test_many_responses_in_tiny_chunks_share_their_turns(self):
+        with _LoopTurns(iostream.IOStream, 'read_until', bool) as turns:
+            await self.receive_endlessly(
+                CHUNKED, b'1\r\nx\r\n' * 4096, max_body_bytes=200
+            )
+        self.check_shared(turns.amounts, pooledstream.MAX_CHUNKS_PER_TURN)
+
+    async def test_many_responses_without_a_length_share_their_turns(self):
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        with _LoopTurns(
+            iostream.IOStream, 'read_from_fd', lambda count: count or 0
+        ) as turns:
+            await self.receive_endlessly(
+                head, b'x' * READ_BYTES, max_body_bytes=4_000_000
+            )
+        self.check_shared(turns.amounts, MOST_BYTES_PER_TURN)
+
+    def check_shared(self, amounts, most_per_stream):
+        """Checks how much was read in the turns of the event loop.
+
+        Args:
+            amounts: What was read in each turn.
+            most_per_stream: The most that a stream may read in its turn.
+        """
+        streams = readturns.STREAMS_PER_TURN * len(amounts) + ENDLESS
+        self.assertGreater(sum(amounts), ENDLESS * most_per_stream)
+        self.assertLessEqual(sum(amounts), streams * most_per_stream)
+
 
 class ReuseTest(basecase.AsyncCase):
     """What an exchange leaves behind harms no later one."""
