--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -17,7 +17,7 @@
 from tornado import http1connection, httputil, iostream, netutil
 
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import idlelimit, pooledstream
+from oriolefold_http import idlelimit, pooledstream, readturns
 
 KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
 KEEPALIVE_INTERVAL_S = 1  # Interval between the probes.
@@ -193,6 +193,7 @@
         )
         self._idle_s = idle_s
         self._idle_limit = idlelimit.IdleLimit()
+        self._turns = readturns.ReadTurns()
         self._idle_by_address: dict[
             data.Address, collections.deque[_Connection]
         ] = {}
@@ -287,7 +288,11 @@
             raise
         except errors.OutcomeUnknownError as error:
             connection.stream.close()
-            raise self._record_loss(connection, started_s, error) from error
+            idle_text = self._record_loss(connection, started_s)
+            if not idle_text:
+                raise
+            text = error.message + idle_text
+            raise errors.OutcomeUnknownError(text) from error
         except TimeoutError as error:
             connection.stream.close()
             waited_s = loop.time() - started_s
@@ -354,28 +359,22 @@
             f'no connection to {address} up to number {newest_number} is idle'
         )
 
-    def _record_loss(
-        self,
-        connection: _Connection,
-        started_s: float,
-        error: errors.OutcomeUnknownError,
-    ) -> errors.OutcomeUnknownError:
-        """Updates the idle limit and adds the idle time to the error.
+    def _record_loss(self, connection: _Connection, started_s: float) -> str:
+        """Updates the idle limit and returns a text about the idle time.
 
         On its first use a connection was not idle before, and one on which a
-        response has begun was open, so the error is returned unchanged.
+        response has begun was open, so the text is empty.
         """
         if connection.uses < 2 or connection.stream.received_bytes:
-            return error
+            return ''
         now_s = asyncio.get_running_loop().time()
         idle_for_s = started_s - connection.idle_since_s
         self._idle_limit.record_loss(idle_for_s, now_s - started_s, now_s)
-        text = f'{error.message}, on a connection idle for {idle_for_s:.3f} s'
-        return errors.OutcomeUnknownError(text)
+        return f', on a connection idle for {idle_for_s:.3f} s'
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
         try:
-            stream = pooledstream.PooledStream(open_socket())
+            stream = pooledstream.PooledStream(open_socket(), self._turns)
         except OSError as error:
             text = f'no socket for a connection to {address}: {error!r}'
             raise errors.UnreachableError(text) from error
