Do not drop the response to a task that was cancelled earlier

What callers would see: nothing today; no task of the program is cancelled and then goes on to use the pool. One that did would get CancelledError for each request, after the server has run it.

Cause: whether an exchange was cancelled while it waited for room was read from its task, which may have been cancelled before.

Evidence: found by a reviewer. The test failed before: CancelledError.

Change: the collector remembers that its own wait was cancelled. Tests of the connections: 10 passed.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -80,7 +80,12 @@
 
 
 class _ResponseCollector(httputil.HTTPMessageDelegate):
-    """Collects one response."""
+    """Collects one response.
+
+    Attributes:
+        cancelled: Whether its wait for room was cancelled, which it cannot
+            raise through Tornado.
+    """
 
     def __init__(
         self, hold: bytebudget.Hold, max_body_bytes: int, ends_at_s: float
@@ -88,6 +93,7 @@
         self._hold = hold
         self._max_body_bytes = max_body_bytes
         self._ends_at_s = ends_at_s
+        self.cancelled = False
         self.reset()
 
     def reset(self) -> None:
@@ -125,6 +131,7 @@
         try:
             await self._hold.announce(size, left_s * ROOM_WAIT_FRACTION)
         except asyncio.CancelledError as error:
+            self.cancelled = True
             # Tornado replaces and logs any other exception of a delegate.
             raise httputil.HTTPInputError('cancelled') from error
 
@@ -426,8 +433,7 @@
             http.finish()
             for _ in range(MAX_UNRELATED_RESPONSES):
                 await http.read_response(collector)
-                if asyncio.current_task().cancelling():
-                    # The collector cannot raise it through Tornado.
+                if collector.cancelled:
                     raise asyncio.CancelledError
                 incoming = _complete_response(collector, stream)
                 if is_own_response is None or is_own_response(incoming.headers):
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -244,6 +244,40 @@
                 )
 
 
+class CancelledCallerTest(basecase.AsyncCase):
+    """A task that was cancelled and goes on may use the pool to clean up."""
+
+    async def test_a_response_to_a_task_cancelled_earlier_is_not_dropped(self):
+        address = basecase.free_address()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+            writer.close()
+
+        listening = await asyncio.start_server(
+            serve, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        pool = connections.ConnectionPool(1000)
+        self.addCleanup(pool.close)
+
+        async def clean_up_when_cancelled():
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(20.0)
+            return await pool.exchange(
+                address,
+                connections.OutgoingRequest('GET', '/', []),
+                timeout_s=20.0,
+                connect_timeout_s=1.0,
+            )
+
+        cleaning_up = asyncio.create_task(clean_up_when_cancelled())
+        await asyncio.sleep(0)
+        cleaning_up.cancel()
+        self.assertEqual((await cleaning_up).body, b'ok')
+
+
 class RoomTest(basecase.AsyncCase):
     """Responses of announced lengths share a budget that is too small."""
 
