--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -189,20 +189,3 @@
         async with asyncio.timeout(1):
             await closed.wait()
         self.assertEqual(budget.held_bytes, other.size)
-
-
-class DescriptorTest(basecase.AsyncCase):
-    """No descriptor is left for a new connection."""
-
-    async def test_a_request_that_gets_no_socket_is_known_to_be_unsent(self):
-        address = basecase.free_address()
-        pool = connections.ConnectionPool(10_000)
-        self.addCleanup(pool.close)
-        with basecase.no_descriptors():
-            with self.assertRaises(errors.UnreachableError):
-                await pool.exchange(
-                    address,
-                    connections.OutgoingRequest('GET', '/', []),
-                    timeout_s=5.0,
-                    connect_timeout_s=1.0,
-                )
