--- a/libs/direct/tests/test_application.py
+++ b/libs/direct/tests/test_application.py
@@ -102,7 +102,9 @@
         self.store = _Store()
         self.address = basecase.free_address()
 
-    async def start_entry(self, *routes, keyed=False):
+    async def start_entry(
+        self, *routes, keyed=False, stop_limit_s=STOP_LIMIT_S
+    ):
         self.status_address = basecase.free_address()
         values = application.DirectSettings(
             'vm-1',
@@ -115,7 +117,7 @@
             'Key',
             attempts.BudgetLimits(0.2, 10.0, 56.0, 1),
             DRAIN_DELAY_S,
-            STOP_LIMIT_S,
+            stop_limit_s,
         )
         self.entry = application.Application(
             values,
@@ -202,6 +204,16 @@
         answer = await self.exchange(connection, 'bounded', deadline_ms=400)
         self.assertIn(' 200 ', answer)
 
+    async def test_answers_in_the_drain_delay_ask_callers_to_leave(self):
+        await self.start_entry(fakes.route(timeout_s=5.0), stop_limit_s=3.0)
+        connection = await self.connect()
+        answer = await self.exchange(connection, 'before')
+        self.assertNotIn('Connection: close', answer)
+        self.entry.request_stop()
+        answer = await self.exchange(connection, 'after', deadline_ms=1000)
+        self.assertIn(' 200 ', answer)
+        self.assertIn('Connection: close', answer)
+
     async def test_request_at_an_instance_is_answered_at_the_stop_limit(self):
         await self.start_entry(fakes.route(timeout_s=5.0))
         await self.occupy(4.0)
@@ -223,7 +235,8 @@
         self.assertLess(took_s - STOP_LIMIT_S, frontend.CLOSE_LIMIT_S + 0.1)
         self.assertIn(' 502 ', await self.busy)
 
-    async def test_request_sent_nowhere_is_not_run_at_the_stop_limit(self):
+    async def check_unsent_is_not_run(self):
+        """Checks that a stop answers a queued request as not run."""
         await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
         self.instances.outcomes = {'one': [4.0, 4.0]}
         exchanges_by_id = {
@@ -241,6 +254,16 @@
             sent = request_id in self.sent_ids()
             self.assertIn(' 502 ' if sent else ' 503 ', await exchange)
 
+    async def test_request_sent_nowhere_is_not_run_at_the_stop_limit(self):
+        await self.check_unsent_is_not_run()
+
+    async def test_request_sent_nowhere_is_not_run_after_a_failed_drain(self):
+        failing = mock.patch.object(
+            frontend.Frontend, 'drain', side_effect=ValueError('unexpected')
+        )
+        with failing, self.assertLogs('oriolefold_direct', 'ERROR'):
+            await self.check_unsent_is_not_run()
+
     async def test_queued_request_is_refused_while_draining(self):
         await self.start_entry(fakes.route(timeout_s=5.0, objective_s=5.0))
         await self.occupy(4.0)
@@ -432,6 +455,30 @@
             await self.stop_at_limit()
         close.assert_awaited_once()
 
+    async def test_cancelled_step_does_not_prevent_the_next_ones(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        cancelled = mock.patch.object(
+            status.StatusServer, 'stop', side_effect=asyncio.CancelledError
+        )
+        with cancelled, mock.patch.object(_Store, 'close') as close:
+            await self.stop_at_limit()
+        close.assert_awaited_once()
+
+    async def test_step_beyond_its_limit_does_not_go_on(self):
+        await self.start_entry(fakes.route(timeout_s=5.0))
+        cancelled = asyncio.Event()
+
+        async def wait(_):
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        with mock.patch.object(status.StatusServer, 'stop', wait):
+            await self.stop_at_limit()
+        await self.wait_for(cancelled.is_set)
+
     def open_connections(self, address, count, sent=b''):
         for _ in range(count):
             connection = socket.create_connection((address.host, address.port))
