Test guards of the dispatcher's end of requests

No test noticed the removal of these guards in the direct front end's dispatcher: - `serving.cancel()` in `_end_requests`: the work at the instance is cancelled; - `reply.done()` there: a request that its caller has left is not counted and logged as failed; - `assignment.done()` in `_refuse_unfinishable`: a queued request that its caller has just left made the dispatcher fail on the drain, so that the requests behind it were not refused; - the line `drain.refused`.

Each new test failed without its guard, and passed with it. `queue.discard` in `_refuse_unfinishable` has no effect of its own: the waiting request discards itself in the next turn of the loop, and a wake skips it.

--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -7,7 +7,7 @@
 
 from oriolefold_coordination import ranges
 from oriolefold_core import clock, data, errors
-from oriolefold_direct import dispatcher, messages
+from oriolefold_direct import dispatcher, messages, pending
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, topology
 from oriolefold_sending import messages as sending_messages
@@ -351,6 +351,70 @@
         self.assertEqual((await asking[0]).status, 200)
         self.assertEqual(len(self.instances.sent), 1)
 
+    async def test_abandoned_request_does_not_keep_a_stop_from_queued_ones(
+        self,
+    ):
+        self.prepare(
+            fakes.route(objective_s=30.0, timeout_s=30.0),
+            endpoints=[fakes.endpoint('one', slots=1)],
+        )
+        self.instances.outcomes = {'one': [30.0]}
+        asking = [
+            asyncio.create_task(self.ask(deadline_ms='5000')) for _ in range(3)
+        ]
+        self.addCleanup(asking[0].cancel)
+        await self.wait_for(lambda: self.instances.sent)
+        # The abandoned request is still in the queue when the stop begins.
+        asking[1].cancel()
+        self.drain(0.05)
+        with self.assertRaises(errors.StoppingError):
+            await asking[2]
+
+    async def test_refusal_of_a_draining_vm_leaves_a_line(self):
+        self.prepare(
+            fakes.route(objective_s=30.0, timeout_s=30.0),
+            endpoints=[fakes.endpoint('one', slots=1)],
+        )
+        self.instances.outcomes = {'one': [30.0]}
+        asking = [
+            asyncio.create_task(self.ask(deadline_ms='5000')) for _ in range(2)
+        ]
+        self.addCleanup(asking[0].cancel)
+        await self.wait_for(lambda: self.instances.sent)
+        with mock.patch.object(logs, 'event') as logged:
+            self.drain(0.05)
+            for refused in (asking[1], self.ask()):
+                with self.assertRaises(errors.StoppingError):
+                    await refused
+        found = [
+            (c.kwargs['request'], c.kwargs['sends'])
+            for c in logged.call_args_list
+            if c.args == ('drain.refused',)
+        ]
+        self.assertEqual(found, [('q', 0)] * 2)
+
+    async def test_end_of_the_requests_cancels_the_work_at_instances(self):
+        self.prepare(fakes.route(timeout_s=30.0))
+        self.outcomes(30.0)
+        asking = asyncio.create_task(self.ask(deadline_ms='30000'))
+        await self.wait_for(lambda: self.instances.sent)
+        await self.dispatcher.ask(gateway_messages.EndRequests())
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await asking
+        await self.wait_for(lambda: self.instances.cancelled_ids)
+
+    async def test_end_of_the_requests_does_not_count_one_that_was_cancelled(
+        self,
+    ):
+        self.prepare(fakes.route(timeout_s=30.0))
+        self.outcomes(30.0)
+        asking = asyncio.create_task(self.ask(deadline_ms='30000'))
+        await self.wait_for(lambda: self.instances.sent)
+        with mock.patch.object(pending.Reporter, 'failed') as failed:
+            asking.cancel()
+            await self.dispatcher.ask(gateway_messages.EndRequests())
+        failed.assert_not_called()
+
     async def test_draining_does_not_retry_what_could_be_cut(self):
         self.prepare()
         self.outcomes(errors.MisdirectedError('moved'))
