Test guards of the time limits of requests

Each new test failed without its guard, and passed with it.

`output_ended` in `_check_head` has no effect that a test of the connections notices; a write after the end of the output raises.

--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -158,6 +158,20 @@
         await asyncio.sleep(0.05)
         return caller
 
+    def pause_and_send(self, caller: Caller, raw: bytes, pause_s: float):
+        """Pauses the process; bytes arrive after its next look at the sockets.
+
+        Checks whose time comes in the pause find the bytes in the kernel.
+        """
+        loop = asyncio.get_running_loop()
+
+        def send():
+            caller.send(raw)
+            time.sleep(0.05)
+
+        loop.call_later(0.01, loop.call_soon, send)
+        time.sleep(pause_s)
+
     def cuts(self) -> list[dict]:
         return [
             call.kwargs
@@ -642,6 +656,12 @@
         head = f'POST /svc/a HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
         return await self.send_part(f'{head}\r\n\r\n'.encode() + b'x' * sent)
 
+    def set_body_limits(self, body_stall_s: float) -> None:
+        self.frontend.set_limits(
+            16384, BODIES_BYTES, 30.0, header_timeout_s=0.05
+        )
+        self.frontend.body_stall_s = body_stall_s
+
     async def test_a_body_without_room_is_refused_before_it_is_read(self):
         first = await self.send_post(700_000, 1)
         self.dispatcher.dispatches.clear()
@@ -701,10 +721,7 @@
                 await self.wait_for(lambda: not self.held_bytes())
 
     async def test_a_body_that_stops_arriving_gets_408(self):
-        self.frontend.set_limits(
-            16384, BODIES_BYTES, 30.0, header_timeout_s=0.05
-        )
-        self.frontend.body_stall_s = 0.3
+        self.set_body_limits(0.3)
         caller = await self.send_post(100_000, 0)
         for _ in range(5):
             await asyncio.sleep(0.1)
@@ -713,6 +730,38 @@
         self.assert_refused(parse(await caller.read_to_end()), 408)
         self.assertEqual(self.held_bytes(), 0)
 
+    async def test_the_rest_of_a_body_in_the_kernel_gets_no_408(self):
+        self.set_body_limits(1.0)
+        caller = await self.send_part(POST + b'xxxxx')
+        await asyncio.sleep(0.1)
+        self.pause_and_send(caller, b'xxxxx', 1.2)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_body_timeout_cuts_no_request_that_waits(self):
+        self.set_body_limits(0.5)
+        caller = await self.connect_used()
+        self.dispatcher.answer = None
+        caller.send(POST + b'x' * 10)
+        await asyncio.sleep(0.8)
+        self.dispatcher.dispatches[-1].answer(data.Answer(200, (), b'', 's0'))
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_a_body_timeout_does_not_refuse_the_next_request(self):
+        self.set_body_limits(1.0)
+        caller = await self.send_part(POST + b'xxxxx')
+        self.dispatcher.answer = None
+        await asyncio.sleep(0.1)
+        caller.send(b'xxxxx')
+        await self.wait_for(lambda: len(self.dispatcher.dispatches) == 2)
+        self.dispatcher.dispatches[-1].answer(data.Answer(200, (), b'', 's0'))
+        # The time limit ends between the answer and the next idle time.
+        asyncio.get_running_loop().call_soon(time.sleep, 1.2)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await asyncio.sleep(0.05)
+        self.dispatcher.answer = data.Answer(200, (), b'ok', 's0')
+        caller.send(GET)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
 
 class TimeoutTest(ConnectionCase):
     """The limits on idle time and on slow heads do not mix."""
@@ -809,6 +858,12 @@
                 time.sleep(0.4)  # noqa: ASYNC251
                 self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_the_rest_of_a_head_in_the_kernel_gets_no_408(self):
+        self.set_timeouts(1.0, 30.0)
+        caller = await self.send_part(GET[:30])
+        self.pause_and_send(caller, GET[30:], 1.2)
+        self.assertEqual((await caller.read_answer())[0], 200)
+
     async def test_the_idle_timeout_cuts_no_request_in_the_kernel(self):
         self.set_timeouts(5.0, 0.2)
         caller = await self.connect_used()
@@ -1097,6 +1152,26 @@
         self.assertGreaterEqual(cut['after_close_ms'], 49)
         self.assertGreaterEqual(cut['idle_before_ms'], 99)
 
+    async def test_a_late_request_is_timed_from_the_close_to_its_first_byte(
+        self,
+    ):
+        caller = await self.connect_used()
+        await asyncio.sleep(0.3)
+        started_s = time.monotonic()
+        caller.send(CLOSING_GET)
+        await caller.read_to_end()
+        caller.send(GET[:30])
+        await asyncio.sleep(0.05)
+        most_ms = (time.monotonic() - started_s) * 1000
+        await asyncio.sleep(0.3)
+        caller.send(GET[30:])
+        await asyncio.sleep(0.05)
+        caller.close()
+        await self.wait_for(self.cuts)
+        (cut,) = self.cuts()
+        self.assertEqual(cut['stage'], 'crossed')
+        self.assertLessEqual(cut['after_close_ms'], most_ms + 1)
+
     async def test_a_malformed_request_is_logged(self):
         caller = await self.send_part(b'GET /svc/a\r\n\r\n')
         self.assertIn(b' 400 ', await caller.read_to_end())
