--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import itertools
 import json
 import socket
 import time
@@ -10,7 +11,7 @@
 
 from oriolefold_backend import headers as backend_headers
 from oriolefold_core import bytebudget, data, tasks
-from oriolefold_gateway import callerstream, frontend
+from oriolefold_gateway import accepting, callerstream, frontend
 from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
@@ -264,6 +265,50 @@
         for caller in callers:
             self.assertEqual((await caller.read_answer())[0], 200)
 
+    async def test_an_aborted_connection_does_not_keep_a_drain_from_others(
+        self,
+    ):
+        caller = self.connect()
+        caller.send(GET)
+        accept = socket.socket.accept
+        aborted = iter([True])
+
+        def accept_after_aborted(listening):
+            if next(aborted, False):
+                raise ConnectionAbortedError
+            return accept(listening)
+
+        with mock.patch.object(socket.socket, 'accept', accept_after_aborted):
+            await self.frontend.drain()
+        self.assertEqual((await caller.read_answer())[0], 200)
+
+    async def test_the_end_of_listening_frees_the_descriptor_for_others(self):
+        await self.frontend.drain()
+        # Its socket gets the descriptor of the closed one.
+        following = frontend.Frontend(
+            self.address, self.dispatcher, MAX_BODY_BYTES
+        )
+        following.start(reuse_port=False)
+        self.addAsyncCleanup(following.stop)
+        self.assertEqual((await self.exchange(GET))[0], 200)
+
+    async def test_a_burst_of_connections_leaves_others_their_turn(self):
+        counts = [0]
+
+        async def count_each_turn():
+            while counts[-1] < BURST_CONNECTIONS:
+                await asyncio.sleep(0)
+                counts.append(self.frontend.connection_count)
+
+        for _ in range(BURST_CONNECTIONS):
+            self.connect()
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            await count_each_turn()
+        most = max(
+            after - before for before, after in itertools.pairwise(counts)
+        )
+        self.assertEqual(most, accepting.BATCH_CONNECTIONS)
+
     async def test_connections_not_yet_accepted_are_refused_by_a_stop(self):
         callers = [self.connect() for _ in range(QUEUED_CONNECTIONS)]
         for caller in callers:
