Send a request over no connection twice

What callers saw, or would see: 'not run' for a request that runs at the owner of its key, or the body of its first send for its second (MIXED).

Cause: the sends of one request have one ID, so a copy of the answer to an earlier send cannot be told from the answer to the retry on the same connection.

Change: a request remembers the connections that have carried it, and the pool sends it over none of them again.

--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -21,6 +21,9 @@
         target: Path and query as the caller sent them.
         headers: End-to-end headers from the caller.
         body: The complete body.
+        carriers: Numbers of the connections that have carried it. The client
+            adds to them and sends it over none of them again: an instance may
+            repeat its answer to the earlier send there.
     """
 
     request_id: str
@@ -28,6 +31,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    carriers: set[int] = dataclasses.field(default_factory=set, compare=False)
 
 
 class GrantResult(enum.Enum):
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -55,6 +55,9 @@
         matcher: Tells which responses answer this request.
         on_new_connection: Whether it may go only over a new connection, so that
             no response to an earlier request can precede its own.
+        carriers: Numbers of the connections that have carried it, to which the
+            pool adds. It is not sent over any of them again, since a late
+            response to the earlier sending has the same ID.
     """
 
     method: str
@@ -65,6 +68,7 @@
     essential: bool = False
     matcher: matching.Matcher = matching.ANY_RESPONSE
     on_new_connection: bool = False
+    carriers: set[int] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -267,7 +271,9 @@
             connection = None
             self._make_room_for_connection(address)
         else:
-            connection = self._take_idle(address, loop.time())
+            connection = self._take_idle(
+                address, loop.time(), outgoing.carriers
+            )
         if connection is None:
             connect_s = min(connect_timeout_s, timeout_s)
             connection = await self._connect(address, connect_s)
@@ -361,10 +367,14 @@
             connection.stream.set_close_callback(None)
             connection.stream.close()
 
-    def _take_idle(self, address, now_s: float) -> _Connection | None:
-        idle = self._idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
+    def _take_idle(
+        self, address, now_s: float, carriers: set[int]
+    ) -> _Connection | None:
+        idle = self._idle_by_address.get(address, ())
+        others = [c for c in idle if c.number not in carriers]
+        while others:
+            connection = others.pop()
+            idle.remove(connection)
             connection.stream.set_close_callback(None)
             idle_for_s = now_s - connection.idle_since_s
             if (
@@ -438,6 +448,7 @@
         if stream.closed():
             raise errors.UnreachableError('the connection was closed')
         connection.uses += 1
+        outgoing.carriers.add(connection.number)
         http = http1connection.HTTP1Connection(stream, True, self._params)
         max_body_bytes = self._max_body_bytes(outgoing)
         http.set_max_body_size(max_body_bytes)
