Count a lease also from a grant whose answer says that it is stale

What callers would see: a key given on while its owner still holds it.

Cause: a grant that was answered 409 did not extend the lease that the leader waits for. Answers to grants carry no ID, so an earlier 409 that is written once more hides that the grant was accepted.

Evidence: the test failed, the other instance was granted the keys 5.21 s after the start, though a lease may last until 7.2 s. Found by reading; no play showed it.

Change: each grant that was written may have been accepted, whatever its answer.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -310,8 +310,7 @@
             accepted or grant.newest_connection is None
         ):
             self._newest_connections_by_token[grant.token] = newest_connection
-        may_hold = accepted or newest_connection is not None
-        if may_hold and not stale:
+        if accepted or newest_connection is not None:
             self._extend_lease(key_range, lease_end_s(now_s))
         pause_s = RENEW_INTERVAL_S if accepted else RETRY_INTERVAL_S
         self._next_call_at_s[range_id] = now_s + pause_s
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -923,6 +923,15 @@
         self.assertGreaterEqual(granted_at_s, rangeleases.lease_end_s(0.0))
         self.assertLess(granted_at_s, rangeleases.lease_end_s(0.0) + 0.2)
 
+    def test_a_grant_with_a_wrong_stale_answer_extends_a_lease(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        self.granted(lease_manager)
+        (renewal,) = lease_manager.step(2.0, PROFILE)
+        lease_manager.grant_ended(renewal, False, True, 2.0, 1)
+        granted_at_s = self.grants_to_two_at_s(lease_manager, 2.0)
+        self.assertGreaterEqual(granted_at_s, rangeleases.lease_end_s(2.0))
+
     def test_another_instance_that_answers_ends_the_owner(self):
         lease_manager = self.lease_manager([self.one])
         self.assigned(lease_manager)
