Peers echo the ID of a call, and a reply to another call is skipped

What callers would see: keys given on too early, since a statement that former terms have ended is taken for one about another service.

A statement names no service, and the version of another service's record may be the higher one.

Evidence: with a peer that writes its last reply once more, the statement about version 9 was taken for one about version 7 (test_peering). No peer is known to repeat replies.

Change: calls between VMs carry an ID, which the status server echoes. A reply without one is accepted, since VMs of earlier versions echo none.

--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -1,5 +1,6 @@
 """HTTP protocol between VMs: load reports, change feed polls, ends of terms."""
 
+import secrets
 import zlib
 
 import msgspec
@@ -7,7 +8,7 @@
 from oriolefold_coordination import leaderelection
 from oriolefold_core import bytebudget, data, errors
 from oriolefold_direct import messages, ports
-from oriolefold_http import connections
+from oriolefold_http import connections, matching
 from oriolefold_store import ports as store_ports
 
 REPORT_PATH = '/load'
@@ -16,6 +17,9 @@
 GRANTED_QUERY = 'granted'
 CHANGES_PATH = '/changes'
 END_TERMS_PATH = '/end-terms'
+# ID of a call, which the reply echoes. VMs of earlier versions do not.
+CALL_ID_HEADER = 'Oriolefold-Call-Id'
+CALL_ID_BYTES = 8
 CHANGES_TIMEOUT_S = 1.4  # The peer holds a poll for up to 1 s.
 REPORT_TIMEOUT_S = 0.5  # A late report is of little use.
 END_TERMS_TIMEOUT_S = 1.0  # The peer waits for its grants in flight.
@@ -156,9 +160,18 @@
         self, address: str, path: str, body: bytes, timeout_s: float
     ) -> bytes:
         host, _, port = address.rpartition(':')
+        call_id = secrets.token_hex(CALL_ID_BYTES)
         answer = await self._pool.exchange(
             data.Address(host, int(port)),
-            connections.OutgoingRequest('POST', path, [], body),
+            connections.OutgoingRequest(
+                'POST',
+                path,
+                [(CALL_ID_HEADER, call_id)],
+                body,
+                matcher=matching.EchoedId(
+                    CALL_ID_HEADER, call_id, required=False
+                ),
+            ),
             timeout_s,
             REPORT_TIMEOUT_S,
         )
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -158,6 +158,9 @@
         'HTTP/1.1', status, httputil.responses[status]
     )
     headers = httputil.HTTPHeaders({'Content-Length': str(len(body))})
+    call_id = request.headers.get(peering.CALL_ID_HEADER)
+    if call_id is not None:
+        headers[peering.CALL_ID_HEADER] = call_id
     # A failed write means that the client has disconnected. Its exception is
     # retrieved so that asyncio does not log it.
     written = request.connection.write_headers(start, headers, body)
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -1,6 +1,7 @@
 """Tests of oriolefold_direct.peering against a scripted peer."""
 
 import asyncio
+import json
 import tracemalloc
 import zlib
 
@@ -54,6 +55,49 @@
                     await peers.end_terms(address, 'svc', 7)
 
 
+class ExtraReplyTest(basecase.AsyncCase):
+    """A reply is taken only for the call that it answers."""
+
+    async def test_a_repeated_statement_is_none_about_another_service(self):
+        earlier = b''
+
+        async def reply(reader, writer):
+            nonlocal earlier
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                lines = dict(
+                    line.split(': ', 1)
+                    for line in head.split('\r\n')
+                    if ': ' in line
+                )
+                body = await reader.readexactly(int(lines['Content-Length']))
+                asked = json.loads(body)
+                text = json.dumps(
+                    {'vm_id': 'v', 'incarnation': 'p'}
+                    | {'version': asked['version']}
+                )
+                call_id = lines[peering.CALL_ID_HEADER]
+                if earlier:
+                    writer.write(earlier)
+                    await asyncio.sleep(0.05)
+                earlier = (
+                    f'HTTP/1.1 200 OK\r\n{peering.CALL_ID_HEADER}: {call_id}'
+                    f'\r\nContent-Length: {len(text)}\r\n\r\n{text}'
+                ).encode()
+                writer.write(earlier)
+
+        address = basecase.free_address()
+        listening = await asyncio.start_server(
+            reply, address.host, address.port
+        )
+        self.addCleanup(listening.close)
+        peers = peering.HttpPeers()
+        self.addCleanup(peers.close)
+        await peers.end_terms(str(address), 'svc', 9)
+        statement = await peers.end_terms(str(address), 'other', 7)
+        self.assertEqual(statement.version, 7)
+
+
 class LoadReplyTest(_PeerCase):
     """Replies of leaders of this and the previous version are read."""
 
--- a/libs/direct/tests/test_status.py
+++ b/libs/direct/tests/test_status.py
@@ -46,6 +46,17 @@
         self.peers = peering.HttpPeers()
         self.addCleanup(self.peers.close)
 
+    async def test_a_reply_echoes_the_id_of_its_call(self):
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            f'GET /ready HTTP/1.1\r\nHost: vm\r\n'
+            f'{peering.CALL_ID_HEADER}: c1\r\n\r\n'.encode()
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(f'{peering.CALL_ID_HEADER}: c1\r\n'.encode(), head)
+
     async def test_poll_that_fails_unexpectedly_is_answered(self):
         async def fail(*_):
             raise ValueError('unexpected')
