Return the ID of a call with its answer, in the own interface

No change for callers yet; it prepares the proof that an answer belongs to its call. X-Request-Id can't be that proof: a request keeps it when it is sent again, so a second copy of the first answer would name the second attempt too.

Change: a header of its own, Oriolefold-Call-Id, another one for each call. The stand-ins of servers, store and VM list return it, and so does the front end with answers and failures, since load generator and probes use the same client. It is reserved: it is forwarded neither to servers nor to callers.

--- a/libs/backend/src/oriolefold_backend/headers.py
+++ b/libs/backend/src/oriolefold_backend/headers.py
@@ -30,6 +30,7 @@
         results.TOKEN_HEADER,
         results.SHARD_HEADER,
         results.NOT_RUN_HEADER,
+        results.CALL_ID_HEADER,
     )
 )
 _DROPPED = _HOP_BY_HOP | _RESERVED
--- a/libs/core/src/oriolefold_core/results.py
+++ b/libs/core/src/oriolefold_core/results.py
@@ -10,6 +10,8 @@
 TOKEN_HEADER = 'Oriolefold-Token'
 SHARD_HEADER = 'Oriolefold-Shard'
 NOT_RUN_HEADER = 'Oriolefold-Not-Run'
+# A request keeps its ID when it is sent again; a call ID is used only once.
+CALL_ID_HEADER = 'Oriolefold-Call-Id'
 
 
 class Outcome(enum.Enum):
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -350,6 +350,10 @@
             response_headers.pop('Content-Length', None)
         if self._frontend.draining:
             response_headers['Connection'] = 'close'
+        if self.has_head and results.CALL_ID_HEADER in self._headers:
+            response_headers[results.CALL_ID_HEADER] = self._headers[
+                results.CALL_ID_HEADER
+            ]
         if status not in _NO_BODY_STATUS and not is_head:
             response_headers['Content-Length'] = str(len(body))
         reason = httputil.responses.get(status, 'Unknown')
--- a/libs/gateway/tests/test_frontend.py
+++ b/libs/gateway/tests/test_frontend.py
@@ -86,6 +86,13 @@
         self.assertEqual(headers['X-Request-Id'], 'abc')
         self.assertEqual(self.ran(), ['abc'])
 
+    async def test_answers_and_failures_return_the_call_id(self):
+        for target in ('/svc/a', '/absent/a'):
+            _, headers, _ = await self.get(target, 'Oriolefold-Call-Id: c1\r\n')
+            self.assertEqual(headers['Oriolefold-Call-Id'], 'c1')
+        _, headers, _ = await self.get()
+        self.assertNotIn('Oriolefold-Call-Id', headers)
+
     async def test_invalid_requests_get_their_status_and_are_not_sent(self):
         body = 'x' * (MAX_BODY_BYTES + 1)
         long_body = f'Content-Length: {len(body)}\r\n'
--- a/testbed/src/oriolefold_testbed/servers.py
+++ b/testbed/src/oriolefold_testbed/servers.py
@@ -14,7 +14,7 @@
 import time
 
 import fire
-from tornado import httpserver, web
+from tornado import httpserver
 
 from oriolefold_config import documents
 from oriolefold_core import data, results
@@ -211,7 +211,7 @@
         super().on_close(server_conn)
 
 
-class _Handler(web.RequestHandler):
+class _Handler(standins.Handler):
     """Base class of the request handlers."""
 
     def initialize(self, stand_in: ServerStandIn):
--- a/testbed/src/oriolefold_testbed/standins.py
+++ b/testbed/src/oriolefold_testbed/standins.py
@@ -6,6 +6,18 @@
 
 from tornado import httpserver, web
 
+from oriolefold_core import results
+
+
+class Handler(web.RequestHandler):
+    """Request handler whose answers name the calls that they belong to."""
+
+    def set_default_headers(self) -> None:
+        """Echoes the ID of the call."""
+        call_id = self.request.headers.get(results.CALL_ID_HEADER)
+        if call_id is not None:
+            self.set_header(results.CALL_ID_HEADER, call_id)
+
 
 class StandIn:
     """Test double of a part of the platform, as a web application."""
--- a/testbed/src/oriolefold_testbed/store.py
+++ b/testbed/src/oriolefold_testbed/store.py
@@ -12,7 +12,6 @@
 import time
 
 import fire
-from tornado import web
 
 from oriolefold_core import errors
 from oriolefold_store import memory
@@ -82,7 +81,7 @@
         self.behaviour = Behaviour()
 
 
-class _Handler(web.RequestHandler):
+class _Handler(standins.Handler):
     """Base class of the request handlers."""
 
     def initialize(self, stand_in: StoreStandIn):
--- a/testbed/src/oriolefold_testbed/vmlist.py
+++ b/testbed/src/oriolefold_testbed/vmlist.py
@@ -8,7 +8,6 @@
 import json
 
 import fire
-from tornado import web
 
 from oriolefold_config import documents
 from oriolefold_testbed import standins
@@ -39,7 +38,7 @@
             self.states_by_id[name] = state
 
 
-class _Handler(web.RequestHandler):
+class _Handler(standins.Handler):
     """Base class of the request handlers."""
 
     def initialize(self, stand_in: VmListStandIn):
