Take an answer only if it is proved to belong to its call

What callers would see: the body of another request as their answer (MIXED); a 503 "not run" for an idempotent request that runs, and then a second run elsewhere.

Cause: the curl client matched an answer to a call by its place on a connection. Curl does not reuse a connection with unread bytes, but bytes that arrive after the next request was written are taken for its answer.

Evidence: the stand-in strayanswers writes one more answer on a kept connection after the next request was read, 0.1 s before the true one. Before, test_an_answer_to_another_call_is_never_taken failed in all 6 cases (no call ID, that of another call, an empty one; after an idempotent call and after one sent at most once, whose new connection goes to the pool): the stray answer was returned.

Change: each call carries an ID that is used once. An answer with another ID ends the call with an unknown outcome. One without an ID is taken only if it is the first on its connection. Wherever the ID wasn't returned, the socket is shut down, so that curl does not use it again. So servers that return no ID are served safely, at the cost of a connection for each call. A request that must run at most once has a new connection, so its first answer is its own unless it names another call.

--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -1,18 +1,22 @@
 """HTTP client based on Tornado and curl.
 
 Failures are mapped to two errors, by whether the request may have been sent.
+Each call has an ID that the server returns, since the next response on a
+connection may be a late one to an earlier call.
 """
 
 import asyncio
 import contextlib
+import itertools
 import os
+import secrets
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
-from oriolefold_core import bytebudget, errors
+from oriolefold_core import bytebudget, errors, results
 
 DEFAULT_BUDGET_BYTES = 100_000_000
 _NOTHING_SENT_CODES = frozenset(
@@ -24,8 +28,60 @@
 )
 
 
+class _ResponseProof:
+    """Proof that a response belongs to its call.
+
+    The response has to return the ID of the call. One without an ID is taken
+    only if it is the first on its connection.
+    """
+
+    def __init__(self, call_id: str):
+        self._call_id = call_id
+        self._is_first = False
+
+    def add_id(
+        self, headers: dict[str, str] | httputil.HTTPHeaders | None
+    ) -> dict[str, str] | httputil.HTTPHeaders:
+        """Returns the headers of the request with the ID of the call."""
+        headers = headers.copy() if headers else {}
+        headers[results.CALL_ID_HEADER] = self._call_id
+        return headers
+
+    def on_response(self, curl: pycurl.Curl) -> None:
+        """Closes the connection of a response that does not return the ID."""
+        self._is_first = curl.getinfo(pycurl.NUM_CONNECTS) > 0
+        if curl.info['headers'].get(results.CALL_ID_HEADER) != self._call_id:
+            # The true response may still follow on this connection.
+            _shut_down(curl)
+
+    def check(self, response: httpclient.HTTPResponse) -> None:
+        """Checks a response.
+
+        Raises:
+            OutcomeUnknownError: If it may belong to another call.
+        """
+        returned_id = response.headers.get(results.CALL_ID_HEADER)
+        if returned_id == self._call_id:
+            return
+        if returned_id is None and self._is_first:
+            return
+        raise errors.OutcomeUnknownError(
+            'the response may belong to another call'
+        )
+
+
 class _CurlClient(curl_httpclient.CurlAsyncHTTPClient):
-    """Curl client that ignores a timer that fires after it was closed."""
+    """Curl client that reports responses while curl knows their connections."""
+
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        if not curl_error:
+            curl.info['proof'].on_response(curl)
+        super()._finish(curl, curl_error, curl_message)
 
     def _handle_timeout(self) -> None:
         # Curl sets a last timer while it closes; there is no handle by then.
@@ -52,6 +108,8 @@
         """
         self._budget = budget or bytebudget.ByteBudget(DEFAULT_BUDGET_BYTES)
         self._client = _CurlClient(force_instance=True, max_clients=max_clients)
+        self._call_id_prefix = secrets.token_hex(8)
+        self._call_numbers = itertools.count(1)
 
     async def call(
         self,
@@ -59,7 +117,7 @@
         url: str,
         timeout_s: float,
         connect_timeout_s: float,
-        headers: Mapping[str, str] | httputil.HTTPHeaders | None = None,
+        headers: dict[str, str] | httputil.HTTPHeaders | None = None,
         body: bytes | str | None = None,
         at_most_once: bool = False,
         may_send: Callable[[], bool] | None = None,
@@ -86,8 +144,12 @@
 
         Raises:
             UnreachableError: If nothing was sent.
-            OutcomeUnknownError: If no complete response was received.
+            OutcomeUnknownError: If no complete response was received, or one
+                that may belong to another call.
         """
+        proof = _ResponseProof(
+            f'{self._call_id_prefix}-{next(self._call_numbers)}'
+        )
         written = False
         cancelled = False
 
@@ -115,6 +177,7 @@
         def prepare(curl: pycurl.Curl) -> None:
             nonlocal handle
             handle = curl
+            curl.info['proof'] = proof
             buffer = curl.info['buffer']
 
             def receive(part: bytes) -> int:
@@ -134,7 +197,7 @@
         request = httpclient.HTTPRequest(
             url,
             method=method,
-            headers=headers,
+            headers=proof.add_id(headers),
             body=body,
             allow_nonstandard_methods=True,
             connect_timeout=connect_timeout_s,
@@ -145,7 +208,7 @@
         )
         fetching = self._client.fetch(request, raise_error=False)
         try:
-            return await asyncio.shield(fetching)
+            response = await asyncio.shield(fetching)
         except asyncio.CancelledError:
             cancelled = True
             shut_down()
@@ -160,6 +223,8 @@
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
             hold.release()
+        proof.check(response)
+        return response
 
     def close(self) -> None:
         """Closes the connections."""
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 
-from oriolefold_core import bytebudget, errors
+from oriolefold_core import bytebudget, errors, results
 from oriolefold_http import client
-from oriolefold_testbed import basecase
+from oriolefold_testbed import basecase, strayanswers
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNK = b'Transfer-Encoding: chunked\r\n\r\nfffffff0\r\n'
@@ -89,6 +89,80 @@
         self.assertEqual(self.received, 2)
 
 
+class StrayAnswerTest(basecase.AsyncCase):
+    """An answer belongs to a call only if that can be proved."""
+
+    async def asyncSetUp(self):
+        self.address = basecase.free_address()
+        self.server = strayanswers.StrayAnswerServer(
+            strayanswers.Answer(body=b'true')
+        )
+        await self.server.start(self.address)
+        self.client = client.HttpClient(max_clients=2)
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.server.close)
+
+    async def call(self, **arguments):
+        response = await self.client.call(
+            'GET', f'http://{self.address}/x', 5.0, 1.0, **arguments
+        )
+        return response.body
+
+    async def test_an_answer_to_another_call_is_never_taken(self):
+        for call_id in (None, strayanswers.OTHER_CALL_ID, ''):
+            for at_most_once in (False, True):
+                with self.subTest(call_id, at_most_once=at_most_once):
+                    await self.call(at_most_once=at_most_once)
+                    self.server.extra = strayanswers.Answer(body=b'stray')
+                    self.server.extra_call_id = call_id
+                    with self.assertRaises(errors.OutcomeUnknownError):
+                        await self.call()
+                    self.assertEqual(await self.call(), b'true')
+
+    async def test_an_answer_to_another_call_is_not_taken_when_it_is_first(
+        self,
+    ):
+        self.server.extra = strayanswers.Answer(body=b'stray')
+        self.server.extra_call_id = strayanswers.OTHER_CALL_ID
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.call(at_most_once=True)
+
+    async def test_the_true_answer_after_a_stray_one_is_not_taken_later(self):
+        await self.call()
+        self.server.extra = strayanswers.Answer(body=b'stray')
+        self.server.extra_call_id = strayanswers.OTHER_CALL_ID
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await self.call()
+        connections = self.server.connections
+        await asyncio.sleep(2 * strayanswers.EXTRA_LEAD_S)
+        self.assertEqual(await self.call(), b'true')
+        self.assertEqual(self.server.connections, connections + 1)
+
+    async def test_connections_to_servers_that_name_calls_are_kept(self):
+        for _ in range(3):
+            self.assertEqual(await self.call(), b'true')
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_connections_to_servers_that_name_no_calls_are_not_kept(self):
+        self.server.names_calls = False
+        for calls in range(1, 4):
+            self.assertEqual(await self.call(), b'true')
+            self.assertEqual(self.server.connections, calls)
+
+    async def test_a_call_id_is_used_once_and_replaces_a_given_one(self):
+        given = {results.CALL_ID_HEADER: 'given'}
+        for _ in range(2):
+            self.assertEqual(await self.call(headers=given), b'true')
+        lines = [
+            line
+            for head in self.server.request_heads
+            for line in head.split('\r\n')
+            if line.startswith(results.CALL_ID_HEADER)
+        ]
+        self.assertEqual(len(set(lines)), 2)
+        self.assertNotIn(f'{results.CALL_ID_HEADER}: given', lines)
+
+
 class EndlessResponseTest(basecase.AsyncCase):
     """Responses without an end are bounded in size and time."""
 
