Take a response only if its head has ended

What callers saw: an instance stopped in the middle of its answer's head and closed the connection. They got a 200 with an empty body, framed as whole, for a request whose outcome is unknown. The own store and the VM list were read the same way.

Cause: curl ends a transfer without an error when the connection is closed within a head, once the status line is complete; the length of the body may not have arrived by then. This holds for an interim (1xx) head too.

Evidence: test_no_cut_answer_is_taken_for_a_whole_one ends five answers (a length, a length after an interim answer, chunks, no body, a body that ends with its connection) after each of their bytes, by a close and by a reset: 564 cuts. Before, 125 of them were taken for whole answers, all by a close: within the name or the value of a header, after a header line, before the blank line, within an interim head.

Ruled out: bodies. Curl reports a short length, chunks without the last one or without the line after it, and a reset of a body without a length: none of these cuts was taken before either. The connection pool raises in all 564.

Change: the client notes each line of the heads, and takes a response only if that of a final status has ended with its blank line.

Measured: all 564 cuts end with an unknown outcome, and the five whole answers pass, with both clients.

--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -26,18 +26,22 @@
         pycurl.E_ABORTED_BY_CALLBACK,
     }
 )
+_ENDS_OF_HEADS = frozenset({b'\r\n', b'\n'})
 
 
 class _ResponseProof:
-    """Proof that a response belongs to its call.
+    """Proof that a response has a whole head and belongs to its call.
 
     The response has to return the ID of the call. One without an ID is taken
-    only if it is the first on its connection.
+    only if it is the first on its connection. Curl itself reports a body that
+    is not whole, but not a head.
     """
 
     def __init__(self, call_id: str):
         self._call_id = call_id
         self._is_first = False
+        self._is_interim = False
+        self._head_has_ended = False
 
     def add_id(
         self, headers: dict[str, str] | httputil.HTTPHeaders | None
@@ -47,6 +51,15 @@
         headers[results.CALL_ID_HEADER] = self._call_id
         return headers
 
+    def on_head_line(self, line: bytes) -> None:
+        """Notes whether the head of a final response has ended."""
+        if line.startswith(b'HTTP/'):
+            status = line.split(maxsplit=2)[1:2]
+            self._is_interim = bool(status) and status[0].startswith(b'1')
+            self._head_has_ended = False
+        elif line in _ENDS_OF_HEADS:
+            self._head_has_ended = not self._is_interim
+
     def on_response(self, curl: pycurl.Curl) -> None:
         """Closes the connection of a response that does not return the ID."""
         self._is_first = curl.getinfo(pycurl.NUM_CONNECTS) > 0
@@ -58,8 +71,13 @@
         """Checks a response.
 
         Raises:
-            OutcomeUnknownError: If it may belong to another call.
+            OutcomeUnknownError: If it may belong to another call, or if its
+                head was cut.
         """
+        if not self._head_has_ended:
+            raise errors.OutcomeUnknownError(
+                'the connection ended within the head of the response'
+            )
         returned_id = response.headers.get(results.CALL_ID_HEADER)
         if returned_id == self._call_id:
             return
@@ -71,7 +89,7 @@
 
 
 class _CurlClient(curl_httpclient.CurlAsyncHTTPClient):
-    """Curl client that reports responses while curl knows their connections."""
+    """Curl client that collects the proof of each response."""
 
     def _finish(
         self,
@@ -83,6 +101,16 @@
             curl.info['proof'].on_response(curl)
         super()._finish(curl, curl_error, curl_message)
 
+    def _curl_header_callback(
+        self,
+        headers: httputil.HTTPHeaders,
+        header_callback: Callable[[bytes], None],
+        header_line_bytes: bytes,
+    ) -> None:
+        # Tornado would call it later, after the end of a short response.
+        header_callback(header_line_bytes)
+        super()._curl_header_callback(headers, None, header_line_bytes)
+
     def _handle_timeout(self) -> None:
         # Curl sets a last timer while it closes; there is no handle by then.
         if self._multi is not None:
@@ -204,6 +232,7 @@
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
+            header_callback=proof.on_head_line,
             prepare_curl_callback=prepare,
         )
         fetching = self._client.fetch(request, raise_error=False)
