--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from oriolefold_coordination import leaderelection
-from oriolefold_core import bytebudget, data, errors
+from oriolefold_core import bytebudget, data, errors, results
 from oriolefold_direct import messages, ports
 from oriolefold_http import connections, matching
 from oriolefold_store import ports as store_ports
@@ -17,8 +17,6 @@
 GRANTED_QUERY = 'granted'
 CHANGES_PATH = '/changes'
 END_TERMS_PATH = '/end-terms'
-# ID of a call, which the reply echoes. VMs of earlier versions do not.
-CALL_ID_HEADER = 'Oriolefold-Call-Id'
 CALL_ID_BYTES = 8
 CHANGES_TIMEOUT_S = 1.4  # The peer holds a poll for up to 1 s.
 REPORT_TIMEOUT_S = 0.5  # A late report is of little use.
@@ -166,10 +164,11 @@
             connections.OutgoingRequest(
                 'POST',
                 path,
-                [(CALL_ID_HEADER, call_id)],
+                [(results.CALL_ID_HEADER, call_id)],
                 body,
+                # VMs of earlier versions do not echo the ID.
                 matcher=matching.EchoedId(
-                    CALL_ID_HEADER, call_id, required=False
+                    results.CALL_ID_HEADER, call_id, required=False
                 ),
             ),
             timeout_s,
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -7,7 +7,7 @@
 
 from tornado import httpserver, httputil
 
-from oriolefold_core import data, errors, tasks
+from oriolefold_core import data, errors, results, tasks
 from oriolefold_direct import changefeed, peering
 from oriolefold_gateway import accepting
 from oriolefold_telemetry import counters, logs
@@ -158,9 +158,9 @@
         'HTTP/1.1', status, httputil.responses[status]
     )
     headers = httputil.HTTPHeaders({'Content-Length': str(len(body))})
-    call_id = request.headers.get(peering.CALL_ID_HEADER)
+    call_id = request.headers.get(results.CALL_ID_HEADER)
     if call_id is not None:
-        headers[peering.CALL_ID_HEADER] = call_id
+        headers[results.CALL_ID_HEADER] = call_id
     # A failed write means that the client has disconnected. Its exception is
     # retrieved so that asyncio does not log it.
     written = request.connection.write_headers(start, headers, body)
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -7,7 +7,7 @@
 
 import fakes
 
-from oriolefold_core import errors
+from oriolefold_core import errors, results
 from oriolefold_direct import messages, peering
 from oriolefold_testbed import basecase
 
@@ -76,12 +76,12 @@
                     {'vm_id': 'v', 'incarnation': 'p'}
                     | {'version': asked['version']}
                 )
-                call_id = lines[peering.CALL_ID_HEADER]
+                call_id = lines[results.CALL_ID_HEADER]
                 if earlier:
                     writer.write(earlier)
                     await asyncio.sleep(0.05)
                 earlier = (
-                    f'HTTP/1.1 200 OK\r\n{peering.CALL_ID_HEADER}: {call_id}'
+                    f'HTTP/1.1 200 OK\r\n{results.CALL_ID_HEADER}: {call_id}'
                     f'\r\nContent-Length: {len(text)}\r\n\r\n{text}'
                 ).encode()
                 writer.write(earlier)
--- a/libs/direct/tests/test_status.py
+++ b/libs/direct/tests/test_status.py
@@ -9,7 +9,7 @@
 import fakes
 
 from oriolefold_coordination import leaderelection
-from oriolefold_core import clock, errors
+from oriolefold_core import clock, errors, results
 from oriolefold_direct import changefeed, messages, peering, status
 from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
@@ -52,10 +52,10 @@
         self.addCleanup(writer.close)
         writer.write(
             f'GET /ready HTTP/1.1\r\nHost: vm\r\n'
-            f'{peering.CALL_ID_HEADER}: c1\r\n\r\n'.encode()
+            f'{results.CALL_ID_HEADER}: c1\r\n\r\n'.encode()
         )
         head = await reader.readuntil(b'\r\n\r\n')
-        self.assertIn(f'{peering.CALL_ID_HEADER}: c1\r\n'.encode(), head)
+        self.assertIn(f'{results.CALL_ID_HEADER}: c1\r\n'.encode(), head)
 
     async def test_poll_that_fails_unexpectedly_is_answered(self):
         async def fail(*_):
