Injected fault of unanswered grants: they count as never written

The test injected the fault by calling an unanswered grant stale. Since a stale answer extends a lease as well, so nothing was injected and the test failed. It now drops what shows that the grant was written, which is what the fault does.

--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -687,8 +687,9 @@
         original = rangeleases.RangeLeaseManager.grant_ended
 
         def faulty(self, grant, accepted, stale, now_s, newest_connection):
-            # Treats an unanswered grant like one that never arrived.
-            stale = stale or not accepted
+            # Treats an unanswered grant like one that was never written.
+            if not accepted and not stale:
+                newest_connection = None
             original(self, grant, accepted, stale, now_s, newest_connection)
 
         self.assertTrue(
