Port of the store: eras, which order versions across a restore

A store that is restored from an older copy gives out its revisions again, so a version alone does not tell which of two is newer. The port defines versions that rise across restores; no caller uses it yet.

--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -5,6 +5,19 @@
 
 MAX_CONTENT_BYTES = 1_000_000
 NEW_OBJECT = 0  # Expected version of an object that must not exist yet.
+# Versions and revisions that a store may give out before it is restored from an
+# older copy. 2**63 leaves room for 8 million restores.
+VERSIONS_PER_ERA = 2**40
+
+
+def era_of(version: int) -> int:
+    """Returns the era of a version or revision: how often before it the store
+    was restored from an older copy, counted from any number.
+
+    Versions and revisions of a later era are higher than all of an earlier one,
+    so they can be compared across a restore. 0 if the store tells no eras.
+    """
+    return version // VERSIONS_PER_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,8 +58,14 @@
 
     Every method raises `StoreUnavailableError` if the store cannot be reached
     and `StoreBudgetError` if it rejects a call over its rate limit.
+
+    Attributes:
+        era: Latest era in the answers of the store; 0 if it tells none. A store
+            that was restored from an older copy begins a new era.
     """
 
+    era = 0
+
     @abc.abstractmethod
     async def read(self, name: str) -> StoredObject:
         """Reads an object.
