Change feed: what is fed is of the era in which the store answers

Cause: a follower whose revision was above the log's got nothing for as long as the revisions took to catch up, `max` hid a list with a lower revision, and a contact with the restored store made a feed fresh whose logs were still those from before.

Change: a feed is fresh only if each of its logs is of the latest era that this VM has seen; a poll meanwhile waits for the lists, as long as polls may last. A relay takes the era from its leader's replies. A follower of an earlier era gets the complete list, one of a later era nothing. A list from the store replaces what was received before it; changes that come across a restore without the complete list end the following. Replies tell the era, if there is one: VMs of earlier versions, which cannot compare these revisions, watch the store then, and so does a follower of theirs.

--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -41,8 +41,15 @@
         )
         self._oldest_revision = 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which it had these objects."""
+        return store_ports.era_of(self.revision)
+
     def append(self, changes: store_ports.Changes) -> None:
-        """Appends the result of a watch."""
+        """Appends the result of a watch, unless it is of an earlier era."""
+        if store_ports.era_of(changes.revision) < self.era:
+            return
         if changes.complete:
             self._objects_by_name = {o.name: o for o in changes.objects}
             self._log.clear()
@@ -61,8 +68,9 @@
     def changes_since(self, revision: int) -> store_ports.Changes | None:
         """Returns the changes after a revision, or None if there are none.
 
-        If the log does not reach back to the revision, the result is the
-        complete list of objects.
+        If the log does not reach back to the revision, as if that is of an
+        earlier era, the result is the complete list of objects. A follower
+        that is ahead of the log gets no changes.
 
         Args:
             revision: Latest revision that is known to the follower, or 0.
@@ -95,6 +103,7 @@
         self._logs_by_prefix: dict[str, ChangeLog] = {}
         self._update_event = asyncio.Event()
         self._contact_at_s = float('-inf')
+        self._era = 0
         self._led_service_ids: set[str] = set()
         self._relays = relaying.Relays(region_id)
         self._relaying = False
@@ -103,9 +112,14 @@
         """Appends the result of a watch of this VM."""
         log = self._logs_by_prefix.setdefault(prefix, ChangeLog())
         log.append(changes)
-        if changes.objects or changes.removed_names:
+        self._era = max(self._era, log.era)
+        if changes.objects or changes.removed_names or changes.complete:
             self._notify_waiters()
 
+    def observe_era(self, era: int) -> None:
+        """Records the era in which the store has answered this VM."""
+        self._era = max(self._era, era)
+
     def record_contact(self) -> None:
         """Records that the store has just answered this VM."""
         self._contact_at_s = self._clock.now_s()
@@ -141,10 +155,25 @@
     @property
     def is_fresh(self) -> bool:
         """Whether other VMs may rely on this feed."""
+        return self._has_contact and self._is_of_one_era
+
+    @property
+    def _has_contact(self) -> bool:
         if not self._led_service_ids and not self._relaying:
             return False
         return self._clock.now_s() - self._contact_at_s < MAX_CONTACT_AGE_S
 
+    @property
+    def _is_of_one_era(self) -> bool:
+        """Whether all logs are of the era in which the store answers.
+
+        After a restore of the store, other calls are answered before the
+        watches have listed the objects again.
+        """
+        return all(
+            log.era == self._era for log in self._logs_by_prefix.values()
+        )
+
     async def changes(
         self, follower: messages.Follower, revisions_by_prefix: dict[str, int]
     ) -> messages.ChangesReply | None:
@@ -159,8 +188,13 @@
             or None if this feed is not fresh.
         """
         ends_at_s = self._clock.now_s() + POLL_S
-        while self.is_fresh:
+        while self._has_contact:
             now_s = self._clock.now_s()
+            if not self._is_of_one_era:
+                if now_s >= ends_at_s:
+                    return None
+                await self._wait_for_update()
+                continue
             if self._led_service_ids:
                 address = self._relays.relay_for(follower, now_s)
                 if address:
@@ -174,13 +208,17 @@
             )
             if changes_by_prefix or is_newer or now_s >= ends_at_s:
                 return messages.ChangesReply(
-                    changes_by_prefix, now_s, self._contact_at_s
+                    changes_by_prefix, now_s, self._contact_at_s, era=self._era
                 )
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FRESHNESS_CHECK_S):
-                    await self._update_event.wait()
+            await self._wait_for_update()
         return None
 
+    async def _wait_for_update(self) -> None:
+        """Waits until something changes or freshness is to be checked."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FRESHNESS_CHECK_S):
+                await self._update_event.wait()
+
     def _newer_changes(
         self, revisions_by_prefix: dict[str, int]
     ) -> dict[str, store_ports.Changes]:
@@ -226,13 +264,42 @@
 
 @dataclasses.dataclass(slots=True)
 class _Inbox:
-    """Changes of one prefix that were received and not yet returned."""
+    """Changes of one prefix that were received and not yet returned.
+
+    Attributes:
+        revision: Revision up to which changes were received; the next poll asks
+            for later ones.
+        changes: The received changes.
+    """
 
     revision: int = 0
     changes: collections.deque[store_ports.Changes] = dataclasses.field(
         default_factory=collections.deque
     )
 
+    def receive(self, changes: store_ports.Changes) -> None:
+        """Adds changes from a feed.
+
+        Raises:
+            ProtocolError: If they do not follow from what was received before.
+        """
+        if changes.revision <= self.revision:
+            return  # The store has answered since the poll was sent.
+        era = store_ports.era_of(changes.revision)
+        if not changes.complete and era != store_ports.era_of(self.revision):
+            raise errors.ProtocolError(
+                f'changes of era {era} without the complete list of objects'
+            )
+        self.revision = changes.revision
+        self.changes.append(changes)
+
+    def replace(self, listing: store_ports.Changes) -> None:
+        """Replaces all by a list from the store, whatever its revision."""
+        later = [c for c in self.changes if c.revision > listing.revision]
+        self.changes = collections.deque(later)
+        last = later[-1] if later else listing
+        self.revision = last.revision
+
 
 class FollowerStore(store_ports.Store):
     """Store whose watches are served by another VM's feed while it is fresh."""
@@ -304,32 +371,56 @@
             self._feed.stop_relaying()
             self._notify_waiters()
 
+    @property
+    def era(self) -> int:
+        """Latest era in the answers of the underlying store."""
+        return self._store.era
+
     async def read(self, name: str) -> store_ports.StoredObject:
         """Reads an object."""
-        return await self._store.read(name)
+        with self._observing_era():
+            return await self._store.read(name)
 
     async def read_stale(self, name: str) -> store_ports.StoredObject:
         """Reads an object that may be seconds old."""
-        return await self._store.read_stale(name)
+        with self._observing_era():
+            return await self._store.read_stale(name)
 
     async def write(
         self, name: str, content: bytes, expected_version: int
     ) -> int:
         """Writes an object if its version is the expected one."""
-        return await self._store.write(name, content, expected_version)
+        with self._observing_era():
+            return await self._store.write(name, content, expected_version)
+
+    @contextlib.contextmanager
+    def _observing_era(self):
+        """Tells the feed the era after a call, whether or not it succeeds."""
+        try:
+            yield
+        finally:
+            self._feed.observe_era(self._store.era)
 
     async def watch(
         self, prefix: str, after_revision: int, timeout_s: float
     ) -> store_ports.Changes:
         """Waits for changes from another VM's feed or from the store."""
         if prefix in self._store_only_prefixes:
-            return await self._store.watch(prefix, after_revision, timeout_s)
+            with self._observing_era():
+                return await self._store.watch(
+                    prefix, after_revision, timeout_s
+                )
         inbox = self._inboxes_by_prefix.setdefault(prefix, _Inbox())
         inbox.revision = max(inbox.revision, after_revision)
         if after_revision and self.is_following:
             changes = await self._watch_feed(inbox, after_revision)
         else:
-            changes = await self._watch_store(prefix, after_revision, timeout_s)
+            with self._observing_era():
+                changes = await self._watch_store(
+                    prefix, after_revision, timeout_s
+                )
+            if changes.complete:
+                inbox.replace(changes)
         inbox.revision = max(inbox.revision, changes.revision)
         self._feed.append(prefix, changes)
         return changes
@@ -406,6 +497,7 @@
                     )
                 logs.event('feed.redirected', relay=reply.relay_address)
                 return reply.relay_address
+            self._check_era(reply.era)
             now_s = self._clock.now_s()
             contact_at_s = offset.to_local_time_s(
                 reply.contact_at_s, reply.sent_at_s, now_s
@@ -415,6 +507,19 @@
                 self._feed.renew_relaying(contact_at_s)
             follower = self._self_description(reply.contact_at_s)
 
+    def _check_era(self, era: int) -> None:
+        """Checks that a feed tells eras, if the store does.
+
+        VMs of earlier versions would never see this one's revisions as older.
+
+        Raises:
+            ProtocolError: If it does not.
+        """
+        revisions = [i.revision for i in self._inboxes_by_prefix.values()]
+        if not era and store_ports.era_of(max(revisions, default=0)):
+            raise errors.ProtocolError('the feed tells no era')
+        self._feed.observe_era(era)
+
     def _self_description(self, contact_at_s: float) -> messages.Follower:
         """Returns the description of this VM for the next poll."""
         since_failure_s = self._clock.now_s() - self._failed_at_s
@@ -430,9 +535,7 @@
         self, changes_by_prefix: dict[str, store_ports.Changes]
     ) -> None:
         for prefix, changes in changes_by_prefix.items():
-            inbox = self._inboxes_by_prefix[prefix]
-            inbox.revision = max(inbox.revision, changes.revision)
-            inbox.changes.append(changes)
+            self._inboxes_by_prefix[prefix].receive(changes)
         if changes_by_prefix:
             self._notify_waiters()
 
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -167,12 +167,14 @@
         sent_at_s: Time of the reply, by the clock of the replying VM.
         contact_at_s: Its last contact with the store, by the same clock.
         relay_address: VM to poll instead, or empty.
+        era: Era of the store in which the replying VM is up to date.
     """
 
     changes_by_prefix: dict[str, store_ports.Changes]
     sent_at_s: float = 0.0
     contact_at_s: float = 0.0
     relay_address: str = ''
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -68,11 +68,16 @@
     revisions: dict[str, int]
 
 
-class _ChangesReply(msgspec.Struct, forbid_unknown_fields=True):
+class _ChangesReply(
+    msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True
+):
     changes: dict[str, _Changes] = {}
     told_at_s: float = 0.0
     contact_at_s: float = 0.0
     relay_address: str = ''
+    # Unknown to VMs of earlier versions, which then watch the store. They would
+    # compare revisions without eras.
+    era: int = 0
 
 
 class HttpPeers(ports.Peers):
@@ -150,6 +155,7 @@
             reply.told_at_s,
             reply.contact_at_s,
             reply.relay_address,
+            reply.era,
         )
 
     async def _call(
@@ -255,7 +261,11 @@
     }
     text = msgspec.json.encode(
         _ChangesReply(
-            changes, reply.sent_at_s, reply.contact_at_s, reply.relay_address
+            changes,
+            reply.sent_at_s,
+            reply.contact_at_s,
+            reply.relay_address,
+            reply.era,
         )
     )
     if len(text) < MIN_COMPRESSED_BYTES:
--- a/libs/direct/tests/test_changefeed.py
+++ b/libs/direct/tests/test_changefeed.py
@@ -14,6 +14,11 @@
     return ports.StoredObject(f'k/{name}', version, content)
 
 
+def in_era(era, revision):
+    """Returns a revision of an era."""
+    return era * ports.VERSIONS_PER_ERA + revision
+
+
 class ChangeLogTest(basecase.BaseCase):
     """Changes after each revision."""
 
@@ -54,6 +59,28 @@
         self.assertTrue(found.complete)
         self.assertEqual([o.name for o in found.objects], ['k/b'])
 
+    def test_follower_of_an_earlier_era_gets_the_complete_list(self):
+        self.log.append(
+            ports.Changes(in_era(1, 2), (stored('b', in_era(1, 1)),), (), True)
+        )
+        for revision in (5, 9, 900):
+            with self.subTest(revision=revision):
+                found = self.log.changes_since(revision)
+                self.assertTrue(found.complete)
+                self.assertEqual([o.name for o in found.objects], ['k/b'])
+                self.assertEqual(found.revision, in_era(1, 2))
+
+    def test_follower_of_a_later_era_gets_nothing(self):
+        self.assertIsNone(self.log.changes_since(in_era(1, 2)))
+
+    def test_changes_of_an_earlier_era_are_not_taken(self):
+        self.log.append(ports.Changes(in_era(1, 2), (), (), True))
+        for complete in (True, False):
+            late = ports.Changes(900, (stored('a', 900),), (), complete)
+            self.log.append(late)
+        self.assertEqual(self.log.revision, in_era(1, 2))
+        self.assertEqual(self.log.changes_since(0).objects, ())
+
 
 class ChangeFeedTest(basecase.AsyncCase):
     """A VM serves changes only while its data is fresh."""
@@ -127,6 +154,45 @@
         self.feed.stop_relaying()
         self.assertIsNone(await self.ask(0))
 
+    async def test_feed_is_not_fresh_until_it_has_listed_the_restored_store(
+        self,
+    ):
+        self.feed.append('l/', ports.Changes(5, (), complete=True))
+        self.feed.start_leading('svc')
+        self.feed.record_contact()
+        self.feed.observe_era(1)
+        self.feed.record_contact()
+        self.assertFalse(self.feed.is_fresh)
+        waiting = asyncio.create_task(self.ask(5))
+        await asyncio.sleep(0.01)
+        for prefix in ('k/', 'l/'):
+            self.assertFalse(waiting.done())
+            listing = ports.Changes(in_era(1, 2), (), complete=True)
+            self.feed.append(prefix, listing)
+            await asyncio.sleep(0.01)
+        self.assertTrue(self.feed.is_fresh)
+        reply = await waiting
+        self.assertEqual(reply.era, 1)
+        self.assertTrue(reply.changes_by_prefix['k/'].complete)
+
+    async def test_poll_ends_if_the_restored_store_is_not_listed(self):
+        self.feed.start_leading('svc')
+        self.feed.record_contact()
+        waiting = asyncio.create_task(self.ask(5))
+        await asyncio.sleep(0.01)
+        self.feed.observe_era(1)
+        self.clock.advance(changefeed.POLL_S)
+        self.assertIsNone(await waiting)
+
+    async def test_relay_is_not_fresh_with_lists_of_an_earlier_era(self):
+        self.feed.renew_relaying(10.0)
+        self.assertTrue(self.feed.is_fresh)
+        self.feed.observe_era(1)
+        self.assertFalse(self.feed.is_fresh)
+        listing = ports.Changes(in_era(1, 2), (), complete=True)
+        self.feed.append('k/', listing)
+        self.assertTrue(self.feed.is_fresh)
+
 
 class QueuedPeers(fakes.FakePeers):
     """Peers whose polls are answered from a queue."""
@@ -285,6 +351,94 @@
         await self.store.watch('k/', 5, 1.0)
         self.assertEqual(self.inner_store.revisions[-1], 5)
 
+    async def follow_until_restore(self):
+        """Follows a feed that then has the list of the restored store."""
+        self.store.follow('10.0.0.1:80')
+        self.listing = ports.Changes(
+            in_era(1, 2), (stored('b', in_era(1, 1)),), (), True
+        )
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': self.listing}, era=1)
+        )
+        self.assertEqual(await self.store.watch('k/', 5, 1.0), self.listing)
+
+    async def test_follower_that_reaches_only_a_relay_sees_a_restore(self):
+        await self.follow_until_restore()
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertEqual(self.peers.polls[-1], {'k/': in_era(1, 2)})
+        again = ports.Changes(in_era(2, 1), (), (), True)
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': again}, era=2)
+        )
+        watched = await self.store.watch('k/', in_era(1, 2), 1.0)
+        self.assertEqual(watched, again)
+
+    async def test_relay_of_a_feed_serves_only_the_era_of_its_leader(self):
+        self.store.follow('10.0.0.1:80')
+        reply = messages.ChangesReply({}, 100.0, 100.0, era=1)
+        self.peers.answers.put_nowait(reply)
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertFalse(self.feed.is_fresh)
+
+    async def test_feed_without_eras_is_not_followed_with_eras(self):
+        await self.follow_until_restore()
+        waiting = asyncio.create_task(self.store.watch('k/', in_era(1, 2), 1.0))
+        self.peers.answers.put_nowait(messages.ChangesReply({}))
+        async with asyncio.timeout(1):
+            self.assertEqual((await waiting).revision, in_era(1, 2))
+        self.assertFalse(self.store.is_following)
+
+    async def test_changes_across_a_restore_without_the_list_end_following(
+        self,
+    ):
+        self.store.follow('10.0.0.1:80')
+        change = ports.Changes(in_era(1, 2), (stored('b', in_era(1, 2)),))
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': change}, era=1)
+        )
+        await self.wait_for(lambda: not self.store.is_following)
+        watch = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        await self.wait_for(lambda: self.inner_store.revisions[-1] == 5)
+        watch.cancel()
+
+    async def test_list_from_the_store_replaces_received_changes(self):
+        self.store.follow('10.0.0.1:80')
+        late = ports.Changes(6, (), ('k/a',))
+        self.peers.answers.put_nowait({'k/': late})
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        listing = ports.Changes(in_era(1, 2), (stored('a', 1),), (), True)
+        self.inner_store.script.put_nowait(listing)
+        self.assertEqual(await self.store.watch('k/', 0, 1.0), listing)
+        # The answer to a poll from before the restore.
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': ports.Changes(7, (), ('k/a',))}, era=1)
+        )
+        await self.wait_for(lambda: len(self.peers.polls) == 3)
+        self.assertEqual(self.peers.polls[-1], {'k/': in_era(1, 2)})
+        newer = ports.Changes(in_era(1, 3), (stored('c', in_era(1, 3)),))
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': newer}, era=1)
+        )
+        watched = await self.store.watch('k/', in_era(1, 2), 1.0)
+        self.assertEqual(watched, newer)
+
+    async def test_list_of_a_store_without_eras_may_go_back(self):
+        self.inner_store.script.put_nowait(ports.Changes(2, (), (), True))
+        await self.store.watch('k/', 0, 1.0)
+        self.store.follow('10.0.0.1:80')
+        await self.wait_for(lambda: self.peers.polls)
+        self.assertEqual(self.peers.polls[-1], {'k/': 2})
+
+    async def test_calls_tell_the_feed_the_era(self):
+        self.feed.start_leading('svc')
+        self.feed.record_contact()
+        self.assertTrue(self.feed.is_fresh)
+        self.inner_store.era = 1
+        with self.assertRaises(errors.StoreError):
+            await self.store.write('k/x', b'1', 1)
+        self.assertFalse(self.feed.is_fresh)
+        self.assertEqual(self.store.era, 1)
+
 
 class EncodingTest(basecase.BaseCase):
     """Messages between VMs are validated and compact."""
@@ -296,6 +450,12 @@
                     with self.assertRaises(errors.ProtocolError):
                         read(body)
 
+    def test_reply_without_an_era_is_readable_by_earlier_versions(self):
+        body = peering.encode_changes(messages.ChangesReply({}, 4.0, 3.0))
+        self.assertNotIn(b'era', body)
+        body = peering.encode_changes(messages.ChangesReply({}, 4.0, era=2))
+        self.assertIn(b'"era":2', body)
+
     def test_large_configuration_is_compressed(self):
         routes = [
             f'"route-{i}":{{"hostname":"h{i % 7}.example","timeout":1.5}}'
