Instances that have ended do not come back with a restored store

What callers saw: nothing yet, since what a restored store says was dropped. With versions that rise across the restore its copy would be taken as it is: instances that drain or have left are sent requests again, one that was restarted appears as its former incarnation, and those registered after the copy vanish at once.

Change: the watch learns of a restore from the revision of a list and tells the reader. An entry only changes when more than its sequence does, so waiting for a write alone could keep a live instance out for good. What is known and missing in the copy has the same 2 s to be written again as after an outage, counted from the list.

--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -19,6 +19,10 @@
 ABSENCE_GRACE_S = 2.0
 
 
+class OutdatedObjectError(errors.OriolefoldError):
+    """An object is an older copy of one that was removed since."""
+
+
 class Reader(abc.ABC):
     """Decodes stored objects and builds messages from them."""
 
@@ -29,6 +33,8 @@
     probes = False
     # Whether objects may expire during an outage and be written again after it.
     may_expire = False
+    # Time after which an outdated object that is still stored is read again.
+    outdated_limit_s = 0.0
 
     @abc.abstractmethod
     def read(self, stored: ports.StoredObject) -> Any:
@@ -38,6 +44,33 @@
             ConfigurationError: If the object is invalid.
         """
 
+    def begin_era(self, revision: int, now_s: float) -> None:
+        """Learns that the store was restored from an older copy.
+
+        Args:
+            revision: That of the first list of objects since.
+            now_s: Current time.
+        """
+
+    def reconcile(
+        self, value: Any, version: int, known: Any, now_s: float
+    ) -> Any:
+        """Returns the value to use, given what is known from before a restore.
+
+        Args:
+            value: The value of an object.
+            version: Version of the object.
+            known: The value in use under the same name, or None.
+            now_s: Current time.
+
+        Raises:
+            OutdatedObjectError: If the object is to be treated as missing.
+        """
+        return value
+
+    def record_removal(self, value: Any, now_s: float) -> None:
+        """Learns that the object with a value has been removed."""
+
     @abc.abstractmethod
     def build_message(self, values_by_name: dict[str, Any]) -> Any:
         """Returns the message or list of messages to post, or None."""
@@ -96,6 +129,10 @@
         self._values_by_name: dict[str, Any] = {}
         self._versions_by_name: dict[str, int] = {}
         self._absent_until_s: dict[str, float] = {}
+        # Outdated objects and when to read them again.
+        self._outdated_by_name: dict[str, tuple[ports.StoredObject, float]] = {}
+        self._era = 0
+        self._restored_at_s = float('-inf')
         self._store_availability = store_availability
         self.is_synchronized = False
 
@@ -108,7 +145,7 @@
         if isinstance(message, ports.Changes):
             self._apply(message)
         elif isinstance(message, messages.Tick):
-            self._remove_expired()
+            self._handle_times()
 
     async def _watch_continuously(self) -> None:
         revision = 0
@@ -161,6 +198,7 @@
                 await self._store_availability.wait_until_available()
 
     def _apply(self, changes: ports.Changes) -> None:
+        self._observe_era(changes.revision)
         changed = not self.is_synchronized
         self.is_synchronized = True
         for stored in changes.objects:
@@ -168,18 +206,38 @@
         removed_names = set(changes.removed_names)
         if changes.complete:
             present = {stored.name for stored in changes.objects}
-            removed_names |= set(self._values_by_name) - present
+            known = set(self._values_by_name) | set(self._outdated_by_name)
+            removed_names |= known - present
         for name in removed_names:
+            self._outdated_by_name.pop(name, None)
             changed |= self._remove(name)
         if changed:
             self._notify_subscribers()
 
+    def _observe_era(self, revision: int) -> None:
+        era = ports.era_of(revision)
+        if era <= self._era:
+            return
+        self._era = era
+        if self.is_synchronized:
+            now_s = self._clock.now_s()
+            self._restored_at_s = now_s
+            self._reader.begin_era(revision, now_s)
+            logs.event('watch.restored', prefix=self._reader.prefix, era=era)
+
     def _update_object(self, stored: ports.StoredObject) -> bool:
         name = stored.name
         if self._versions_by_name.get(name, 0) >= stored.version:
             return False
+        known = self._values_by_name.get(name)
+        now_s = self._clock.now_s()
         try:
-            value = self._reader.read(stored)
+            value = self._reader.reconcile(
+                self._reader.read(stored), stored.version, known, now_s
+            )
+        except OutdatedObjectError as error:
+            self._delay_outdated(stored, error, now_s)
+            return self._remove(name)
         except errors.ConfigurationError as error:
             logs.event(
                 'object.unreadable',
@@ -191,36 +249,61 @@
             return self._values_by_name.pop(name, None) is not None
         self._versions_by_name[name] = stored.version
         self._absent_until_s.pop(name, None)
-        changed = self._values_by_name.get(name) != value
+        self._outdated_by_name.pop(name, None)
         self._values_by_name[name] = value
-        return changed
+        return known != value
+
+    def _delay_outdated(
+        self, stored: ports.StoredObject, error: Exception, now_s: float
+    ) -> None:
+        logs.event(
+            'object.outdated',
+            name=stored.name,
+            version=stored.version,
+            error=str(error),
+        )
+        limit_s = self._reader.outdated_limit_s
+        self._outdated_by_name[stored.name] = stored, now_s + limit_s
+        self.post_later(limit_s + 0.01, messages.Tick())
 
     def _remove(self, name: str) -> bool:
         if name not in self._values_by_name or name in self._absent_until_s:
             return False
         now_s = self._clock.now_s()
-        until_s = self._store_availability.recovered_at_s + ABSENCE_GRACE_S
+        until_s = ABSENCE_GRACE_S + max(
+            self._store_availability.recovered_at_s, self._restored_at_s
+        )
         if self._reader.may_expire and now_s < until_s:
-            # Objects expire during an outage; most are written again at once.
+            # Objects expire during an outage, and a restored store lacks what
+            # was written last; most are written again at once.
             self._absent_until_s[name] = until_s
             self.post_later(until_s - now_s, messages.Tick())
             return False
         logs.event('object.removed', name=name)
-        del self._values_by_name[name]
-        self._versions_by_name.pop(name, None)
+        self._drop(name, now_s)
         return True
 
-    def _remove_expired(self) -> None:
+    def _drop(self, name: str, now_s: float) -> None:
+        self._reader.record_removal(self._values_by_name.pop(name), now_s)
+        self._versions_by_name.pop(name, None)
+
+    def _handle_times(self) -> None:
+        """Removes and reads again what is due."""
         now_s = self._clock.now_s()
         changed = False
+        for stored, until_s in list(self._outdated_by_name.values()):
+            if until_s <= now_s:
+                del self._outdated_by_name[stored.name]
+                changed |= self._update_object(stored)
         for name, until_s in list(self._absent_until_s.items()):
             if until_s <= now_s + 0.01:
                 del self._absent_until_s[name]
                 logs.event(
                     'object.removed', name=name, reason='not written again'
                 )
-                changed |= self._values_by_name.pop(name, None) is not None
-                self._versions_by_name.pop(name, None)
+                if name in self._values_by_name:
+                    self._drop(name, now_s)
+                    changed = True
         if changed:
             self._notify_subscribers()
 
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -5,7 +5,7 @@
 import fakes
 
 from oriolefold_core import clock, errors, findings
-from oriolefold_direct import availability, watching
+from oriolefold_direct import availability, messages, watching
 from oriolefold_store import ports
 from oriolefold_testbed import basecase
 
@@ -33,6 +33,11 @@
     return ports.StoredObject(f'k/{name}', version, content)
 
 
+def in_era(era, revision):
+    """Returns a version or revision of an era."""
+    return era * ports.VERSIONS_PER_ERA + revision
+
+
 class WatcherTest(basecase.AsyncCase):
     """Subscribers get each change once and never an older version."""
 
@@ -130,3 +135,116 @@
         )
         async with asyncio.timeout(2):
             await self.wait_for(lambda: len(self.store.revisions) > waiting)
+
+    async def restore(self, *objects, count):
+        """Delivers the complete list of the store after a restore."""
+        self.store.script.put_nowait(errors.HistoryLostError('restored'))
+        listing = ports.Changes(in_era(1, 2), objects, complete=True)
+        return await self.deliver(listing, count)
+
+    async def test_lower_revisions_after_a_restore_are_taken(self):
+        await self.deliver(ports.Changes(30, (stored('a', 30),), (), True), 1)
+        restored = stored('a', in_era(1, 1), b'older')
+        self.assertEqual(
+            (await self.restore(restored, count=2))['k/a'], b'older'
+        )
+        change = ports.Changes(
+            in_era(1, 3), (stored('a', in_era(1, 3), b'newer'),)
+        )
+        self.assertEqual((await self.deliver(change, 3))['k/a'], b'newer')
+
+    async def test_objects_missing_in_an_older_copy_may_return(self):
+        both = ports.Changes(3, (stored('a', 1), stored('b', 2)), (), True)
+        await self.deliver(both, 1)
+        self.clock.advance(60)
+        found = await self.restore(stored('c', in_era(1, 1)), count=2)
+        self.assertEqual(set(found), {'k/a', 'k/b', 'k/c'})
+        change = ports.Changes(in_era(1, 3), (stored('a', in_era(1, 3), b'y'),))
+        await self.deliver(change, 3)
+        self.clock.advance(watching.ABSENCE_GRACE_S)
+        self.watcher.post(messages.Tick())
+        await self.wait_for(lambda: len(self.subscriber.messages) >= 4)
+        self.assertEqual(set(self.subscriber.messages[-1]), {'k/a', 'k/c'})
+
+    async def test_first_list_is_not_that_of_a_restore(self):
+        first = ports.Changes(in_era(1, 2), (stored('a', 1),), (), True)
+        await self.deliver(first, 1)
+        removed = ports.Changes(in_era(1, 3), (), ('k/a',))
+        async with asyncio.timeout(0.5):
+            self.assertEqual(await self.deliver(removed, 2), {})
+
+
+class RememberingReader(TextReader):
+    """Treats `old` as outdated until it is let in."""
+
+    outdated_limit_s = 10.0
+
+    def __init__(self):
+        self.lets_in = False
+        self.removed = []
+
+    def reconcile(self, value, version, known, now_s):
+        if value == b'old' and not self.lets_in:
+            raise watching.OutdatedObjectError('old')
+        return value
+
+    def record_removal(self, value, now_s):
+        self.removed.append(value)
+
+
+class OutdatedObjectTest(basecase.AsyncCase):
+    """An object that the reader finds outdated counts as missing."""
+
+    async def asyncSetUp(self):
+        self.store = fakes.ScriptedStore()
+        self.subscriber = basecase.RecordingTask('subscriber')
+        self.clock = clock.ManualClock(100.0)
+        self.reader = RememberingReader()
+        self.watcher = watching.Watcher(
+            self.store,
+            self.reader,
+            [self.subscriber],
+            self.clock,
+            availability.Availability(self.clock),
+        )
+        await self.start(self.subscriber, self.watcher)
+
+    async def deliver(self, *objects, revision, count, complete=True):
+        self.store.script.put_nowait(
+            ports.Changes(revision, objects, complete=complete)
+        )
+        await self.wait_for(lambda: len(self.subscriber.messages) >= count)
+        return self.subscriber.messages[-1]
+
+    async def tick(self, after_s):
+        self.clock.advance(after_s)
+        self.watcher.post(messages.Tick())
+        await asyncio.sleep(0.05)
+        return self.subscriber.messages[-1]
+
+    async def test_known_value_has_the_grace_time_to_be_written_again(self):
+        await self.deliver(stored('a', 1, b'new'), revision=3, count=1)
+        old = stored('a', in_era(1, 1), b'old')
+        other = stored('b', in_era(1, 1))
+        found = await self.deliver(old, other, revision=in_era(1, 2), count=2)
+        self.assertEqual(found, {'k/a': b'new', 'k/b': b'x'})
+        found = await self.tick(watching.ABSENCE_GRACE_S)
+        self.assertEqual(found, {'k/b': b'x'})
+        self.assertEqual(self.reader.removed, [b'new'])
+
+    async def test_outdated_object_that_stays_is_read_again(self):
+        old = stored('a', in_era(1, 1), b'old')
+        self.assertEqual(
+            await self.deliver(old, revision=in_era(1, 2), count=1), {}
+        )
+        self.reader.lets_in = True
+        self.assertEqual(await self.tick(9.0), {})
+        self.assertEqual(await self.tick(1.0), {'k/a': b'old'})
+
+    async def test_outdated_object_that_is_removed_is_not_read_again(self):
+        old = stored('a', in_era(1, 1), b'old')
+        await self.deliver(old, revision=in_era(1, 2), count=1)
+        self.store.script.put_nowait(ports.Changes(in_era(1, 3), (), ('k/a',)))
+        await self.wait_for(lambda: len(self.store.revisions) >= 3)
+        self.reader.lets_in = True
+        self.assertEqual(await self.tick(10.0), {})
