An older copy of a key map does not come into force

What callers saw: nothing yet; as for instances, versions that rise across a restore would let the copy of a key map replace the map that VMs send by.

Cause: VMs compared key maps by version alone.

Change: each write of a key map raises its next token, so a map with a lower one than is known is an older copy, whatever its version. The watch does not post it, and the dispatcher, which also gets maps from the leader, does not take it.

Evidence: test_key_map_with_a_lower_next_token_is_an_older_copy and test_older_copy_of_a_key_map_does_not_come_into_force failed before; test_watching and test_dispatcher pass.

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -134,6 +134,10 @@
             service_id, 0
         ):
             return
+        known = self._maps_by_service_id.get(service_id)
+        if known and update.key_map.next_token < known.next_token:
+            # An older copy from a restored store: each write raises the token.
+            return
         self._map_versions_by_service_id[service_id] = update.version
         self._maps_by_service_id[service_id] = update.key_map
         self._wake(service_id)
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -82,7 +82,7 @@
     prefix = documents.KEY_MAP_PREFIX
 
     def __init__(self):
-        self._sent_by_name: dict[str, Any] = {}
+        self._sent_by_name: dict[str, messages.KeyMapUpdated] = {}
 
     def read(self, stored: ports.StoredObject) -> Any:
         """Returns the key map in an object."""
@@ -91,13 +91,21 @@
         return messages.KeyMapUpdated(key_map, stored.version)
 
     def build_message(self, values_by_name: dict[str, Any]) -> Any:
-        """Returns messages for the key maps that changed."""
-        changed = [
-            known
-            for name, known in values_by_name.items()
-            if self._sent_by_name.get(name) != known
-        ]
-        self._sent_by_name = dict(values_by_name)
+        """Returns messages for the key maps that changed.
+
+        Each write of a key map raises its next token, so one with a lower token
+        is an older copy, whatever its version.
+        """
+        changed = []
+        for name, update in values_by_name.items():
+            sent = self._sent_by_name.get(name)
+            if update == sent or (
+                sent is not None
+                and update.key_map.next_token < sent.key_map.next_token
+            ):
+                continue
+            self._sent_by_name[name] = update
+            changed.append(update)
         return changed
 
 
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import attempts, topology
 from oriolefold_sending import messages as sending_messages
+from oriolefold_store import ports
 from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
 
@@ -227,6 +228,20 @@
             [s.instance_id for s in self.instances.sent], ['two'] * 2
         )
 
+    async def test_older_copy_of_a_key_map_does_not_come_into_force(self):
+        self.prepare(keyed=True)
+        for version, owner, next_token in (
+            (5, 'one', 3),
+            (ports.VERSIONS_PER_ERA + 2, 'two', 2),
+        ):
+            key_range = ranges.KeyRange(
+                0, 65535, ranges.Holder(owner, 1, 'a'), 2
+            )
+            key_map = ranges.KeyMap('svc', next_token, (key_range,))
+            self.dispatcher.post(messages.KeyMapUpdated(key_map, version))
+        await self.ask(key=7)
+        self.assertEqual([s.instance_id for s in self.instances.sent], ['one'])
+
     def post_key_map(self, *priors, owner='one'):
         key_range = ranges.KeyRange(
             0, 65535, ranges.Holder(owner, 1, 'a'), 1, priors
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -4,6 +4,7 @@
 
 import fakes
 
+from oriolefold_coordination import ranges
 from oriolefold_core import clock, errors, findings
 from oriolefold_direct import availability, messages, watching
 from oriolefold_store import ports
@@ -248,3 +249,22 @@
         await self.wait_for(lambda: len(self.store.revisions) >= 3)
         self.reader.lets_in = True
         self.assertEqual(await self.tick(10.0), {})
+
+
+class KeyMapReaderTest(basecase.BaseCase):
+    """An older copy of a key map is not posted, whatever its version."""
+
+    def build(self, next_token, version):
+        key_map = ranges.KeyMap('svc', next_token)
+        update = messages.KeyMapUpdated(key_map, version)
+        return self.reader.build_message({'svc': update})
+
+    def test_key_map_with_a_lower_next_token_is_an_older_copy(self):
+        self.reader = watching.KeyMapReader()
+        self.assertTrue(self.build(9000, 7))
+        self.assertFalse(self.build(9000, 7))
+        self.assertFalse(self.build(4000, in_era(1, 3)))
+        self.assertEqual(self.reader.build_message({}), [])
+        self.assertFalse(self.build(4000, in_era(1, 4)))
+        self.assertTrue(self.build(9000, in_era(1, 5)))
+        self.assertTrue(self.build(14000, in_era(1, 6)))
