--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -11,11 +11,12 @@
 
 
 def era_of(version: int) -> int:
-    """Returns the era of a version or revision: how often before it the store
-    was restored from an older copy, counted from any number.
+    """Returns the era of a version or revision.
 
-    Versions and revisions of a later era are higher than all of an earlier one,
-    so they can be compared across a restore. 0 if the store tells no eras.
+    That is how often before it the store was restored from an older copy,
+    counted from any number. Versions and revisions of a later era are higher
+    than all of an earlier one, so they can be compared across a restore. 0 if
+    the store tells no eras.
     """
     return version // VERSIONS_PER_ERA
 
