--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -20,7 +20,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from oriolefold_coordination import assignment, keyload, ranges
+from oriolefold_coordination import assignment, keyload, leaseends, ranges
 
 LEASE_S = 5.0  # Lease duration; longer than a leadership takeover.
 RENEW_INTERVAL_S = 1.2  # Leaves 3.8 s of a lease for a leadership takeover.
@@ -81,15 +81,6 @@
     key_map: ranges.KeyMap
 
 
-@dataclasses.dataclass(slots=True)
-class _Lease:
-    """Upper bound on when an instance's lease on a range ends."""
-
-    first: int
-    last: int
-    until_s: float
-
-
 def lease_end_s(call_ended_s: float) -> float:
     """Returns the time by which a lease has expired at the instance.
 
@@ -147,9 +138,7 @@
         self._candidates: tuple[assignment.Candidate, ...] = ()
         self._holders_by_address: dict[str, ranges.Holder] = {}
         self._born_ms_by_id: dict[str, int] = {}
-        # Keyed by name alone: a call reaches whichever incarnation of the
-        # instance answers at the address.
-        self._leases_by_id: dict[str, list[_Lease]] = {}
+        self._lease_ends = leaseends.LeaseEnds()
         self._handovers: dict[tuple, dict[tuple, str]] = {}
         self._granted: set[tuple] = set()
         self._calls_in_flight: set[tuple] = set()
@@ -312,7 +301,7 @@
             self._newest_connections_by_token[grant.token] = newest_connection
         may_hold = accepted or newest_connection is not None
         if may_hold and not stale:
-            self._extend_lease(key_range, lease_end_s(now_s))
+            self._lease_ends.extend(key_range, lease_end_s(now_s))
         pause_s = RENEW_INTERVAL_S if accepted else RETRY_INTERVAL_S
         self._next_call_at_s[range_id] = now_s + pause_s
         if accepted:
@@ -512,11 +501,8 @@
             if call[0] == 'grant' and _overlap(call[1], key_range):
                 # A renewal in flight may still extend the lease.
                 return False
-        until_s = self._inherited_until_s
-        for lease in self._leases_by_id.get(prior.instance_id, ()):
-            if lease.first <= key_range.last and lease.last >= key_range.first:
-                until_s = max(until_s, lease.until_s)
-        return now_s >= until_s
+        own_until_s = self._lease_ends.until_s(prior.instance_id, key_range)
+        return now_s >= max(self._inherited_until_s, own_until_s)
 
     def _is_superseded(self, key_range, prior: ranges.Holder) -> bool:
         """Whether it is proven that a prior no longer blocks a grant.
@@ -546,15 +532,6 @@
                 return handovers[_incarnation(prior)]
         return ''
 
-    def _extend_lease(self, key_range, until_s: float) -> None:
-        owner_id = key_range.owner.instance_id
-        leases = self._leases_by_id.setdefault(owner_id, [])
-        for lease in leases:
-            if lease.first == key_range.first and lease.last == key_range.last:
-                lease.until_s = max(lease.until_s, until_s)
-                return
-        leases.append(_Lease(key_range.first, key_range.last, until_s))
-
 
 def _range_id(key_range: ranges.KeyRange) -> tuple:
     return key_range.first, key_range.last, key_range.token
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -21,6 +21,7 @@
     availability,
     changefeed,
     documents,
+    loadreports,
     loadtracker,
     messages,
     ports,
@@ -31,8 +32,6 @@
 from oriolefold_telemetry import counters, logs
 
 LOAD_REPORT_INTERVAL_S = 0.5
-MIN_REPORTED_KEYS = 4  # Fewer requests wait for the next report.
-REPORTS_PER_TIMES_UPDATE = 4  # Every n-th report has service times.
 READ_INTERVAL_S = 1.0  # Mean interval of leader record reads by other VMs.
 SUSPECTED_READ_INTERVAL_S = 0.4  # The same after polling the leader failed.
 FOLLOWING_READ_INTERVAL_S = 6.0  # The same while following the leader's feed.
@@ -155,8 +154,9 @@
         self._load_tracker = loadtracker.LoadTracker(time.now_s())
         self._load_updated_at_s = 0.0
         self._leader_address = ''
-        self._report_count = 0
-        self._deferred_keys: tuple[int, ...] = ()
+        self._load_reporter = loadreports.LoadReporter(
+            service_id, vm_id, peers, dispatcher
+        )
         self._registry_changed_at_s = 0.0
         self._settle_deadline_s = 0.0
         self._resigning = False
@@ -270,7 +270,7 @@
             and self._store.is_following == was_following
         ):
             await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
-            await self._report_load()
+            await self._load_reporter.report(self._leader_address)
 
     async def _try_to_lead(self) -> bool:
         name = documents.LEADER_PREFIX + self._service_id
@@ -562,18 +562,13 @@
         registered = [_holder(e) for e in self._all_endpoints]
         self._lease_manager.update(candidates, registered)
 
-    async def _collect_load(self) -> messages.ObservedLoad:
-        return await self._dispatcher.ask(
-            messages.CollectLoad(self._service_id)
-        )
-
     async def _update_own_load(self) -> None:
         now_s = self._clock.now_s()
         if now_s - self._load_updated_at_s < LOAD_REPORT_INTERVAL_S:
             return
         self._load_updated_at_s = now_s
-        load = await self._collect_load()
-        self._apply_reply(self._record_load(self._vm_id, load))
+        load = await self._load_reporter.collect()
+        self._load_reporter.apply(self._record_load(self._vm_id, load))
         self._update_candidates()
 
     def _record_load(
@@ -608,39 +603,6 @@
             frozenset((r.first, r.last, r.token) for r in held),
         )
 
-    def _apply_reply(self, reply: messages.LoadReply) -> None:
-        self._dispatcher.post(messages.SharesUpdated(reply.shares_by_id))
-        if reply.granted is not None:
-            self._dispatcher.post(reply.granted)
-
-    async def _report_load(self) -> None:
-        """Reports the keys of recent requests to the leader.
-
-        A report with few keys is merged into the next one, so that many VMs
-        with little load do not keep the leader busy.
-        """
-        recent = await self._collect_load()
-        load = messages.ObservedLoad(
-            self._deferred_keys + recent.keys, recent.times_by_id
-        )
-        if not self._leader_address or not load.keys:
-            return
-        if len(load.keys) < MIN_REPORTED_KEYS and not self._deferred_keys:
-            self._deferred_keys = load.keys
-            return
-        self._deferred_keys = ()
-        self._report_count += 1
-        if self._report_count % REPORTS_PER_TIMES_UPDATE:
-            load = dataclasses.replace(load, times_by_id={})
-        report = messages.LoadReport(self._vm_id, self._service_id, load)
-        try:
-            reply = await self._peers.report(self._leader_address, report)
-        except errors.OriolefoldError as error:
-            # Not sent again: the leader uses the reports of the other VMs.
-            self._log('load.report_failed', error=str(error))
-        else:
-            self._apply_reply(reply)
-
     def _step(self) -> None:
         if not self._has_authority():
             return
--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -0,0 +1,84 @@
+"""Reports of a VM's load to the leader of a service."""
+
+import dataclasses
+
+from oriolefold_core import errors, tasks
+from oriolefold_direct import messages, ports
+from oriolefold_telemetry import logs
+
+MIN_REPORTED_KEYS = 4  # Fewer requests wait for the next report.
+REPORTS_PER_TIMES_UPDATE = 4  # Every n-th report has service times.
+
+
+class LoadReporter:
+    """Collects the load of one service and applies the leader's replies."""
+
+    def __init__(
+        self,
+        service_id: str,
+        vm_id: str,
+        peers: ports.Peers,
+        dispatcher: tasks.Task,
+    ):
+        """Initializes the reporter.
+
+        Args:
+            service_id: The service.
+            vm_id: This VM.
+            peers: Client for the other VMs.
+            dispatcher: Task that observes load and applies shares and key
+                maps.
+        """
+        self._service_id = service_id
+        self._vm_id = vm_id
+        self._peers = peers
+        self._dispatcher = dispatcher
+        self._report_count = 0
+        self._deferred_keys: tuple[int, ...] = ()
+
+    async def collect(self) -> messages.ObservedLoad:
+        """Returns the load since the last call."""
+        return await self._dispatcher.ask(
+            messages.CollectLoad(self._service_id)
+        )
+
+    def apply(self, reply: messages.LoadReply) -> None:
+        """Passes the leader's reply on to the dispatcher."""
+        self._dispatcher.post(messages.SharesUpdated(reply.shares_by_id))
+        if reply.granted is not None:
+            self._dispatcher.post(reply.granted)
+
+    async def report(self, leader_address: str) -> None:
+        """Reports the keys of recent requests to the leader.
+
+        A report with few keys is merged into the next one, so that many VMs
+        with little load do not keep the leader busy.
+
+        Args:
+            leader_address: Address of the leader, or an empty string.
+        """
+        recent = await self.collect()
+        load = messages.ObservedLoad(
+            self._deferred_keys + recent.keys, recent.times_by_id
+        )
+        if not leader_address or not load.keys:
+            return
+        if len(load.keys) < MIN_REPORTED_KEYS and not self._deferred_keys:
+            self._deferred_keys = load.keys
+            return
+        self._deferred_keys = ()
+        self._report_count += 1
+        if self._report_count % REPORTS_PER_TIMES_UPDATE:
+            load = dataclasses.replace(load, times_by_id={})
+        report = messages.LoadReport(self._vm_id, self._service_id, load)
+        try:
+            reply = await self._peers.report(leader_address, report)
+        except errors.OriolefoldError as error:
+            # Not sent again: the leader uses the reports of the other VMs.
+            logs.event(
+                'load.report_failed',
+                service=self._service_id,
+                error=str(error),
+            )
+        else:
+            self.apply(reply)
