Leaders survive a store that comes back from an older copy

Cause: the leader took the conflict of its heartbeat for another leader and stepped down; whoever came next went on from the copied key map: owners that had released their keys, tokens that were in use. A copied resignation, or a copied record of an earlier process, let it lead at once.

Change: heartbeat counters and tokens of each era of the store begin at a multiple of 2^40, so a record or map tells in which era it was written, in the fields that VMs of the previous version read too. The leader replaces a copied record and writes its own map again. Other VMs claim a copied record only once the leases of any leader before have ended. The leadership record has a module of its own.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -15,12 +15,22 @@
 their other end. Without such a connection the range gets a new token, one of
 those that the leader has reserved in the stored map. A new leader has no such
 connections and reserves tokens before its first grant.
+
+After a restore of the store from an older copy, the leader goes on from its own
+map, which is newer, and writes it again. The tokens of each era of the store
+begin above all of the earlier eras, since a copy does not tell which were used.
 """
 
 import dataclasses
 from collections.abc import Sequence
 
-from oriolefold_coordination import assignment, keyload, leaseends, ranges
+from oriolefold_coordination import (
+    assignment,
+    keyload,
+    leaseends,
+    ranges,
+    registrations,
+)
 
 LEASE_S = 5.0  # Lease duration; longer than a leadership takeover.
 RENEW_INTERVAL_S = 1.2  # Leaves 3.8 s of a lease for a leadership takeover.
@@ -35,6 +45,8 @@
 PLAN_INTERVAL_S = 0.1  # Between plans without events; planning is costly.
 RESERVED_TOKENS = 4096  # Minimum that each map write reserves.
 RESERVED_TOKENS_PER_RANGE = 4
+# More than one era can use: 2**28 map writes of 4096 tokens.
+TOKENS_PER_ERA = 2**40
 BUSY_LIMIT_S = 0.5  # Longest wait for a connection that may carry a renewal.
 PUBLISH_RETRY_S = 0.5  # Delay after a failed write; failed calls are billed.
 
@@ -120,6 +132,8 @@
         key_map: ranges.KeyMap,
         inherited_until_s: float,
         earlier_until_s: float | None = None,
+        era: int = 0,
+        previous_era: int = -1,
     ):
         """Starts from the stored map.
 
@@ -129,6 +143,11 @@
                 last.
             earlier_until_s: The same without the previous leader; by default
                 as long.
+            era: Era of the store.
+            previous_era: Era in which the previous leader wrote its record, or
+                -1 without one. If that one has not written the map after a
+                restore, nothing is done while its leases may last: it went on
+                from a map that is not known here.
         """
         self.key_map = key_map
         self._inherited_until_s = inherited_until_s
@@ -136,8 +155,7 @@
             inherited_until_s if earlier_until_s is None else earlier_until_s
         )
         self._candidates: tuple[assignment.Candidate, ...] = ()
-        self._holders_by_address: dict[str, ranges.Holder] = {}
-        self._born_ms_by_id: dict[str, int] = {}
+        self._registrations = registrations.Registrations()
         self._lease_ends = leaseends.LeaseEnds()
         self._handovers: dict[tuple, dict[tuple, str]] = {}
         self._granted: set[tuple] = set()
@@ -145,8 +163,14 @@
         self._next_call_at_s: dict[tuple, float] = {}
         self._unanswered_since_s: dict[tuple, float] = {}
         self._busy_since_s: dict[tuple, float] = {}
+        self._first_token_of_era = era * TOKENS_PER_ERA
+        self._acts_from_s = float('-inf')
+        if previous_era >= era and not self.is_published:
+            self._acts_from_s = inherited_until_s
         # Earlier leaders may have sent all tokens below.
-        self._first_own_token = key_map.next_token
+        self._first_own_token = max(
+            key_map.next_token, self._first_token_of_era
+        )
         self._reserved_tokens: range = range(0)
         self._replacements_by_token: dict[int, int] = {}
         self._newest_connections_by_token: dict[int, int] = {}
@@ -156,6 +180,7 @@
         self._excluded_until_s: dict[tuple, float] = {}
         self._ended: set[tuple] = set()  # Proved by calls, not the registry.
         self._publishing: ranges.KeyMap | None = None
+        self._last_attempt: ranges.KeyMap | None = None
         self._rebalance_not_before_s = 0.0
         self._publish_not_before_s = float('-inf')
         self._plan_not_before_s = float('-inf')
@@ -174,11 +199,7 @@
         """
         self._candidates = tuple(candidates)
         self._plan_not_before_s = float('-inf')
-        # The entry of an ended incarnation may remain next to that of its
-        # successor at the same address; the youngest one is used.
-        ordered = sorted(registered, key=lambda h: h.born_ms)
-        self._holders_by_address = {h.address: h for h in ordered}
-        self._born_ms_by_id = {h.instance_id: h.born_ms for h in ordered}
+        self._registrations.update(registered)
 
     def step(
         self,
@@ -194,12 +215,14 @@
             is_sole_leader: Whether no other VM can have become the leader yet.
         """
         actions = []
+        if now_s < self._acts_from_s:
+            return actions
         plan_at_s = max(self._plan_not_before_s, self._publish_not_before_s)
         if self._publishing is None and now_s >= plan_at_s:
             self._plan_not_before_s = now_s + PLAN_INTERVAL_S
             changed = self._next_map(now_s, profile)
             if changed is not self.key_map:
-                self._publishing = changed
+                self._publishing = self._last_attempt = changed
                 actions.append(Publish(changed))
         for key_range in self.key_map.ranges:
             actions.extend(
@@ -231,12 +254,40 @@
     def _until_if_ended_s(self, now_s: float) -> float:
         return max(lease_end_s(now_s), self._earlier_until_s)
 
+    def go_on_in_restored_store(self, stored: ranges.KeyMap, era: int) -> bool:
+        """Handles a restore of the store to which the leader has returned.
+
+        Args:
+            stored: The map in the restored store.
+            era: Era of the store.
+
+        Returns:
+            Whether the own map is the newest one, so that the leader goes on
+            from it. The stored one may be that of an own write whose outcome
+            is unknown.
+        """
+        if (
+            stored.next_token > self.key_map.next_token
+            and stored != self._last_attempt
+        ):
+            return False
+        self._first_token_of_era = era * TOKENS_PER_ERA
+        self._plan_not_before_s = float('-inf')
+        return True
+
+    @property
+    def is_published(self) -> bool:
+        """Whether the map has been written in the current era of the store."""
+        return self.key_map.next_token >= self._first_token_of_era
+
     def is_held(self, key_range: ranges.KeyRange) -> bool:
         """Whether the owner has acknowledged the range."""
         return _range_id(key_range) in self._granted
 
     def held_moving(self) -> tuple[ranges.KeyRange, ...]:
         """Returns the held ranges that the stored map lists as moving."""
+        if not self.is_published:
+            return ()
         return tuple(
             key_range
             for key_range in self.key_map.ranges
@@ -379,9 +430,15 @@
             and _incarnation(c.holder) not in self._ended
         ]
         cleared = self._clear_priors(now_s)
+        if not self.is_published:
+            cleared = dataclasses.replace(
+                cleared, next_token=self._first_token_of_era
+            )
         stable = all(not r.priors for r in cleared.ranges)
         may_balance = stable and now_s >= self._rebalance_not_before_s
         changed = assignment.assign(cleared, candidates, profile, may_balance)
+        if not changed.ranges:
+            return self.key_map
         if may_balance and changed is not self.key_map:
             self._rebalance_not_before_s = now_s + REBALANCE_INTERVAL_S
         is_short = len(self._reserved_tokens) < len(self.key_map.ranges)
@@ -495,7 +552,9 @@
         """Whether a prior has released a range or its leases have expired."""
         if _incarnation(prior) in self._handovers.get(_range_id(key_range), {}):
             return True
-        if self._is_superseded(key_range, prior):
+        if _incarnation(prior) in self._ended:
+            return True
+        if self._registrations.is_superseded(prior, key_range.owner):
             return True
         for call in self._calls_in_flight:
             if call[0] == 'grant' and _overlap(call[1], key_range):
@@ -504,27 +563,6 @@
         own_until_s = self._lease_ends.until_s(prior.instance_id, key_range)
         return now_s >= max(self._inherited_until_s, own_until_s)
 
-    def _is_superseded(self, key_range, prior: ranges.Holder) -> bool:
-        """Whether it is proven that a prior no longer blocks a grant.
-
-        An instance under another name rejects calls meant for the prior. A
-        newer incarnation under the same name may have accepted a grant meant
-        for its predecessor, so it unblocks only grants to that name.
-        """
-        if _incarnation(prior) in self._ended:
-            return True
-        at_address = self._holders_by_address.get(prior.address, prior)
-        if (
-            at_address.instance_id != prior.instance_id
-            and at_address.born_ms > prior.born_ms
-        ):
-            return True
-        born_ms = self._born_ms_by_id.get(prior.instance_id, prior.born_ms)
-        return (
-            born_ms > prior.born_ms
-            and key_range.owner.instance_id == prior.instance_id
-        )
-
     def _handover_for(self, key_range) -> str:
         handovers = self._handovers.get(_range_id(key_range), {})
         for prior in key_range.priors:
--- a/libs/coordination/tests/test_leaderelection.py
+++ b/libs/coordination/tests/test_leaderelection.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oriolefold_coordination import leaderelection
+from oriolefold_coordination import leaderelection, rangeleases
 
 OTHER = leaderelection.LeaderRecord('two', 'p2', 1)
 
@@ -55,3 +55,56 @@
                 2, leaderelection.LeaderRecord('one', 'p0', 1), 0.0
             )
         )
+
+
+class CopiedRecordTest(unittest.TestCase):
+    """Records from before a restore of the store prove nothing."""
+
+    def setUp(self):
+        self.leader_monitor = leaderelection.LeaderMonitor('one', 'p1')
+        self.limit_s = rangeleases.inherited_until_s(0.0, True, 0.0)
+        self.beat = leaderelection.next_beat(0, 1)
+
+    def may_claim(self, version, record, now_s, era=2, suspected=False):
+        return self.leader_monitor.observe(
+            version, record, now_s, suspected, era
+        )
+
+    def test_a_copied_record_is_replaced_once_all_leases_have_ended(self):
+        for vm_id, incarnation in (('', 'p2'), ('one', 'p0'), ('two', 'p2')):
+            with self.subTest(vm_id=vm_id):
+                self.setUp()
+                record = leaderelection.LeaderRecord(
+                    vm_id, incarnation, self.beat
+                )
+                self.assertFalse(self.may_claim(5, record, 0.0))
+                self.assertFalse(
+                    self.may_claim(5, record, self.limit_s, suspected=True)
+                )
+                self.assertTrue(self.may_claim(5, record, self.limit_s + 0.1))
+
+    def test_a_record_of_the_current_era_is_replaced_as_usual(self):
+        beat = leaderelection.next_beat(self.beat, 2)
+        resigned = leaderelection.LeaderRecord('', 'p2', beat)
+        self.assertTrue(self.may_claim(5, resigned, 0.0))
+
+    def test_a_record_that_changes_in_this_era_is_no_copy(self):
+        # Earlier versions of the program do not tell the era.
+        unmarked = leaderelection.LeaderRecord('two', 'p2', 7)
+        self.assertFalse(self.may_claim(5, unmarked, 0.0))
+        resigned = leaderelection.LeaderRecord('', 'p2', 8)
+        self.assertTrue(self.may_claim(6, resigned, 1.0))
+
+    def test_the_wait_begins_anew_with_a_second_restore(self):
+        record = leaderelection.LeaderRecord('two', 'p2', self.beat)
+        self.may_claim(5, record, 0.0)
+        self.assertFalse(self.may_claim(9, record, self.limit_s, era=3))
+        self.assertFalse(self.may_claim(9, record, self.limit_s + 0.1, era=3))
+
+    def test_heartbeats_rise_across_eras(self):
+        beats = [0]
+        for era in (0, 1, 1, 2, 4):
+            beats.append(leaderelection.next_beat(beats[-1], era))
+        self.assertEqual(beats, sorted(set(beats)))
+        eras = [leaderelection.LeaderRecord('', '', b).era for b in beats]
+        self.assertEqual(eras, [0, 0, 1, 1, 2, 4])
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -466,7 +466,7 @@
                 lease_manager.publishing_failed(self.now_s)
                 return
             if vm.map_version != self.map_version:
-                vm.lease_manager = None
+                self.handle_map_conflict(vm)
                 return
             self.map_version += 1
             vm.map_version = self.map_version
@@ -475,6 +475,9 @@
 
         self.schedule(self.random.uniform(0.005, 0.2), write)
 
+    def handle_map_conflict(self, vm: Vm) -> None:
+        vm.lease_manager = None
+
     def instance_of(self, vm: Vm, holder: ranges.Holder) -> Instance | None:
         for instance in self.instances:
             # Instances check only the name, so calls reach any incarnation.
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -21,6 +21,7 @@
     availability,
     changefeed,
     documents,
+    leaderrecords,
     loadreports,
     loadtracker,
     messages,
@@ -72,6 +73,7 @@
     document: updates.Document | None
     key_map: ranges.KeyMap
     error: Exception | None
+    era: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +126,6 @@
         self._service_id = service_id
         self._vm_id = vm_id
         self._incarnation = incarnation
-        self._own_address = own_address
         self._store = store
         self._feed = feed
         self._instances = instances
@@ -135,11 +136,12 @@
         self._metrics = recorder
         self._random = generator
         self._takeover_delay_s = takeover_delay_s
-        self._leader_monitor = leaderelection.LeaderMonitor(
-            vm_id, incarnation, takeover_delay_s
+        self._records = leaderrecords.LeaderRecords(
+            store,
+            service_id,
+            leaderelection.LeaderRecord(vm_id, incarnation, 0, own_address),
+            takeover_delay_s,
         )
-        self._leader_document: updates.Document | None = None
-        self._heartbeat_number = 0
         self._authority_until_s = 0.0
         self._sole_leader_until_s = 0.0
         self._lease_manager: rangeleases.RangeLeaseManager | None = None
@@ -149,18 +151,17 @@
         self._grants_in_flight: set[asyncio.Task] = set()
         self._former_leader: leaderelection.LeaderRecord | None = None
         self._map_document: updates.Document | None = None
+        self._map_era = 0  # Era of the store in which the map was read.
         self._endpoints: tuple[topology.Endpoint, ...] = ()
         self._all_endpoints: tuple[topology.Endpoint, ...] = ()
         self._load_tracker = loadtracker.LoadTracker(time.now_s())
         self._load_updated_at_s = 0.0
-        self._leader_address = ''
         self._load_reporter = loadreports.LoadReporter(
             service_id, vm_id, peers, dispatcher
         )
         self._registry_changed_at_s = 0.0
         self._settle_deadline_s = 0.0
         self._resigning = False
-        self._record_lock = asyncio.Lock()
 
     async def on_start(self) -> None:
         """Starts the election loop."""
@@ -169,31 +170,21 @@
     async def resign(self) -> None:
         """Resigns leadership, so that another VM can take over at once."""
         self._resigning = True
-        led = None
-        if self._lease_manager is not None:
-            led = self._leader_record(self._heartbeat_number)
+        has_led = self._lease_manager is not None
+        inherited_s = self._inherited_s()
+        if has_led:
             self._step_down('stopping')
             # The next leader counts leases from its own election.
             await self._wait_for_grants()
         # A takeover in progress gives the leadership back before it ends. The
         # record of a heartbeat in progress is the one to replace.
-        async with self._record_lock:
-            if led is not None:
-                beat = self._heartbeat_number + 1
-                await self._write_resignation(
-                    dataclasses.replace(led, beat=beat)
-                )
+        async with self._records.lock:
+            if has_led:
+                await self._write_resignation(inherited_s)
 
-    async def _write_resignation(
-        self, record: leaderelection.LeaderRecord
-    ) -> None:
-        record = dataclasses.replace(record, vm_id='', address='')
+    async def _write_resignation(self, inherited_s: float) -> None:
         try:
-            await updates.replace(
-                self._store,
-                self._leader_document,
-                documents.encode_leader_record(record),
-            )
+            await self._records.resign(inherited_s)
         except errors.StoreError as error:
             self._log('leadership.resign_failed', error=str(error))
 
@@ -270,17 +261,19 @@
             and self._store.is_following == was_following
         ):
             await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
-            await self._load_reporter.report(self._leader_address)
+            await self._load_reporter.report(self._records.leader_address)
 
     async def _try_to_lead(self) -> bool:
-        name = documents.LEADER_PREFIX + self._service_id
         try:
-            takeover = await self._read_leader_record(name)
-            if takeover is None or self._resigning:
+            vacancy = await self._records.find_vacancy(
+                self._clock.now_s(), self._store.is_leader_suspected
+            )
+            if self._records.feed_address:
+                self._store.follow(self._records.feed_address)
+            if vacancy is None or self._resigning:
                 return False
-            expected, previous = takeover
-            async with self._record_lock:
-                return await self._become_leader(expected, previous)
+            async with self._records.lock:
+                return await self._become_leader(vacancy)
         except errors.StoreError as error:
             self._store_availability.mark_unavailable(error)
             return False
@@ -288,64 +281,31 @@
             self._log('leadership.unreadable', error=str(error))
             return False
 
-    async def _read_leader_record(self, name: str):
-        """Reads the leader record.
-
-        Returns:
-            The stored document and its record if this VM may take over, or
-            None. The record is None before the first election.
-        """
-        try:
-            stored = await self._store.read_stale(name)
-        except errors.ObjectNotFoundError:
-            return updates.Document(name, store_ports.NEW_OBJECT, (), b''), None
-        document = updates.to_document(stored)
-        record = documents.decode_leader_record(document.body, name)
-        now_s = self._clock.now_s()
-        self._follow_leader(record)
-        if not self._leader_monitor.observe(
-            document.version, record, now_s, self._store.is_leader_suspected
-        ):
-            return None
-        return document, record
-
-    def _follow_leader(self, record: leaderelection.LeaderRecord) -> None:
-        """Follows the change feed of the current leader."""
-        self._leader_address = record.address if record.vm_id else ''
-        if self._leader_address and record.incarnation != self._incarnation:
-            self._store.follow(self._leader_address)
-
-    async def _become_leader(
-        self, expected, previous: leaderelection.LeaderRecord | None
-    ) -> bool:
+    async def _become_leader(self, vacancy: leaderrecords.Vacancy) -> bool:
         now_s = self._clock.now_s()
-        self._heartbeat_number = previous.beat + 1 if previous else 1
-        record = self._leader_record(self._heartbeat_number)
+        previous, max_inherited_s = vacancy.previous, 0.0
         if previous is not None:
             # Upper bound until the key map has been read.
             max_inherited_s = rangeleases.inherited_until_s(
                 0.0, True, previous.inherited_s
             )
-            record = dataclasses.replace(record, inherited_s=max_inherited_s)
         try:
-            self._leader_document = await updates.replace(
-                self._store,
-                expected,
-                documents.encode_leader_record(record),
-                accept_later=False,
-            )
+            await self._records.claim(vacancy, max_inherited_s)
         except errors.VersionConflictError:
             return False
         name = documents.KEY_MAP_PREFIX + self._service_id
         if not self._resigning:
             self._map_document = await updates.read(self._store, name)
         if self._resigning:
-            await self._give_back(record)
+            await self._give_back(max_inherited_s)
             return False
-        if self._leader_document.version < self._ended_before_version:
+        if (
+            self._records.version < self._ended_before_version
+            or self._records.era < self._store.era
+        ):
             # Another VM was elected meanwhile and was told that this one will
-            # not act.
-            self._log('leadership.superseded', beat=record.beat)
+            # not act, or the store has been restored.
+            self._log('leadership.superseded', beat=self._records.beat)
             return False
         key_map = ranges.KeyMap(self._service_id)
         if self._map_document.body:
@@ -354,14 +314,16 @@
         self._feed.record_contact()
         self._feed.start_leading(self._service_id)
         self._extend_authority(now_s)
-        self._term_version = self._leader_document.version
-        self._lease_manager = self._make_lease_manager(key_map, previous)
+        self._term_version = self._records.version
+        self._map_era = self._records.era
+        self._lease_manager = self._make_lease_manager(key_map, vacancy)
         self._former_leader = previous
         self._update_candidates()
         self._log(
             'leadership.acquired',
             previous=previous.vm_id if previous else '',
-            version=self._leader_document.version,
+            version=self._records.version,
+            from_copy=vacancy.all_leases_ended,
             ranges=len(key_map.ranges),
         )
         self._settle_deadline_s = 0.0
@@ -369,27 +331,24 @@
             self._settle_deadline_s = self._clock.now_s() + SETTLE_LIMIT_S
         return True
 
-    async def _give_back(self, record: leaderelection.LeaderRecord) -> None:
+    async def _give_back(self, inherited_s: float) -> None:
         """Resigns a leadership under which this VM has not acted."""
-        self._log('leadership.given_back', beat=record.beat)
+        self._log('leadership.given_back', beat=self._records.beat)
         # Without the key map it is unknown whether an earlier leader still
         # acts, so its authority and its leases are allowed for.
-        max_inherited_s = rangeleases.inherited_until_s(
-            0.0, True, record.inherited_s
+        await self._write_resignation(
+            rangeleases.inherited_until_s(0.0, True, inherited_s)
         )
-        record = dataclasses.replace(
-            record, beat=record.beat + 1, inherited_s=max_inherited_s
-        )
-        await self._write_resignation(record)
 
     def _make_lease_manager(
-        self,
-        key_map: ranges.KeyMap,
-        previous: leaderelection.LeaderRecord | None,
+        self, key_map: ranges.KeyMap, vacancy: leaderrecords.Vacancy
     ) -> rangeleases.RangeLeaseManager:
+        previous, era = vacancy.previous, self._records.era
+        if vacancy.all_leases_ended or (
+            previous is None and not key_map.ranges
+        ):
+            return rangeleases.RangeLeaseManager(key_map, 0.0, era=era)
         if previous is None:
-            if not key_map.ranges:
-                return rangeleases.RangeLeaseManager(key_map, 0.0)
             previous = leaderelection.LeaderRecord('unknown', '', 0)
         # A record of this same process does not prove that no other VM acts as
         # leader: when another VM has written the key map, this process steps
@@ -403,7 +362,11 @@
             now_s, not previous_stopped, previous.inherited_s
         )
         return rangeleases.RangeLeaseManager(
-            key_map, inherited_until_s, now_s + previous.inherited_s
+            key_map,
+            inherited_until_s,
+            now_s + previous.inherited_s,
+            era,
+            previous.era,
         )
 
     def _end_terms(self, ask: messages.EndTerms) -> None:
@@ -488,33 +451,21 @@
         )
         self._step()
 
-    def _leader_record(self, beat: int) -> leaderelection.LeaderRecord:
-        now_s = self._clock.now_s()
-        inherited_s = 0.0
-        if self._lease_manager is not None:
-            inherited_s = self._lease_manager.inherited_s(now_s)
-        return leaderelection.LeaderRecord(
-            self._vm_id,
-            self._incarnation,
-            beat,
-            self._own_address,
-            round(inherited_s, 3),
-        )
+    def _inherited_s(self) -> float:
+        if self._lease_manager is None:
+            return 0.0
+        return round(self._lease_manager.inherited_s(self._clock.now_s()), 3)
 
     async def _renew_leadership(self) -> None:
         sent_at_s = self._clock.now_s()
-        record = self._leader_record(self._heartbeat_number + 1)
         try:
-            async with self._record_lock:
-                self._leader_document = await updates.replace(
-                    self._store,
-                    self._leader_document,
-                    documents.encode_leader_record(record),
-                    accept_later=False,
-                )
-                self._heartbeat_number += 1
+            await self._write_heartbeat()
+            if self._lease_manager is not None:
+                await self._go_on_after_restore(self._lease_manager)
         except errors.VersionConflictError:
             self._step_down('another VM is the leader')
+        except errors.ConfigurationError as error:
+            self._step_down(str(error))
         except errors.StoreError as error:
             self._store_availability.mark_unavailable(error)
             self._log('leadership.renewal_failed', error=str(error))
@@ -522,6 +473,49 @@
             self._feed.record_contact()
             self._extend_authority(sent_at_s)
 
+    async def _write_heartbeat(self) -> None:
+        try:
+            await self._records.renew(self._inherited_s())
+        except errors.VersionConflictError:
+            # The stored record may be a copy that was restored. A leader that
+            # no longer acts has no better knowledge than the store.
+            if (
+                not self._has_authority()
+                or not await self._records.renew_in_restored_store(
+                    self._inherited_s()
+                )
+            ):
+                raise
+
+    async def _go_on_after_restore(
+        self, lease_manager: rangeleases.RangeLeaseManager
+    ) -> None:
+        """Goes on from the own key map, which is newer than a restored one.
+
+        Raises:
+            VersionConflictError: If the stored map is newer.
+        """
+        era = self._records.era
+        if era == self._map_era:
+            return
+        name = documents.KEY_MAP_PREFIX + self._service_id
+        document = await updates.read(self._store, name)
+        stored = ranges.KeyMap(self._service_id)
+        if document.body:
+            stored = documents.decode_key_map(document.body, name)
+        if not lease_manager.go_on_in_restored_store(stored, era):
+            raise errors.VersionConflictError(f'{name}: a newer map is stored')
+        self._log(
+            'leadership.reestablished',
+            former_era=self._map_era,
+            era=era,
+            version=self._records.version,
+            next_token=lease_manager.key_map.next_token,
+            stored_version=document.version,
+            stored_next_token=stored.next_token,
+        )
+        self._map_document, self._map_era = document, era
+
     def _extend_authority(self, heartbeat_sent_at_s: float) -> None:
         self._authority_until_s = heartbeat_sent_at_s + rangeleases.AUTHORITY_S
         # No other VM takes over sooner.
@@ -549,6 +543,8 @@
         return (
             self._lease_manager is not None
             and self._clock.now_s() < self._sole_leader_until_s
+            # Another VM may have become the leader in a restored store.
+            and self._store.era <= self._map_era
         )
 
     def _update_candidates(self) -> None:
@@ -628,6 +624,7 @@
                             self._lease_manager,
                             self._map_document,
                             action.key_map,
+                            self._map_era,
                         )
                     )
 
@@ -681,6 +678,7 @@
         lease_manager: rangeleases.RangeLeaseManager,
         before: updates.Document,
         key_map: ranges.KeyMap,
+        era: int,
     ) -> None:
         document, publish_error = None, None
         try:
@@ -698,7 +696,9 @@
         finally:
             # No other map is published until this one has ended.
             self.post(
-                _PublishEnded(lease_manager, document, key_map, publish_error)
+                _PublishEnded(
+                    lease_manager, document, key_map, publish_error, era
+                )
             )
 
     def _handle_grant_ended(self, ended: _GrantEnded) -> None:
@@ -747,10 +747,15 @@
         self._step()
 
     def _handle_publish_ended(self, ended: _PublishEnded) -> None:
-        if ended.document is None:
+        # A restore of the store undoes a write that has just succeeded, and
+        # makes one in progress conflict.
+        if ended.document is None or ended.era < self._map_era:
             self._lease_manager.publishing_failed(self._clock.now_s())
             self._log('key_map.write_failed', error=str(ended.error))
-            if isinstance(ended.error, errors.VersionConflictError):
+            if (
+                isinstance(ended.error, errors.VersionConflictError)
+                and ended.era >= self._store.era
+            ):
                 self._step_down('another VM wrote the key map')
             return
         self._map_document = ended.document
