Releases and wrong answers leave kept connections for renewals

What callers would see: keys without an owner for the rest of a lease, since a holder that accepts no more connections loses those that its renewals need.

Cause: closed an idle connection before each release, also when the new one then failed, and all of them after one 421 that proves nothing. Renewals go only over connections that were open before.

Change: an idle connection is closed only if a new one was not accepted, and never the last one; a 421 that proves nothing closes the connection that carried it.

--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -54,7 +54,8 @@
             is exhausted, even if the pool is not essential.
         matcher: Tells which responses answer this request.
         on_new_connection: Whether it may go only over a new connection, so that
-            no response to an earlier request can precede its own.
+            no response to an earlier request can precede its own. If that one
+            fails, an idle one is closed, since servers limit their number.
         carriers: Numbers of the connections that have carried it, to which the
             pool adds. It is not sent over any of them again, since a late
             response to the earlier sending has the same ID.
@@ -82,6 +83,7 @@
         hold: Its memory, counted until the response is dropped.
         is_first: Whether it is the first one on its connection, so that it
             cannot answer an earlier request.
+        connection_number: Number of its connection.
     """
 
     status: int
@@ -89,6 +91,7 @@
     body: bytes
     hold: bytebudget.Hold
     is_first: bool = False
+    connection_number: int = 0
 
 
 def _ignore(
@@ -269,14 +272,17 @@
             connection = self._take_older(address, newest_number)
         elif outgoing.on_new_connection:
             connection = None
-            self._make_room_for_connection(address)
         else:
             connection = self._take_idle(
                 address, loop.time(), outgoing.carriers
             )
         if connection is None:
             connect_s = min(connect_timeout_s, timeout_s)
-            connection = await self._connect(address, connect_s)
+            try:
+                connection = await self._connect(address, connect_s)
+            except errors.UnreachableError:
+                self._handle_failure(address, outgoing)
+                raise
         busy = self._busy_by_address.setdefault(address, set())
         busy.add(connection)
         try:
@@ -321,6 +327,7 @@
             raise
         except errors.OutcomeUnknownError as error:
             connection.stream.close()
+            self._handle_failure(address, outgoing)
             idle_text = self._record_loss(connection, started_s)
             if not idle_text:
                 raise
@@ -354,18 +361,28 @@
         for connection in self._idle_by_address.pop(address, ()):
             connection.stream.close()
 
+    def close_connection(self, address: data.Address, number: int) -> None:
+        """Closes a connection to an address if it is idle."""
+        idle = self._idle_by_address.get(address, ())
+        for connection in list(idle):
+            if connection.number == number:
+                idle.remove(connection)
+                connection.stream.set_close_callback(None)
+                connection.stream.close()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
-    def _make_room_for_connection(self, address) -> None:
-        """Closes an idle connection, since servers limit their number."""
-        idle = self._idle_by_address.get(address)
-        if idle:
-            connection = idle.popleft()
-            connection.stream.set_close_callback(None)
-            connection.stream.close()
+    def _handle_failure(self, address, outgoing: OutgoingRequest) -> None:
+        """Handles a connection that the server does not accept or has closed.
+
+        The last idle connection is kept.
+        """
+        idle = self._idle_by_address.get(address, ())
+        if outgoing.on_new_connection and len(idle) > 1:
+            self.close_connection(address, idle[0].number)
 
     def _take_idle(
         self, address, now_s: float, carriers: set[int]
@@ -475,6 +492,7 @@
                     raise asyncio.CancelledError
                 incoming = _complete_response(collector, stream)
                 incoming.is_first = not connection.responses
+                incoming.connection_number = connection.number
                 connection.responses += 1
                 if outgoing.matcher.matches(
                     incoming.headers, incoming.is_first
