An entry of an unknown service does not prove that an instance has ended

What callers would see: a key given on while its holder still works on it.

Cause: an instance of another name, born later, at a holder's address proves that the holder has ended. Entries of any service counted, also of none that is configured, and such an entry may be of any writer.

Change: coordinators get the instances of configured services only. An odd entry with the name of a configured service is still believed.

--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -34,14 +34,14 @@
         self._make_coordinator = make_coordinator
         self._by_service_id: dict[str, coordinator.Coordinator] = {}
         self._endpoints: messages.EndpointsUpdated | None = None
+        self._service_ids: frozenset[str] = frozenset()
         self._resigning = False
 
     async def handle(self, message: Any) -> None:
         """Handles one message."""
         if isinstance(message, messages.EndpointsUpdated):
             self._endpoints = message
-            for running in self._by_service_id.values():
-                running.post(message)
+            self._post_endpoints()
         elif isinstance(message, messages.LoadReport):
             running = self._by_service_id.get(message.service_id)
             if running is None:
@@ -60,6 +60,8 @@
             else:
                 running.post(message)
         elif isinstance(message, messages.PolicyUpdated):
+            self._service_ids = frozenset(message.policy.services_by_id)
+            self._post_endpoints()
             for profile in message.policy.services_by_id.values():
                 if profile.keyed:
                     await self._ensure_running(profile.service_id)
@@ -70,9 +72,30 @@
         running = self._make_coordinator(service_id)
         self._by_service_id[service_id] = running
         if self._endpoints is not None:
-            running.post(self._endpoints)
+            running.post(self._known_endpoints())
         await running.start()
 
+    def _post_endpoints(self) -> None:
+        if self._endpoints is not None:
+            for running in self._by_service_id.values():
+                running.post(self._known_endpoints())
+
+    def _known_endpoints(self) -> messages.EndpointsUpdated:
+        """Returns the instances of configured services.
+
+        An entry of another service may be of any writer, and must not prove
+        that the instance at its address has ended.
+        """
+        return messages.EndpointsUpdated(
+            {
+                instance_id: endpoint
+                for instance_id, endpoint in (
+                    self._endpoints.endpoints_by_id.items()
+                )
+                if endpoint.service_id in self._service_ids
+            }
+        )
+
     async def resign(self) -> None:
         """Resigns leadership of all services and starts no coordinator."""
         self._resigning = True
--- a/libs/direct/tests/test_coordinators.py
+++ b/libs/direct/tests/test_coordinators.py
@@ -15,12 +15,13 @@
         super().__init__(service_id)
         self.has_started = False
         self.has_resigned = False
+        self.messages = []
 
     async def on_start(self):
         self.has_started = True
 
     async def handle(self, message):
-        """Ignores the message."""
+        self.messages.append(message)
 
     async def resign(self):
         self.has_resigned = True
@@ -45,6 +46,19 @@
         await self.supervisor.resign()
         self.assertEqual([made.has_resigned for made in self.made], [True])
 
+    async def test_an_entry_of_an_unknown_service_proves_nothing(self):
+        known = fakes.endpoint('i1')
+        other = fakes.endpoint('i2', service='other', born_ms=2)
+        update = messages.EndpointsUpdated({'i1': known, 'i2': other})
+        self.supervisor.post(update)
+        self.supervisor.post(fakes.policy_updated(keyed=True))
+        self.supervisor.post(update)
+        await self.wait_for(
+            lambda: self.made and len(self.made[0].messages) > 1
+        )
+        for message in self.made[0].messages:
+            self.assertEqual(message.endpoints_by_id, {'i1': known})
+
     async def test_no_coordinator_starts_after_the_resignation(self):
         await self.supervisor.resign()
         self.supervisor.post(fakes.policy_updated(keyed=True))
