Count a lease from when its grant must have arrived if the answer proves nothing

What callers would see: a key given on while its owner holds it.

Cause: answers to grants carry no ID, so on a kept connection an earlier one that is written again ends the call while the grant is still on its way. The lease, the wait for grants in flight and the statement that a term has ended counted from it.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -328,6 +328,7 @@
         stale: bool,
         now_s: float,
         newest_connection: int | None = None,
+        in_transit_s: float = 0.0,
     ) -> None:
         """Handles the outcome of a grant.
 
@@ -338,6 +339,7 @@
             now_s: Current time.
             newest_connection: Number of the newest connection at the time at
                 which the grant was written, or None if nothing was written.
+            in_transit_s: How long it may still be on its way.
         """
         key_range = grant.key_range
         range_id = _range_id(key_range)
@@ -351,7 +353,9 @@
         ):
             self._newest_connections_by_token[grant.token] = newest_connection
         if accepted or newest_connection is not None:
-            self._lease_ends.extend(key_range, lease_end_s(now_s))
+            self._lease_ends.extend(
+                key_range, lease_end_s(now_s + in_transit_s)
+            )
         pause_s = RENEW_INTERVAL_S if accepted else RETRY_INTERVAL_S
         self._next_call_at_s[range_id] = now_s + pause_s
         if accepted:
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -936,6 +936,14 @@
         granted_at_s = self.grants_to_two_at_s(lease_manager, 2.0)
         self.assertGreaterEqual(granted_at_s, rangeleases.lease_end_s(2.0))
 
+    def test_a_grant_in_transit_is_waited_for_beside_a_wrong_answer(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        (grant,) = lease_manager.step(0.0, PROFILE)
+        lease_manager.grant_ended(grant, True, False, 0.0, 1, 0.5)
+        granted_at_s = self.grants_to_two_at_s(lease_manager, 0.0)
+        self.assertGreaterEqual(granted_at_s, rangeleases.lease_end_s(0.5))
+
     def test_another_instance_that_answers_ends_the_owner(self):
         lease_manager = self.lease_manager([self.one])
         self.assigned(lease_manager)
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -648,6 +648,8 @@
         finally:
             self._metrics.count_grant('grant', outcome.result.value)
             self.post(_GrantEnded(lease_manager, grant, outcome))
+        # It counts as in flight until it must have arrived.
+        await asyncio.sleep(outcome.in_transit_s)
 
     def _may_send(
         self,
@@ -727,6 +729,7 @@
             result is ports.GrantResult.STALE,
             now_s,
             ended.outcome.newest_connection,
+            ended.outcome.in_transit_s,
         )
         if result is not ports.GrantResult.ACCEPTED:
             self._log_key_range('grant.failed', sent, result.value)
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -64,10 +64,13 @@
         result: How the instance responded.
         newest_connection: Number of the newest connection when the grant was
             written, or None if nothing was written.
+        in_transit_s: How long the grant may still be on its way, in seconds,
+            since the answer may be one to an earlier call.
     """
 
     result: GrantResult
     newest_connection: int | None = None
+    in_transit_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
