Stored key maps and leader records are checked for their ranges

Tokens and heartbeats below 0 or of 400 digits, and an inherited wait of -1 or 1e308 s, were taken as valid; such a wait would have kept all moves waiting. A value nested deeply in an envelope raised RecursionError in place of ConfigurationError. `born_ms` of a holder stays unlimited: it can only be compared, and maps of earlier versions may contain a large one, which must not cost the whole map.

--- a/libs/direct/src/oriolefold_direct/documents.py
+++ b/libs/direct/src/oriolefold_direct/documents.py
@@ -1,6 +1,7 @@
 """Encoding and validation of stored key maps and leader records."""
 
 import dataclasses
+from typing import Annotated
 
 import msgspec
 
@@ -9,34 +10,39 @@
 
 LEADER_PREFIX = 'oriolefold-offices/'
 KEY_MAP_PREFIX = 'oriolefold-key-maps/'
+MAX_COUNTER = 2**63 - 1  # Of tokens, versions, revisions and heartbeats.
+MAX_INHERITED_S = 3600.0  # Far above the sum of all leases.
+Key = Annotated[int, msgspec.Meta(ge=0, le=ranges.KEY_COUNT - 1)]
+Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
 
 
 class _Holder(msgspec.Struct, forbid_unknown_fields=True):
     instance_id: str
+    # Not limited, so that it does not cost the map of all keys.
     born_ms: int
     address: str
 
 
 class _KeyRange(msgspec.Struct, forbid_unknown_fields=True):
-    first: int
-    last: int
+    first: Key
+    last: Key
     owner: _Holder
-    token: int
+    token: Counter
     priors: list[_Holder] = []
 
 
 class _KeyMap(msgspec.Struct, forbid_unknown_fields=True):
     service_id: str
-    next_token: int
+    next_token: Counter
     ranges: list[_KeyRange]
 
 
 class _LeaderRecord(msgspec.Struct, forbid_unknown_fields=True):
     vm_id: str
     incarnation: str
-    beat: int
+    beat: Counter
     address: str = ''
-    inherited_s: float = 0.0
+    inherited_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_INHERITED_S)] = 0.0
 
 
 def encode_key_map(key_map: ranges.KeyMap) -> bytes:
@@ -113,7 +119,7 @@
 def _decode(text: bytes, model: type, source: str):
     try:
         return msgspec.json.decode(text, type=model)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise _invalid(source, str(error)) from error
 
 
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -814,6 +814,16 @@
     return f'{vm_id}:80'
 
 
+ODD_NUMBERS = (
+    b'[' * 100_000 + b']' * 100_000,
+    b'-1',
+    b'1e400',
+    b'NaN',
+    b'"1"',
+    b'null',
+)
+
+
 class DocumentsTest(basecase.BaseCase):
     """Stored key maps and leader records are validated when decoded."""
 
@@ -829,3 +839,39 @@
         record = leaderelection.LeaderRecord('vm', 'p', 3, '10.0.0.1:80')
         text = documents.encode_leader_record(record)
         self.assertEqual(documents.decode_leader_record(text, 'o'), record)
+
+    def test_key_map_out_of_range_is_rejected(self):
+        text = (
+            b'{"service_id":"s","next_token":2,"ranges":[{"first":0,'
+            b'"last":65535,"owner":{"instance_id":"i","born_ms":1,'
+            b'"address":"a"},"token":1}]}'
+        )
+        self.assertEqual(documents.decode_key_map(text, 'k').next_token, 2)
+        for field, good in (
+            (b'"next_token":', b'2'),
+            (b'"first":', b'0'),
+            (b'"last":', b'65535'),
+            (b'"token":', b'1'),
+        ):
+            for odd in (*ODD_NUMBERS, b'9' * 400):
+                with self.subTest(field=field, odd=odd[:20]):
+                    changed = text.replace(field + good, field + odd)
+                    self.assertNotEqual(changed, text)
+                    with self.assertRaises(errors.ConfigurationError):
+                        documents.decode_key_map(changed, 'k')
+
+    def test_leader_record_out_of_range_is_rejected(self):
+        text = b'{"vm_id":"v","incarnation":"p","beat":3,"inherited_s":4}'
+        documents.decode_leader_record(text, 'o')
+        for field, good in ((b'"beat":', b'3'), (b'"inherited_s":', b'4')):
+            for odd in (*ODD_NUMBERS, b'9' * 400, b'1e308'):
+                with self.subTest(field=field, odd=odd[:20]):
+                    changed = text.replace(field + good, field + odd)
+                    self.assertNotEqual(changed, text)
+                    with self.assertRaises(errors.ConfigurationError):
+                        documents.decode_leader_record(changed, 'o')
+
+    def test_envelope_nested_deeply_is_rejected(self):
+        content = b'{"write_ids":[],"body":%s}' % ODD_NUMBERS[0]
+        with self.assertRaises(errors.ConfigurationError):
+            envelopes.unwrap(content, 'k')
--- a/libs/store/src/oriolefold_store/envelopes.py
+++ b/libs/store/src/oriolefold_store/envelopes.py
@@ -58,7 +58,7 @@
     """
     try:
         envelope = msgspec.json.decode(content, type=_Envelope)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         finding = findings.Finding(
             findings.Location(source), f'invalid envelope: {error}'
         )
