An unreadable object in a change feed costs only itself

One such object made the whole reply an error, so the follower left the feed and watched the store, again after each retry; RecursionError was no ProtocolError at all. Contents that cannot be decoded are replaced by null, as in listings, and objects of another form are left out and logged. Keys, times, shares, tokens and versions of reports, replies and polls have to be in their ranges: a time of 0 would have been divided by. What is no address ends as ProtocolError, in place of ValueError, which ended the wait for a former leader.

--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -1,14 +1,18 @@
 """HTTP protocol between VMs: load reports, change feed polls, ends of terms."""
 
+import re
 import zlib
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from oriolefold_coordination import leaderelection
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_direct import messages, ports
+from oriolefold_direct import documents, messages, ports
 from oriolefold_http import connections
 from oriolefold_store import ports as store_ports
+from oriolefold_store import salvage
+from oriolefold_telemetry import logs
 
 REPORT_PATH = '/load'
 # Asks for a reply with granted ranges. Leaders of earlier versions ignore it,
@@ -24,48 +28,55 @@
 # 100 kB take 2 ms, a tenth of their transfer time at 50 Mbit/s.
 COMPRESSION_LEVEL = 6
 OK = 200
+# The reply, its prefixes, their changes, the objects, and the parts of each.
+CHANGES_LEVELS = 5
+MAX_SERVICE_TIME_S = 3600.0
+_ADDRESS = re.compile(r'(.+):([0-9]{1,5})')
+_Model = TypeVar('_Model')
+_ServiceTime = Annotated[float, msgspec.Meta(gt=0, le=MAX_SERVICE_TIME_S)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
 class _Report(msgspec.Struct, forbid_unknown_fields=True):
     vm_id: str
     service_id: str
-    keys: list[int]
-    times_by_id: dict[str, float] = {}
+    keys: list[documents.Key]
+    times_by_id: dict[str, _ServiceTime] = {}
 
 
 class _LoadReply(msgspec.Struct, forbid_unknown_fields=True):
-    shares_by_id: dict[str, float]
-    map_version: int = 0
-    granted: list[tuple[int, int, int]] = []
+    shares_by_id: dict[str, _Share]
+    map_version: documents.Counter = 0
+    granted: list[tuple[documents.Key, documents.Key, documents.Counter]] = []
 
 
 class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
     service_id: str
-    version: int
+    version: documents.Counter
 
 
 class _TermsEnded(msgspec.Struct, forbid_unknown_fields=True):
     vm_id: str
     incarnation: str
-    version: int
+    version: documents.Counter
 
 
 class _Stored(msgspec.Struct, array_like=True):
     name: str
-    version: int
+    version: documents.Counter
     content: msgspec.Raw
 
 
 class _Changes(msgspec.Struct, forbid_unknown_fields=True):
-    revision: int
-    objects: list[_Stored] = []
+    revision: documents.Counter
+    objects: list[msgspec.Raw] = []  # Of `_Stored`, decoded one by one.
     removed: list[str] = []
     complete: bool = False
 
 
 class _Poll(msgspec.Struct, forbid_unknown_fields=True):
     asker: messages.Follower
-    revisions: dict[str, int]
+    revisions: dict[str, documents.Counter]
 
 
 class _ChangesReply(msgspec.Struct, forbid_unknown_fields=True):
@@ -130,16 +141,11 @@
         answer = await self._call(
             address, CHANGES_PATH, body, CHANGES_TIMEOUT_S
         )
-        reply = _decode(_decompressed(answer), _ChangesReply)
+        reply = await _decode_changes(_decompressed(answer))
         changes_by_prefix = {
             prefix: store_ports.Changes(
                 changes.revision,
-                tuple(
-                    store_ports.StoredObject(
-                        stored.name, stored.version, bytes(stored.content)
-                    )
-                    for stored in changes.objects
-                ),
+                _stored_objects(prefix, changes.objects),
                 tuple(changes.removed),
                 changes.complete,
             )
@@ -155,9 +161,11 @@
     async def _call(
         self, address: str, path: str, body: bytes, timeout_s: float
     ) -> bytes:
-        host, _, port = address.rpartition(':')
+        found = _ADDRESS.fullmatch(address)
+        if found is None:
+            raise errors.ProtocolError(f'no address: {address[:100]!r}')
         answer = await self._pool.exchange(
-            data.Address(host, int(port)),
+            data.Address(found[1], int(found[2])),
             connections.OutgoingRequest('POST', path, [], body),
             timeout_s,
             REPORT_TIMEOUT_S,
@@ -205,9 +213,9 @@
 def _decode_load_reply(service_id: str, body: bytes) -> messages.LoadReply:
     try:
         decoded = msgspec.json.decode(body, type=_LoadReply)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         # Without granted ranges the reply has only shares.
-        return messages.LoadReply(_decode(body, dict[str, float]))
+        return messages.LoadReply(_decode(body, dict[str, _Share]))
     granted = messages.GrantedRanges(
         service_id, decoded.map_version, frozenset(decoded.granted)
     )
@@ -245,7 +253,11 @@
         prefix: _Changes(
             changes.revision,
             [
-                _Stored(o.name, o.version, msgspec.Raw(o.content))
+                msgspec.Raw(
+                    msgspec.json.encode(
+                        _Stored(o.name, o.version, msgspec.Raw(o.content))
+                    )
+                )
                 for o in changes.objects
             ],
             list(changes.removed_names),
@@ -279,8 +291,41 @@
     return text
 
 
-def _decode(body: bytes, model):
+async def _decode_changes(text: bytes) -> _ChangesReply:
+    """Decodes a reply to a poll, in which contents may be unreadable."""
+    try:
+        return _decode(text, _ChangesReply)
+    except errors.ProtocolError:
+        readable = await salvage.replace_unreadable(text, CHANGES_LEVELS)
+        return _decode(readable, _ChangesReply)
+
+
+def _stored_objects(
+    prefix: str, items: list[msgspec.Raw]
+) -> tuple[store_ports.StoredObject, ...]:
+    """Decodes the objects of a feed; invalid ones are logged and left out."""
+    objects = []
+    for index, item in enumerate(items):
+        try:
+            stored = _decode(item, _Stored)
+        except errors.ProtocolError as error:
+            logs.event(
+                'object.unreadable',
+                kind=prefix,
+                place=f'objects.{index}',
+                error=str(error),
+            )
+            continue
+        objects.append(
+            store_ports.StoredObject(
+                stored.name, stored.version, bytes(stored.content)
+            )
+        )
+    return tuple(objects)
+
+
+def _decode(body: bytes, model: type[_Model]) -> _Model:
     try:
         return msgspec.json.decode(body, type=model)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.ProtocolError(f'invalid message: {error}') from error
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -80,6 +80,115 @@
                     await peers.report(address, fakes.load_report())
 
 
+DEEP = b'[' * 100_000 + b']' * 100_000
+HUGE = b'9' * 400
+
+
+class OddValuesTest(_PeerCase):
+    """Values that no peer sends are errors of the protocol."""
+
+    async def test_reports_out_of_range_are_rejected(self):
+        for keys, times_by_id in (
+            (b'[]', DEEP),
+            (DEEP, b'{}'),
+            (b'[-1]', b'{}'),
+            (b'[65536]', b'{}'),
+            (b'[%s]' % HUGE, b'{}'),
+            (b'[]', b'{"i":NaN}'),
+            (b'[]', b'{"i":1e400}'),
+            (b'[]', b'{"i":1e308}'),
+            (b'[]', b'{"i":%s}' % HUGE),
+            (b'[]', b'{"i":0}'),
+            (b'[]', b'{"i":-0.1}'),
+            (b'[]', b'{"\\ud800":1}'),
+        ):
+            body = (
+                b'{"vm_id":"v","service_id":"s","keys":%s,"times_by_id":%s}'
+                % (keys, times_by_id)
+            )
+            with self.subTest(keys=keys[:20], times_by_id=times_by_id[:20]):
+                with self.assertRaises(errors.ProtocolError):
+                    peering.decode_report(body)
+
+    async def test_polls_and_ends_of_terms_out_of_range_are_rejected(self):
+        poll = (
+            b'{"asker":{"address":"a","region_id":"r","link_mbps":1},'
+            b'"revisions":{"k/":%s}}'
+        )
+        peering.decode_poll(poll % b'7')
+        peering.decode_end_terms(b'{"service_id":"s","version":7}')
+        for odd in (DEEP, HUGE, b'-1', b'NaN', b'1.5'):
+            with self.subTest(odd[:20]):
+                with self.assertRaises(errors.ProtocolError):
+                    peering.decode_poll(poll % odd)
+                with self.assertRaises(errors.ProtocolError):
+                    peering.decode_end_terms(
+                        b'{"service_id":"s","version":%s}' % odd
+                    )
+
+    async def test_load_replies_out_of_range_are_rejected(self):
+        for body in (
+            DEEP,
+            b'{"i1":%s}' % DEEP,
+            b'{"i1":1e308}',
+            b'{"i1":-0.1}',
+            b'{"shares_by_id":{},"map_version":%s}' % HUGE,
+            b'{"shares_by_id":{},"granted":[[0,65536,1]]}',
+            b'{"shares_by_id":{},"granted":[[0,1,%s]]}' % HUGE,
+        ):
+            with self.subTest(body=body[:50]):
+                peers, address = await self.connect(body)
+                with self.assertRaises(errors.ProtocolError):
+                    await peers.report(address, fakes.load_report())
+                peers.close()
+
+    async def test_texts_that_are_no_address_are_not_called(self):
+        peers = peering.HttpPeers()
+        self.addCleanup(peers.close)
+        for address in ('', 'h', 'h:', ':80', 'h:x', 'h:\u0668\u0660', 'h:-1'):
+            with self.subTest(address):
+                with self.assertRaises(errors.ProtocolError):
+                    await peers.report(address, fakes.load_report())
+
+    async def test_unreadable_object_in_a_feed_costs_only_itself(self):
+        good = b'["k/a",5,{"x":1}]'
+        for odd in (
+            b'["k/m",6,%s]' % DEEP,
+            b'["k/m",6,"\\ud800"]',
+            b'["k/m",6,NaN]',
+            b'["k/m",%s,1]' % HUGE,
+            b'["k/m",-1,1]',
+            b'["\\ud800",6,1]',
+            b'["k/m"]',
+            b'7',
+            b'NaN',
+            DEEP,
+        ):
+            body = (
+                b'{"changes":{"k/":{"revision":7,"objects":[%s,%s,%s]}},'
+                b'"told_at_s":1.0}' % (good, odd, good.replace(b'a', b'z'))
+            )
+            for sent in (body, zlib.compress(body)):
+                with self.subTest(odd[:30]):
+                    peers, address = await self.connect(sent)
+                    reply = await peers.changes(
+                        address, fakes.follower(), {'k/': 5}
+                    )
+                    peers.close()
+                    changes = reply.changes_by_prefix['k/']
+                    content_by_name = {
+                        o.name: o.content for o in changes.objects
+                    }
+                    self.assertEqual(changes.revision, 7)
+                    self.assertEqual(
+                        content_by_name.pop('k/m', b'null'), b'null'
+                    )
+                    self.assertEqual(
+                        content_by_name,
+                        dict.fromkeys(('k/a', 'k/z'), b'{"x":1}'),
+                    )
+
+
 class CompressedReplyTest(_PeerCase):
     """A compressed reply is bounded by its size after decompression."""
 
