--- a/libs/config/src/oriolefold_config/documents.py
+++ b/libs/config/src/oriolefold_config/documents.py
@@ -61,7 +61,7 @@
     try:
         body = json.loads(content)
         register, rules = body['register'], body['rules']
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         finding = findings.Finding(
             findings.Location(source), f'malformed configuration: {error}'
         )
--- a/libs/config/tests/test_documents.py
+++ b/libs/config/tests/test_documents.py
@@ -132,7 +132,8 @@
         )
 
     def test_malformed_stored_form_is_rejected(self):
-        for content in (b'', b'[]', b'{"register": 1}', b'\xff'):
+        deep = b'[' * 100_000 + b']' * 100_000
+        for content in (b'', b'[]', b'{"register": 1}', b'\xff', deep):
             with self.assertRaises(errors.ConfigurationError):
                 documents.decode(content, 'store')
 
--- a/libs/ownership/src/oriolefold_ownership/guardrecords.py
+++ b/libs/ownership/src/oriolefold_ownership/guardrecords.py
@@ -26,7 +26,7 @@
     """
     try:
         return msgspec.json.decode(body, type=shardmap.Guard)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         finding = findings.Finding(
             findings.Location(source), f'invalid guard record: {error}'
         )
--- a/libs/peer/src/oriolefold_peer/codec.py
+++ b/libs/peer/src/oriolefold_peer/codec.py
@@ -69,5 +69,5 @@
             raise errors.ProtocolError(
                 f'unknown message kind {error}'
             ) from error
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.ProtocolError(f'malformed frame: {error}') from error
--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -7,6 +7,8 @@
 import socket
 from unittest import mock
 
+import msgspec
+
 from oriolefold_core import bytebudget, data, errors
 from oriolefold_peer import codec, connection, link, messages, server
 from oriolefold_testbed import basecase
@@ -431,6 +433,15 @@
             with self.assertRaises(errors.ProtocolError):
                 CODEC.decode(frame)
 
+    def test_frame_that_is_nested_deeply_is_rejected(self):
+        good = CODEC.encode(7, Echo('x'))[codec.LENGTH_PREFIX.size :]
+        deep = b'\x91' * 100_000 + b'\xc0'
+        text = msgspec.msgpack.encode('x')
+        self.assertIn(text, good)
+        for frame in (deep, good.replace(text, deep)):
+            with self.assertRaises(errors.ProtocolError):
+                CODEC.decode(frame)
+
     def test_unregistered_message(self):
         with self.assertRaises(errors.ProtocolError):
             CODEC.encode(1, object())
