Decisions about what instances announce: leaving and pushback

An announcement holds for one incarnation, so an older listing does not bring back an instance that leaves; a newer incarnation, or another instance at the address, is used. Nothing reads announcements yet.

--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -11,7 +11,7 @@
 import enum
 from collections.abc import Iterable
 
-from oriolefold_routing import topology
+from oriolefold_routing import announcements, topology
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -47,8 +47,10 @@
     """Why an instance may not be sent one more request."""
 
     BACKOFF = 'backoff'
+    LEAVING = 'leaving'
     LIMIT = 'limit'
     PACING = 'pacing'
+    PUSHBACK = 'pushback'
     QUOTA = 'quota'
 
 
@@ -74,6 +76,7 @@
             busy.
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
+        belief: What the instance has announced in its answers.
     """
 
     endpoint: topology.Endpoint
@@ -91,6 +94,9 @@
     quota: float = 0.0
     quota_until_s: float = 0.0
     next_send_at_s: float = 0.0
+    belief: announcements.Belief = dataclasses.field(
+        default_factory=lambda: announcements.Belief(0)
+    )
 
     @property
     def max_limit(self) -> float:
@@ -103,6 +109,10 @@
 
     def obstacle(self, now_s: float) -> Obstacle | None:
         """Returns what forbids to send one more request now, if anything."""
+        if not self.belief.may_get_keyed(now_s):
+            return Obstacle.LEAVING
+        if now_s < self.belief.busy_until_s:
+            return Obstacle.PUSHBACK
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
         limit, obstacle = self.limit, Obstacle.LIMIT
@@ -216,6 +226,7 @@
         self._locality = locality
         self.states_by_id: dict[str, InstanceState] = {}
         self._by_service_id: dict[str, list[InstanceState]] = {}
+        self._announcements = announcements.Announcements()
 
     def update(
         self, endpoints_by_id: dict[str, topology.Endpoint], now_s: float
@@ -236,11 +247,62 @@
                     warm_up_until_s=now_s + endpoint.warm_up_s,
                 )
             known.endpoint = endpoint
+            known.belief = self._announcements.belief(
+                instance_id, endpoint.born_ms
+            )
             states[instance_id] = known
             grouped.setdefault(endpoint.service_id, []).append(known)
         self.states_by_id = states
         self._by_service_id = grouped
 
+    def record_announcement(
+        self,
+        endpoint: topology.Endpoint,
+        announcement: announcements.Announcement,
+        now_s: float,
+    ) -> announcements.Announcement:
+        """Records what an instance has announced; returns what is new in it."""
+        news = self._announcements.record(
+            endpoint.instance_id, endpoint.born_ms, announcement, now_s
+        )
+        known = self.states_by_id.get(endpoint.instance_id)
+        if known is not None:
+            known.belief = self._announcements.belief(
+                endpoint.instance_id, known.endpoint.born_ms
+            )
+        return news
+
+    def leaving(self, service_id: str, now_s: float) -> list[InstanceState]:
+        """Returns the instances of a service that announced that they leave."""
+        return [
+            state
+            for state in self.of_service(service_id)
+            if state.belief.is_leaving(now_s)
+        ]
+
+    def busy_until_s(
+        self, service_id: str, excluded_ids: Iterable[str], now_s: float
+    ) -> float:
+        """Returns until when all instances for a request want no requests.
+
+        The result is in the past if one of them may take it now, or if there
+        are none. If all are excluded, they count nevertheless.
+        """
+        staying = [
+            state
+            for state in self.of_service(service_id)
+            if not _leaves(state, now_s)
+        ]
+        others = [
+            state
+            for state in staying
+            if state.endpoint.instance_id not in excluded_ids
+        ]
+        return min(
+            (state.belief.busy_until_s for state in others or staying),
+            default=float('-inf'),
+        )
+
     def of_service(self, service_id: str) -> list[InstanceState]:
         """Returns the instances of a service."""
         return self._by_service_id.get(service_id, [])
@@ -270,7 +332,7 @@
         best_cost = ()
         for state in self.of_service(service_id):
             if (
-                state.endpoint.draining
+                _leaves(state, now_s)
                 or state.endpoint.instance_id in excluded_ids
                 or not state.has_capacity(now_s)
             ):
@@ -281,6 +343,10 @@
         return best
 
 
+def _leaves(state: InstanceState, now_s: float) -> bool:
+    return state.endpoint.draining or state.belief.is_leaving(now_s)
+
+
 def _is_new_incarnation(
     known: topology.Endpoint, endpoint: topology.Endpoint
 ) -> bool:
