The leader moves the keys of an owner that told any VM that it leaves

The field is left out of all other reports, since leaders of earlier versions reject a report that has it.

Without the call in _record_load the new test of the coordinator fails: the keys stay with the owner.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -25,7 +25,7 @@
     messages,
     ports,
 )
-from oriolefold_routing import topology
+from oriolefold_routing import announcements, topology
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
 from oriolefold_telemetry import counters, logs
@@ -152,6 +152,7 @@
         self._map_document: updates.Document | None = None
         self._endpoints: tuple[topology.Endpoint, ...] = ()
         self._all_endpoints: tuple[topology.Endpoint, ...] = ()
+        self._announcements = announcements.Announcements()
         self._load_tracker = loadtracker.LoadTracker(time.now_s())
         self._load_updated_at_s = 0.0
         self._leader_address = ''
@@ -558,6 +559,9 @@
             assignment.Candidate(_holder(e), self._load_tracker.capacity(e))
             for e in self._endpoints
             if not e.draining
+            and not self._announcements.belief(
+                e.instance_id, e.born_ms
+            ).is_leaving(self._clock.now_s())
         ]
         registered = [_holder(e) for e in self._all_endpoints]
         self._lease_manager.update(candidates, registered)
@@ -582,6 +586,7 @@
         """Records the load of a VM and returns the reply to it."""
         if self._lease_manager is None:
             return messages.LoadReply({})
+        self._record_leaving(vm_id, load.leaving_by_id)
         shares_by_id = self._load_tracker.record(
             vm_id,
             load,
@@ -591,6 +596,24 @@
         )
         return messages.LoadReply(shares_by_id, self._granted_ranges())
 
+    def _record_leaving(
+        self, vm_id: str, leaving_by_id: dict[str, int]
+    ) -> None:
+        """Records the instances that told a VM that they leave."""
+        begins = False
+        for instance_id, born_ms in leaving_by_id.items():
+            news = self._announcements.record(
+                instance_id,
+                born_ms,
+                announcements.Announcement(leaving=True),
+                self._clock.now_s(),
+            )
+            if news.leaving:
+                self._log('owner.leaving', instance=instance_id, told=vm_id)
+                begins = True
+        if begins:
+            self._update_candidates()
+
     def _granted_ranges(self) -> messages.GrantedRanges | None:
         """Returns the moving ranges that are granted, or None without any.
 
@@ -621,11 +644,17 @@
         """
         recent = await self._collect_load()
         load = messages.ObservedLoad(
-            self._deferred_keys + recent.keys, recent.times_by_id
+            self._deferred_keys + recent.keys,
+            recent.times_by_id,
+            recent.leaving_by_id,
         )
         if not self._leader_address or not load.keys:
             return
-        if len(load.keys) < MIN_REPORTED_KEYS and not self._deferred_keys:
+        if (
+            len(load.keys) < MIN_REPORTED_KEYS
+            and not self._deferred_keys
+            and not load.leaving_by_id
+        ):
             self._deferred_keys = load.keys
             return
         self._deferred_keys = ()
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -55,10 +55,13 @@
         keys: Key of each request.
         times_by_id: Service time of each instance in seconds, without
             queueing; instances that have not answered are left out.
+        leaving_by_id: Start time of each instance that announced in an answer
+            that it leaves, in Unix milliseconds.
     """
 
     keys: tuple[int, ...]
     times_by_id: dict[str, float]
+    leaving_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -37,11 +37,14 @@
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
-class _Report(msgspec.Struct, forbid_unknown_fields=True):
+# Leaders of earlier versions reject a report with leaving instances, so their
+# field is left out of the others.
+class _Report(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     vm_id: str
     service_id: str
     keys: list[documents.Key]
     times_by_id: dict[str, _ServiceTime] = {}
+    leaving_by_id: dict[str, documents.Counter] = {}
 
 
 class _LoadReply(msgspec.Struct, forbid_unknown_fields=True):
@@ -110,6 +113,7 @@
                 report.service_id,
                 list(report.load.keys),
                 report.load.times_by_id,
+                report.load.leaving_by_id,
             )
         )
         answer = await self._call(
@@ -188,7 +192,9 @@
         ProtocolError: If the body is not a valid report.
     """
     decoded = _decode(body, _Report)
-    load = messages.ObservedLoad(tuple(decoded.keys), decoded.times_by_id)
+    load = messages.ObservedLoad(
+        tuple(decoded.keys), decoded.times_by_id, decoded.leaving_by_id
+    )
     return messages.LoadReport(decoded.vm_id, decoded.service_id, load)
 
 
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -217,6 +217,30 @@
 
         await self.wait_for(settled)
 
+    async def test_owner_that_told_a_vm_that_it_leaves_hands_its_keys_over(
+        self,
+    ):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        both = fakes.endpoint('a'), fakes.endpoint('bb')
+        started.post(fakes.endpoints_updated(*both))
+        for born_ms in (0, 1):
+            load = messages.ObservedLoad((), {}, {'a': born_ms})
+            await started.ask(messages.LoadReport('other', 'svc', load))
+            if born_ms == 0:
+                # What an earlier incarnation has told is of no interest.
+                await asyncio.sleep(0.3)
+                self.assertEqual(self.instances.releases, [])
+
+        async def settled():
+            key_map = await self.key_map()
+            return all(
+                r.owner.instance_id == 'bb' and not r.priors
+                for r in key_map.ranges
+            )
+
+        await self.wait_for(settled)
+
     async def test_an_instance_of_another_service_ends_a_former_holder(self):
         former = fakes.endpoint('a')
         started = await self.start_coordinator('one', former)
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -3,6 +3,7 @@
 import asyncio
 import tracemalloc
 import zlib
+from unittest import mock
 
 import fakes
 
@@ -110,6 +111,15 @@
                 with self.assertRaises(errors.ProtocolError):
                     peering.decode_report(body)
 
+    async def test_leaving_instances_are_reported(self):
+        peers, address = await self.connect(b'{}')
+        load = messages.ObservedLoad((7,), {}, {'i': 5})
+        call = mock.AsyncMock(return_value=b'{}')
+        with mock.patch.object(peers, '_call', call):
+            await peers.report(address, messages.LoadReport('v', 's', load))
+        body = call.call_args.args[2]
+        self.assertEqual(peering.decode_report(body).load, load)
+
     async def test_polls_and_ends_of_terms_out_of_range_are_rejected(self):
         poll = (
             b'{"asker":{"address":"a","region_id":"r","link_mbps":1},'
