Server-Leaving, and Retry-After with 503, are heeded

From the answer on, that incarnation gets no request, or none until the given time; requests go to other instances, or wait, or are refused at once with the time until one wants them.

--- a/libs/core/src/oriolefold_core/data.py
+++ b/libs/core/src/oriolefold_core/data.py
@@ -194,6 +194,9 @@
         instance_id: Instance that answered.
         held_up_s: Time that the instance had to wait for memory of this VM, in
             seconds.
+        leaving: Whether the instance announces that it is about to end.
+        pushback_s: For how long it announces that it wants no requests, in
+            seconds.
     """
 
     status: int
@@ -203,6 +206,12 @@
     held_up_s: float = dataclasses.field(
         default=0.0, compare=False, kw_only=True
     )
+    leaving: bool = dataclasses.field(
+        default=False, compare=False, kw_only=True
+    )
+    pushback_s: float = dataclasses.field(
+        default=0.0, compare=False, kw_only=True
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -126,9 +126,17 @@
 
 
 class OverloadedError(NotRunError):
-    """A load limit was reached before the request was sent."""
+    """A load limit was reached before the request was sent.
+
+    Attributes:
+        leaving: Whether the instance that refused it announces that it is about
+            to end.
+        pushback_s: For how long that instance wants no requests, in seconds.
+    """
 
     category = Category.OVERLOADED
+    leaving = False
+    pushback_s = 0.0
 
 
 class UnreachableError(NotRunError):
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -16,6 +16,7 @@
 from oriolefold_direct import messages, pending, ports
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import (
+    announcements,
     attempts,
     concurrency,
     deadlines,
@@ -400,6 +401,7 @@
             request.route.objective_s, self._expected_time_s(request)
         )
         give_up_at_s = request.received_at_s + max_wait_s
+        self._check_pushback(request, give_up_at_s)
         assignment = asyncio.get_running_loop().create_future()
         waiter = waitqueue.Waiter(
             (request, assignment), request.route.rank, give_up_at_s
@@ -421,6 +423,34 @@
         finally:
             queue.discard(waiter)
 
+    def _check_pushback(
+        self, request: pending.PendingRequest, give_up_at_s: float
+    ) -> None:
+        """Checks that an instance wants requests before a wait would end.
+
+        Raises:
+            OverloadedError: If none does.
+        """
+        now_s = self._clock.now_s()
+        if request.key is None:
+            busy_until_s = self._instance_table.busy_until_s(
+                request.service_id, request.tried_ids, now_s
+            )
+        else:
+            owner = self._owner(request)
+            if owner is None:
+                return
+            busy_until_s = owner.belief.busy_until_s
+        if busy_until_s <= give_up_at_s:
+            return
+        error = self._overloaded_error(
+            request, f'no instance of {request.service_id} wants requests yet'
+        )
+        error.retry_after_s = max(
+            error.retry_after_s, round(busy_until_s - now_s, 3)
+        )
+        raise error
+
     def _expected_time_s(self, request: pending.PendingRequest) -> float:
         """Returns the expected time from sending to the answer."""
         owner = self._owner(request) if request.key is not None else None
@@ -496,6 +526,7 @@
                 endpoint, request.call, request.expires_at_s - started_s
             )
             held_up_s = answer.held_up_s
+            self._heed(endpoint, answer)
             failed = answer.status >= pending.MIN_FAILURE_STATUS
             result = (
                 concurrency.SendResult.FAILED
@@ -505,6 +536,8 @@
         except errors.NotRunError as error:
             request.may_have_run = may_have_run_before
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
+            if isinstance(error, errors.OverloadedError):
+                self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
         except errors.ResponseDroppedError as error:
@@ -523,6 +556,49 @@
             self._wake(request.service_id)
         return answer
 
+    def _heed(
+        self,
+        endpoint: topology.Endpoint,
+        said: data.Answer | errors.OverloadedError,
+    ) -> None:
+        """Records what an instance has announced with an answer or refusal."""
+        if not said.leaving and said.pushback_s <= 0:
+            return
+        now_s = self._clock.now_s()
+        news = self._instance_table.record_announcement(
+            endpoint,
+            announcements.Announcement(said.leaving, said.pushback_s),
+            now_s,
+        )
+        if news.leaving:
+            logs.event(
+                'instance.leaving',
+                instance=endpoint.instance_id,
+                born_ms=endpoint.born_ms,
+                source='answer',
+            )
+        if news.pushback_s:
+            logs.event(
+                'instance.pushback',
+                instance=endpoint.instance_id,
+                born_ms=endpoint.born_ms,
+                pushback_s=news.pushback_s,
+            )
+            self._refuse_pushed_back(endpoint.service_id)
+
+    def _refuse_pushed_back(self, service_id: str) -> None:
+        """Refuses the queued requests that no instance wants in their time."""
+        queue = self._queue(service_id)
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            try:
+                self._check_pushback(request, waiter.give_up_at_s)
+            except errors.OverloadedError as error:
+                assignment.set_exception(error)
+                queue.discard(waiter)
+
     def _wake_all(self) -> None:
         for service_id in self._queues_by_service_id:
             self._wake(service_id)
@@ -620,7 +696,13 @@
             for state in self._instance_table.of_service(service_id)
             if state.baseline_time_s
         }
-        return messages.ObservedLoad(recent_keys, times_by_id)
+        leaving_by_id = {
+            state.endpoint.instance_id: state.endpoint.born_ms
+            for state in self._instance_table.leaving(
+                service_id, self._clock.now_s()
+            )
+        }
+        return messages.ObservedLoad(recent_keys, times_by_id, leaving_by_id)
 
     def _describe(self) -> dict:
         return {
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
 from oriolefold_core import clock, data, errors
 from oriolefold_direct import dispatcher, messages, pending
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import attempts, topology
+from oriolefold_routing import announcements, attempts, topology
 from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import counters, logs
 from oriolefold_testbed import basecase
@@ -71,6 +71,102 @@
             await self.dispatcher.ask(messages.DescribeView())
         event.assert_called_once_with('instance.draining', instance='one')
 
+    def announcing(self, **announced):
+        """Returns an answer and a refusal with announcements."""
+        refusal = errors.OverloadedError('full')
+        for name, value in announced.items():
+            setattr(refusal, name, value)
+        return data.Answer(200, (), b'', 'one', **announced), refusal
+
+    async def test_instance_that_says_it_leaves_gets_no_more_requests(self):
+        for born_ms, said in enumerate(self.announcing(leaving=True), 1):
+            self.instances.sent.clear()
+            both = [
+                fakes.endpoint('one', born_ms=born_ms),
+                fakes.endpoint('two', zone='z3'),
+            ]
+            self.prepare(endpoints=both)
+            self.instances.outcomes = {'one': [said]}
+            with mock.patch.object(logs, 'event') as logged:
+                await self.ask()
+                for _ in range(3):
+                    # An older listing.
+                    self.dispatcher.post(fakes.endpoints_updated(*both))
+                    await self.ask()
+            sent_to = [sent.instance_id for sent in self.instances.sent]
+            self.assertEqual(sent_to.count('one'), 1)
+            names = [call.args[0] for call in logged.call_args_list]
+            self.assertEqual(names.count('instance.leaving'), 1)
+
+    async def test_instance_that_pushes_back_gets_no_requests_meanwhile(self):
+        for born_ms, said in enumerate(self.announcing(pushback_s=0.5), 1):
+            self.instances.sent.clear()
+            self.prepare(
+                endpoints=[
+                    fakes.endpoint('one', born_ms=born_ms),
+                    fakes.endpoint('two', zone='z3'),
+                ]
+            )
+            self.instances.outcomes = {'one': [said]}
+            for _ in range(4):
+                await self.ask()
+            sent_to = [sent.instance_id for sent in self.instances.sent]
+            self.assertEqual(sent_to[0], 'one')
+            self.assertEqual(set(sent_to[1:]), {'two'})
+            await asyncio.sleep(0.5)
+            await self.ask()
+            self.assertEqual(self.instances.sent[-1].instance_id, 'one')
+
+    async def test_request_that_no_instance_wants_in_time_is_refused_at_once(
+        self,
+    ):
+        for name, key in (('one', 7), ('two', None)):
+            self.prepare(
+                keyed=key is not None, endpoints=[fakes.endpoint(name)]
+            )
+            if key is not None:
+                self.post_key_map()
+            answer, _ = self.announcing(pushback_s=5.0)
+            self.instances.outcomes = {name: [answer]}
+            await self.ask(key=key)
+            before_s = clock.BootClock().now_s()
+            with self.assertRaises(errors.OverloadedError) as caught:
+                await self.ask(key=key)
+            self.assertLess(clock.BootClock().now_s() - before_s, 0.1)
+            self.assertGreater(caught.exception.retry_after_s, 4.5)
+
+    async def test_queued_requests_are_refused_when_no_instance_wants_them(
+        self,
+    ):
+        self.prepare(endpoints=[fakes.endpoint('one', slots=1)])
+        _, refusal = self.announcing(pushback_s=5.0)
+        self.instances.outcomes = {'one': [0.05, refusal, refusal]}
+        before_s = clock.BootClock().now_s()
+        results = await asyncio.gather(
+            *(self.ask() for _ in range(4)), return_exceptions=True
+        )
+        self.assertLess(clock.BootClock().now_s() - before_s, 0.2)
+        self.assertEqual(results[0], fakes.ANSWER)
+        for error in results[1:]:
+            self.assertIsInstance(error, errors.OverloadedError)
+            self.assertGreater(error.retry_after_s, 4.5)
+
+    async def test_keyed_requests_go_to_a_leaving_owner_for_a_short_time(self):
+        self.prepare(keyed=True, endpoints=[fakes.endpoint('one')])
+        self.post_key_map()
+        answer, _ = self.announcing(leaving=True)
+        self.instances.outcomes = {'one': [answer]}
+        grace = mock.patch.object(announcements, 'KEYED_GRACE_S', 0.3)
+        with grace:
+            await self.ask(key=7)
+            await self.ask(key=7)
+            load = await self.dispatcher.ask(messages.CollectLoad('svc'))
+            self.assertEqual(load.leaving_by_id, {'one': 1})
+            await asyncio.sleep(0.3)
+            with self.assertRaises(errors.OverloadedError):
+                await self.ask(key=7)
+        self.assertEqual(len(self.instances.sent), 2)
+
     async def test_request_before_the_configuration_is_not_run(self):
         with self.assertRaises(errors.NoOwnerError):
             await self.ask()
