--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -59,11 +59,17 @@
         """
         recent = await self.collect()
         load = messages.ObservedLoad(
-            self._deferred_keys + recent.keys, recent.times_by_id
+            self._deferred_keys + recent.keys,
+            recent.times_by_id,
+            recent.leaving_by_id,
         )
         if not leader_address or not load.keys:
             return
-        if len(load.keys) < MIN_REPORTED_KEYS and not self._deferred_keys:
+        if (
+            len(load.keys) < MIN_REPORTED_KEYS
+            and not self._deferred_keys
+            and not load.leaving_by_id
+        ):
             self._deferred_keys = load.keys
             return
         self._deferred_keys = ()
--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -21,6 +21,11 @@
     return version // VERSIONS_PER_ERA
 
 
+def version_in_era(era: int, revision: int) -> int:
+    """Returns the version or revision for one that a store gave in an era."""
+    return era * VERSIONS_PER_ERA + revision
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
     """One version of a stored object.
