Exclusions of instances move out of rangeleases

No change of behaviour: rangeleases had grown by what a restore needs. The name and start time of an incarnation become a property of Holder.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -26,6 +26,7 @@
 
 from oriolefold_coordination import (
     assignment,
+    exclusions,
     keyload,
     leaseends,
     ranges,
@@ -38,8 +39,6 @@
 CLOCK_DRIFT = 0.02  # Maximum fraction by which an instance's clock is slow.
 TRANSIT_MARGIN_S = 0.1  # Allowance for an abandoned call still in transit.
 AUTHORITY_S = 8.0  # Time a leader may act after its last heartbeat.
-UNREACHABLE_AFTER_S = 1.6  # Unanswered time before keys are moved away.
-EXCLUSION_S = 4.0  # Time until an unreachable instance may get keys again.
 BATCH_S = 0.06  # Window in which completed grants share one map write.
 REBALANCE_INTERVAL_S = 1.0  # Minimum time between voluntary moves.
 PLAN_INTERVAL_S = 0.1  # Between plans without events; planning is costly.
@@ -161,7 +160,6 @@
         self._granted: set[tuple] = set()
         self._calls_in_flight: set[tuple] = set()
         self._next_call_at_s: dict[tuple, float] = {}
-        self._unanswered_since_s: dict[tuple, float] = {}
         self._busy_since_s: dict[tuple, float] = {}
         self._first_token_of_era = era * TOKENS_PER_ERA
         self._acts_from_s = float('-inf')
@@ -177,7 +175,7 @@
         self._unusable_tokens: set[int] = set()
         # Tokens of grants in flight that any connection may carry.
         self._first_sends: set[int] = set()
-        self._excluded_until_s: dict[tuple, float] = {}
+        self._exclusions = exclusions.Exclusions()
         self._ended: set[tuple] = set()  # Proved by calls, not the registry.
         self._publishing: ranges.KeyMap | None = None
         self._last_attempt: ranges.KeyMap | None = None
@@ -293,7 +291,7 @@
             for key_range in self.key_map.ranges
             if key_range.priors
             and self.is_held(key_range)
-            and _incarnation(key_range.owner) not in self._ended
+            and key_range.owner.incarnation not in self._ended
         )
 
     def published(self, key_map: ranges.KeyMap) -> None:
@@ -309,7 +307,7 @@
         known = [c.holder for c in self._candidates]
         for key_range in key_map.ranges:
             known.extend((key_range.owner, *key_range.priors))
-        self._ended &= {_incarnation(holder) for holder in known}
+        self._ended &= {holder.incarnation for holder in known}
         range_ids = {_range_id(r) for r in key_map.ranges}
         self._granted &= range_ids
         self._handovers = {
@@ -341,7 +339,7 @@
         """
         key_range = grant.key_range
         range_id = _range_id(key_range)
-        incarnation = _incarnation(key_range.owner)
+        incarnation = key_range.owner.incarnation
         self._calls_in_flight.discard(('grant', range_id))
         self._busy_since_s.pop(range_id, None)
         if grant.newest_connection is None:
@@ -359,20 +357,17 @@
             if range_id not in self._granted:
                 self._plan_not_before_s = float('-inf')
             self._granted.add(range_id)
-            self._unanswered_since_s.pop(incarnation, None)
+            self._exclusions.answered(incarnation)
         elif stale:
-            # Another leader has moved the range; its new owner is in the store.
-            self._excluded_until_s[incarnation] = now_s + UNREACHABLE_AFTER_S
+            self._exclusions.refused(incarnation, now_s)
         else:
-            since_s = self._unanswered_since_s.setdefault(incarnation, now_s)
-            if now_s - since_s > UNREACHABLE_AFTER_S:
-                self._excluded_until_s[incarnation] = now_s + EXCLUSION_S
+            self._exclusions.unanswered(incarnation, now_s)
 
     def owner_has_ended(self, grant: Grant) -> None:
         """Handles a grant that an instance under another name rejected."""
         self._calls_in_flight.discard(('grant', _range_id(grant.key_range)))
         self._first_sends.discard(grant.token)
-        self._ended.add(_incarnation(grant.key_range.owner))
+        self._ended.add(grant.key_range.owner.incarnation)
         self._plan_not_before_s = float('-inf')
 
     def grant_not_sent(self, grant: Grant, busy: bool, now_s: float) -> bool:
@@ -411,23 +406,18 @@
             now_s: Current time.
         """
         range_id = _range_id(release.key_range)
-        incarnation = _incarnation(release.holder)
+        incarnation = release.holder.incarnation
         self._calls_in_flight.discard(('release', range_id, incarnation))
         self._next_call_at_s[(range_id, incarnation)] = now_s + RETRY_INTERVAL_S
         if handover is not None:
             self._handovers.setdefault(range_id, {})[incarnation] = handover
 
     def _next_map(self, now_s: float, profile) -> ranges.KeyMap:
-        self._excluded_until_s = {
-            incarnation: until_s
-            for incarnation, until_s in self._excluded_until_s.items()
-            if until_s > now_s
-        }
         candidates = [
             c
             for c in self._candidates
-            if _incarnation(c.holder) not in self._excluded_until_s
-            and _incarnation(c.holder) not in self._ended
+            if c.holder.incarnation not in self._ended
+            and not self._exclusions.is_excluded(c.holder.incarnation, now_s)
         ]
         cleared = self._clear_priors(now_s)
         if not self.is_published:
@@ -480,14 +470,12 @@
             ):
                 continue
             released = False
-            call = ('release', range_id, _incarnation(prior))
-            due_s = self._next_call_at_s.get(
-                (range_id, _incarnation(prior)), 0.0
-            )
+            call = ('release', range_id, prior.incarnation)
+            due_s = self._next_call_at_s.get((range_id, prior.incarnation), 0.0)
             if call not in self._calls_in_flight and now_s >= due_s:
                 self._calls_in_flight.add(call)
                 actions.append(Release(key_range, prior))
-        if _incarnation(key_range.owner) in self._ended:
+        if key_range.owner.incarnation in self._ended:
             return actions
         call = ('grant', range_id)
         due_s = self._next_call_at_s.get(range_id, 0.0)
@@ -550,9 +538,9 @@
         self, key_range, prior: ranges.Holder, now_s: float
     ) -> bool:
         """Whether a prior has released a range or its leases have expired."""
-        if _incarnation(prior) in self._handovers.get(_range_id(key_range), {}):
+        if prior.incarnation in self._handovers.get(_range_id(key_range), {}):
             return True
-        if _incarnation(prior) in self._ended:
+        if prior.incarnation in self._ended:
             return True
         if self._registrations.is_superseded(prior, key_range.owner):
             return True
@@ -566,8 +554,8 @@
     def _handover_for(self, key_range) -> str:
         handovers = self._handovers.get(_range_id(key_range), {})
         for prior in key_range.priors:
-            if handovers.get(_incarnation(prior)):
-                return handovers[_incarnation(prior)]
+            if handovers.get(prior.incarnation):
+                return handovers[prior.incarnation]
         return ''
 
 
@@ -582,7 +570,3 @@
 
 def _overlap(range_id: tuple, key_range: ranges.KeyRange) -> bool:
     return range_id[0] <= key_range.last and range_id[1] >= key_range.first
-
-
-def _incarnation(holder: ranges.Holder) -> tuple[str, int]:
-    return holder.instance_id, holder.born_ms
--- a/libs/coordination/src/oriolefold_coordination/ranges.py
+++ b/libs/coordination/src/oriolefold_coordination/ranges.py
@@ -20,6 +20,11 @@
     born_ms: int
     address: str
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Name and start time, which no other incarnation shares."""
+        return self.instance_id, self.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRange:
