First watch after a failure asks for an answer soon

What callers would see: a confirmed configuration in force seconds late after the store has come back from an older copy (CONFIG).

Cause: a watch that failed was repeated with its whole wait as soon as any other watch succeeded, also one that a change feed serves. Only an answer tells that the store was restored, so the watch waited at a revision of the former era.

The test failed: 20 s asked for instead of 0.1 s.

Change: after a failure the next watch has a short wait.

--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -157,26 +157,36 @@
 
     async def _watch_continuously(self) -> None:
         revision = 0
+        has_failed = False
         while True:
             try:
-                changes = await self._watch(revision)
+                changes = await self._watch(revision, has_failed)
             except errors.HistoryLostError:
                 logs.event('watch.history_lost', prefix=self._reader.prefix)
                 revision = 0
             except errors.StoreError as error:
+                has_failed = True
                 self._store_availability.mark_unavailable(error)
                 await self._wait_after_failure()
             else:
+                has_failed = False
                 self._store_availability.mark_available()
                 revision = changes.revision
                 self.post(changes)
                 if changes.objects or changes.removed_names:
                     await asyncio.sleep(self._reader.batch_delay_s)
 
-    async def _watch(self, revision: int) -> ports.Changes:
-        """Waits for changes; aborts when another call to the store fails."""
+    async def _watch(self, revision: int, has_failed: bool) -> ports.Changes:
+        """Waits for changes; aborts when another call to the store fails.
+
+        Args:
+            revision: Revision of the last watch, or 0.
+            has_failed: Whether the last watch failed. The store may have been
+                restored since, which only an answer shows, so the wait is
+                short.
+        """
         prefix = self._reader.prefix
-        if self._store_availability.is_unavailable:
+        if has_failed or self._store_availability.is_unavailable:
             return await self._store.watch(prefix, revision, PROBE_TIMEOUT_S)
         watch = asyncio.ensure_future(
             self._store.watch(prefix, revision, WATCH_TIMEOUT_S)
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -18,11 +18,13 @@
     Attributes:
         script: Changes to return, or errors to raise.
         revisions: Revision argument of each watch.
+        timeouts_s: Time limit of each watch.
     """
 
     def __init__(self):
         self.script: asyncio.Queue = asyncio.Queue()
         self.revisions: list[int] = []
+        self.timeouts_s: list[float] = []
 
     async def read(self, name):
         raise errors.ObjectNotFoundError(name)
@@ -32,6 +34,7 @@
 
     async def watch(self, prefix, after_revision, timeout_s):
         self.revisions.append(after_revision)
+        self.timeouts_s.append(timeout_s)
         item = await self.script.get()
         if isinstance(item, Exception):
             raise item
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -56,6 +56,20 @@
         )
         await self.start(self.subscriber, self.watcher)
 
+    async def test_first_watch_after_a_failure_asks_for_an_answer_soon(self):
+        self.store.script.put_nowait(ports.Changes(3, (), complete=True))
+        self.store.script.put_nowait(errors.StoreUnavailableError('away'))
+        await self.wait_for(lambda: self.store_availability.is_unavailable)
+        # The answer to another watch, which may be of a change feed.
+        self.store_availability.mark_available()
+        await self.wait_for(lambda: len(self.store.timeouts_s) == 3)
+        self.store.script.put_nowait(ports.Changes(3, ()))
+        await self.wait_for(lambda: len(self.store.timeouts_s) == 4)
+        self.assertEqual(
+            self.store.timeouts_s[-2:],
+            [watching.PROBE_TIMEOUT_S, watching.WATCH_TIMEOUT_S],
+        )
+
     async def deliver(self, item, count):
         """Scripts the result of a watch and returns the latest message."""
         self.store.script.put_nowait(item)
