--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -10,7 +10,7 @@
 from oriolefold_coordination import leaderelection
 from oriolefold_core import bytebudget, data, errors, results
 from oriolefold_direct import documents, messages, ports
-from oriolefold_http import connections, matching
+from oriolefold_http import connections, exchanges, matching
 from oriolefold_store import ports as store_ports
 from oriolefold_store import salvage
 from oriolefold_telemetry import logs
@@ -180,7 +180,7 @@
         call_id = secrets.token_hex(CALL_ID_BYTES)
         answer = await self._pool.exchange(
             data.Address(found[1], int(found[2])),
-            connections.OutgoingRequest(
+            exchanges.OutgoingRequest(
                 'POST',
                 path,
                 [(results.CALL_ID_HEADER, call_id)],
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -9,27 +9,24 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import logging
-import socket
 from collections.abc import Callable
 
-from tornado import http1connection, httputil, iostream, netutil
+from tornado import http1connection, httputil, iostream
 
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import idlelimit, matching, pooledstream, readturns
+from oriolefold_http import (
+    exchanges,
+    idlelimit,
+    pooledstream,
+    readturns,
+    sockets,
+)
 
-KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
-KEEPALIVE_INTERVAL_S = 1  # Interval between the probes.
-KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is closed.
-USER_TIMEOUT_MS = 3000  # Limit on the time that sent bytes stay unacknowledged.
 CHUNK_BYTES = 16384
 MAX_HEADER_BYTES = 65536
 # Size of a pool's own budget, in responses of the largest size.
 DEFAULT_BUDGET_RESPONSES = 4
-# Part of the time left that a sender is kept waiting for room in the budget.
-ROOM_WAIT_FRACTION = 0.5
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_UNRELATED_RESPONSES = 3  # Skipped before the connection is closed.
 DEFAULT_IDLE_S = 4.0  # Longest idle time of a connection that is reused.
 IDLE_TIMEOUT_FRACTION = 0.6  # Fraction of the announced keep-alive timeout.
@@ -39,124 +36,14 @@
 logging.getLogger('tornado.general').setLevel(logging.ERROR)
 
 
-@dataclasses.dataclass(slots=True)
-class OutgoingRequest:
-    """A request to write.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query, sent without normalization.
-        headers: Names and values.
-        body: The complete body.
-        max_response_bytes: Largest accepted body of the response, if it is to
-            be smaller than the limit of the pool.
-        essential: Whether other responses are given up first when the budget
-            is exhausted, even if the pool is not essential.
-        matcher: Tells which responses answer this request.
-        on_new_connection: Whether it may go only over a new connection, so that
-            no response to an earlier request can precede its own. If that one
-            fails, an idle one is closed, since servers limit their number.
-        carriers: Numbers of the connections that have carried it, to which the
-            pool adds. It is not sent over any of them again, since a late
-            response to the earlier sending has the same ID.
-    """
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes = b''
-    max_response_bytes: int | None = None
-    essential: bool = False
-    matcher: matching.Matcher = matching.ANY_RESPONSE
-    on_new_connection: bool = False
-    carriers: set[int] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class IncomingResponse:
-    """A complete response.
-
-    Attributes:
-        status: HTTP status code.
-        headers: Headers by case-insensitive name.
-        body: The complete body.
-        hold: Its memory, counted until the response is dropped.
-        is_first: Whether it is the first one on its connection, so that it
-            cannot answer an earlier request.
-        connection_number: Number of its connection.
-    """
-
-    status: int
-    headers: httputil.HTTPHeaders
-    body: bytes
-    hold: bytebudget.Hold
-    is_first: bool = False
-    connection_number: int = 0
-
-
 def _ignore(
-    address: data.Address, outgoing: OutgoingRequest, incoming: IncomingResponse
+    address: data.Address,
+    outgoing: exchanges.OutgoingRequest,
+    incoming: exchanges.IncomingResponse,
 ) -> None:
     """Reports nothing."""
 
 
-class _ResponseCollector(httputil.HTTPMessageDelegate):
-    """Collects one response.
-
-    Attributes:
-        cancelled: Whether its wait for room was cancelled, which it cannot
-            raise through Tornado.
-    """
-
-    def __init__(
-        self, hold: bytebudget.Hold, max_body_bytes: int, ends_at_s: float
-    ):
-        self._hold = hold
-        self._max_body_bytes = max_body_bytes
-        self._ends_at_s = ends_at_s
-        self.cancelled = False
-        self.reset()
-
-    def reset(self) -> None:
-        """Drops what was collected."""
-        self.status = 0
-        self.headers: httputil.HTTPHeaders | None = None
-        # One buffer, since a list of many tiny chunks takes far more memory
-        # than their bytes.
-        self.body = bytearray()
-        self.complete = False
-
-    def headers_received(self, start_line, headers):
-        """Stores status and headers; the body is read once it has room."""
-        self.status = start_line.code
-        self.headers = headers
-        length = headers.get('Content-Length', '')
-        if (
-            not length.isdecimal()
-            or int(length) > self._max_body_bytes
-            or self.status in STATUSES_WITHOUT_BODY
-        ):
-            return None
-        return self._wait_for_room(int(length))
-
-    def data_received(self, chunk):
-        """Stores a part of the body."""
-        self.body += chunk
-
-    def finish(self):
-        """Marks the response as complete."""
-        self.complete = True
-
-    async def _wait_for_room(self, size: int) -> None:
-        left_s = self._ends_at_s - asyncio.get_running_loop().time()
-        try:
-            await self._hold.announce(size, left_s * ROOM_WAIT_FRACTION)
-        except asyncio.CancelledError as error:
-            self.cancelled = True
-            # Tornado replaces and logs any other exception of a delegate.
-            raise httputil.HTTPInputError('cancelled') from error
-
-
 class _Connection:
     """One connection with at most one request in progress.
 
@@ -202,7 +89,12 @@
         budget: bytebudget.ByteBudget | None = None,
         essential: bool = False,
         report_unrelated: Callable[
-            [data.Address, OutgoingRequest, IncomingResponse], None
+            [
+                data.Address,
+                exchanges.OutgoingRequest,
+                exchanges.IncomingResponse,
+            ],
+            None,
         ] = _ignore,
     ):
         """Initializes an empty pool.
@@ -239,12 +131,12 @@
     async def exchange(
         self,
         address: data.Address,
-        outgoing: OutgoingRequest,
+        outgoing: exchanges.OutgoingRequest,
         timeout_s: float,
         connect_timeout_s: float,
         may_send: Callable[[], bool] | None = None,
         newest_number: int | None = None,
-    ) -> IncomingResponse:
+    ) -> exchanges.IncomingResponse:
         """Sends a request once and returns the complete response.
 
         Cancelling the call closes the connection, so that the server can
@@ -305,7 +197,7 @@
         outgoing,
         ends_at_s: float,
         may_send,
-    ) -> IncomingResponse:
+    ) -> exchanges.IncomingResponse:
         loop = asyncio.get_running_loop()
         if may_send is not None and not may_send():
             self._return_to_pool(address, connection, None)
@@ -375,7 +267,9 @@
         for address in list(self._idle_by_address):
             self.close_idle(address)
 
-    def _handle_failure(self, address, outgoing: OutgoingRequest) -> None:
+    def _handle_failure(
+        self, address, outgoing: exchanges.OutgoingRequest
+    ) -> None:
         """Handles a connection that the server does not accept or has closed.
 
         The last idle connection is kept.
@@ -436,7 +330,9 @@
 
     async def _connect(self, address, timeout_s: float) -> _Connection:
         try:
-            stream = pooledstream.PooledStream(open_socket(), self._turns)
+            stream = pooledstream.PooledStream(
+                sockets.open_socket(), self._turns
+            )
         except OSError as error:
             text = f'no socket for a connection to {address}: {error!r}'
             raise errors.UnreachableError(text) from error
@@ -460,7 +356,7 @@
         connection,
         outgoing,
         ends_at_s: float,
-    ) -> IncomingResponse:
+    ) -> exchanges.IncomingResponse:
         stream = connection.stream
         if stream.closed():
             raise errors.UnreachableError('the connection was closed')
@@ -481,7 +377,9 @@
         )
         if outgoing.method == 'HEAD':
             max_body_bytes = 0  # Its length is that of no body.
-        collector = _ResponseCollector(stream.hold, max_body_bytes, ends_at_s)
+        collector = exchanges.ResponseCollector(
+            stream.hold, max_body_bytes, ends_at_s
+        )
         try:
             writing = http.write_headers(start, headers, outgoing.body or None)
             writing.add_done_callback(_retrieve_exception)
@@ -490,7 +388,7 @@
                 await http.read_response(collector)
                 if collector.cancelled:
                     raise asyncio.CancelledError
-                incoming = _complete_response(collector, stream)
+                incoming = exchanges.complete_response(collector, stream)
                 incoming.is_first = not connection.responses
                 incoming.connection_number = connection.number
                 connection.responses += 1
@@ -523,7 +421,7 @@
         max_body_bytes = self._max_body_bytes(outgoing)
         return stream.received_bytes > max_body_bytes + MAX_HEADER_BYTES
 
-    def _max_body_bytes(self, outgoing: OutgoingRequest) -> int:
+    def _max_body_bytes(self, outgoing: exchanges.OutgoingRequest) -> int:
         if outgoing.max_response_bytes is None:
             return self._params.max_body_size
         return outgoing.max_response_bytes
@@ -559,49 +457,6 @@
         return self._idle_s
 
 
-def open_socket() -> socket.socket:
-    """Returns a TCP socket that detects a dead peer."""
-    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    enable_keepalive(opened)
-    return opened
-
-
-def enable_keepalive(connected: socket.socket) -> None:
-    """Makes the kernel close the connection if the peer does not respond."""
-    tcp = socket.IPPROTO_TCP
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def listen(address: data.Address) -> list[socket.socket]:
-    """Opens listening sockets."""
-    return netutil.bind_sockets(address.port, address.host)
-
-
-def _complete_response(
-    collector: _ResponseCollector, stream: pooledstream.PooledStream
-) -> IncomingResponse:
-    if not collector.complete:
-        raise errors.OutcomeUnknownError('the response was truncated')
-    length = collector.headers.get('Content-Length')
-    chunked = 'Transfer-Encoding' in collector.headers
-    if length is None and not chunked and stream.error is not None:
-        # A body without a length ends when the connection is closed; after a
-        # reset it may be incomplete.
-        raise errors.OutcomeUnknownError(
-            'the connection was reset before the end of the response'
-        )
-    return IncomingResponse(
-        collector.status,
-        collector.headers,
-        bytes(collector.body),
-        stream.hold,
-    )
-
-
 def _retrieve_exception(writing: asyncio.Future) -> None:
     # The read reports a failed connection.
     if not writing.cancelled():
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -11,7 +11,13 @@
 from tornado import iostream
 
 from oriolefold_core import bytebudget, data, errors
-from oriolefold_http import connections, matching, pooledstream, readturns
+from oriolefold_http import (
+    connections,
+    exchanges,
+    matching,
+    pooledstream,
+    readturns,
+)
 from oriolefold_testbed import basecase
 
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -88,7 +94,7 @@
     async def exchange(self, address, timeout_s):
         return await self.pool.exchange(
             address,
-            connections.OutgoingRequest('GET', '/', []),
+            exchanges.OutgoingRequest('GET', '/', []),
             timeout_s,
             connect_timeout_s=1.0,
         )
@@ -175,7 +181,7 @@
     async def exchange(self):
         return await self.pool.exchange(
             self.address,
-            connections.OutgoingRequest('GET', '/', []),
+            exchanges.OutgoingRequest('GET', '/', []),
             timeout_s=5.0,
             connect_timeout_s=1.0,
         )
@@ -215,7 +221,7 @@
         with contextlib.suppress(errors.OutcomeUnknownError):
             await pool.exchange(
                 address,
-                connections.OutgoingRequest(
+                exchanges.OutgoingRequest(
                     'POST', '/', [], b'x' * 1000, matcher=matcher
                 ),
                 5.0,
@@ -237,7 +243,7 @@
             with self.assertRaises(errors.UnreachableError):
                 await pool.exchange(
                     address,
-                    connections.OutgoingRequest('GET', '/', []),
+                    exchanges.OutgoingRequest('GET', '/', []),
                     timeout_s=1.0,
                     connect_timeout_s=1.0,
                 )
@@ -266,7 +272,7 @@
                 await asyncio.sleep(20.0)
             return await pool.exchange(
                 address,
-                connections.OutgoingRequest('GET', '/', []),
+                exchanges.OutgoingRequest('GET', '/', []),
                 timeout_s=20.0,
                 connect_timeout_s=1.0,
             )
@@ -304,7 +310,7 @@
         async def receive():
             incoming = await pool.exchange(
                 address,
-                connections.OutgoingRequest('GET', '/', []),
+                exchanges.OutgoingRequest('GET', '/', []),
                 timeout_s=20.0,
                 connect_timeout_s=1.0,
             )
@@ -342,7 +348,7 @@
         receiving = asyncio.create_task(
             pool.exchange(
                 address,
-                connections.OutgoingRequest('GET', '/', []),
+                exchanges.OutgoingRequest('GET', '/', []),
                 timeout_s=20.0,
                 connect_timeout_s=1.0,
             )
--- a/libs/http/tests/test_cutheads.py
+++ b/libs/http/tests/test_cutheads.py
@@ -3,7 +3,7 @@
 import abc
 
 from oriolefold_core import errors
-from oriolefold_http import client, connections
+from oriolefold_http import client, connections, exchanges
 from oriolefold_testbed import basecase, cutanswers
 
 
@@ -59,7 +59,7 @@
         try:
             response = await pool.exchange(
                 self.address,
-                connections.OutgoingRequest('GET', '/', []),
+                exchanges.OutgoingRequest('GET', '/', []),
                 5.0,
                 connect_timeout_s=1.0,
             )
