All map writes that were taken for failed are known after a restore

What callers would see: no key of a service renewed for 18.5 s after a restore of the store, so that all keys lack an owner for about 13 s.

Cause: a map write that crosses the restore may take effect and still count as a conflict. The leader remembered only its last attempt, so after another one it took its own stored map for that of a later leader and stepped down.

Change: the writes since the last confirmed one are remembered.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -178,7 +178,8 @@
         self._exclusions = exclusions.Exclusions()
         self._ended: set[tuple] = set()  # Proved by calls, not the registry.
         self._publishing: ranges.KeyMap | None = None
-        self._last_attempt: ranges.KeyMap | None = None
+        # Map writes since the last one that is known to have succeeded.
+        self._attempts: list[ranges.KeyMap] = []
         self._rebalance_not_before_s = 0.0
         self._publish_not_before_s = float('-inf')
         self._plan_not_before_s = float('-inf')
@@ -220,7 +221,8 @@
             self._plan_not_before_s = now_s + PLAN_INTERVAL_S
             changed = self._next_map(now_s, profile)
             if changed is not self.key_map:
-                self._publishing = self._last_attempt = changed
+                self._publishing = changed
+                self._attempts.append(changed)
                 actions.append(Publish(changed))
         for key_range in self.key_map.ranges:
             actions.extend(
@@ -266,7 +268,7 @@
         """
         if (
             stored.next_token > self.key_map.next_token
-            and stored != self._last_attempt
+            and stored not in self._attempts
         ):
             return False
         self._first_token_of_era = era * TOKENS_PER_ERA
@@ -297,6 +299,7 @@
     def published(self, key_map: ranges.KeyMap) -> None:
         """Handles a successful map write."""
         self._publishing = None
+        self._attempts.clear()
         self._batch_started_s = None
         self._plan_not_before_s = float('-inf')
         self.key_map = key_map
--- a/libs/coordination/tests/test_rangeleases.py
+++ b/libs/coordination/tests/test_rangeleases.py
@@ -1074,6 +1074,25 @@
         self.assertLess(grants_at_s[0], 1.0)
         self.assertGreater(grants_at_s[-1], 8.0)
 
+    def test_a_write_that_was_taken_for_failed_is_known_after_a_restore(self):
+        lease_manager = self.lease_manager([self.one])
+        self.assigned(lease_manager)
+        lease_manager.update([assignment.Candidate(self.two, 4)], [self.one])
+        (first,) = [
+            action
+            for action in lease_manager.step(0.5, PROFILE)
+            if isinstance(action, rangeleases.Publish)
+        ]
+        lease_manager.publishing_failed(0.5)
+        three = ranges.Holder('i3', 1, 'a3')
+        lease_manager.update([assignment.Candidate(three, 4)], [self.one])
+        actions = lease_manager.step(1.5, PROFILE)
+        self.assertTrue(
+            any(isinstance(a, rangeleases.Publish) for a in actions)
+        )
+        lease_manager.publishing_failed(1.5)
+        self.assertTrue(lease_manager.go_on_in_restored_store(first.key_map, 2))
+
     def test_a_failed_write_is_replanned(self):
         lease_manager = self.lease_manager([self.one])
         lease_manager.step(0.0, PROFILE)
