An era that a feed tells ends the watches on the store as well

What callers would see: a confirmed configuration in force up to 20 s late (CONFIG), where connections to the store survive a restore.

Cause: a follower learned the era from the leader's feed, but its own watch on the configuration waited on at a revision of the former era.

Change: FollowerStore passes the era on to the store's client, which ends them.

--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -519,6 +519,7 @@
         if not era and store_ports.era_of(max(revisions, default=0)):
             raise errors.ProtocolError('the feed tells no era')
         self._feed.observe_era(era)
+        self._store.observe_era(era)
 
     def _self_description(self, contact_at_s: float) -> messages.Follower:
         """Returns the description of this VM for the next poll."""
--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -119,6 +119,12 @@
                 revision.
         """
 
+    def observe_era(self, era: int) -> None:
+        """Takes note of an era that the store has told another VM.
+
+        A watch from a revision of an earlier era ends.
+        """
+
     async def read_stale(self, name: str) -> StoredObject:
         """Reads an object that may be seconds out of date, at a lower cost."""
         return await self.read(name)
