A leader goes on after a restore only while it may act

What callers would see: two leaders of one service, so keys with two holders.

Cause: three places compared terms across the restore. A heartbeat whose answer was lost is resolved for up to 10 s, longer than a leader may act; it then went on from its map, and with a beat of the former era, so that a successor did not wait for its leases. And a leader that was asked about a version of an earlier era stated that its term had ended, though it went on.

Change: without authority the leader steps down; beats are of the era of the record that they replace; a successor waits whenever the map has not been written in this era; a question about an earlier era than that of the own term is not answered.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -373,10 +373,17 @@
 
     def _end_terms(self, ask: messages.EndTerms) -> None:
         """Ends the terms that began before another VM was elected."""
+        is_leader = self._lease_manager is not None
+        if is_leader and (
+            store_ports.era_of(ask.version)
+            < store_ports.era_of(self._term_version)
+        ):
+            # The asker does not know of the restore, or of eras at all.
+            ask.fail(errors.ProtocolError('the version is of an earlier era'))
+            return
         self._ended_before_version = max(
             self._ended_before_version, ask.version
         )
-        is_leader = self._lease_manager is not None
         if is_leader and self._term_version < ask.version:
             self._step_down('another VM is the leader')
         self.spawn(self._answer_after_grants(ask), ask)
@@ -500,6 +507,10 @@
         era = self._records.era
         if era == self._map_era:
             return
+        if not self._has_authority():
+            raise errors.VersionConflictError(
+                'the store was restored while this VM could not act'
+            )
         name = documents.KEY_MAP_PREFIX + self._service_id
         document = await updates.read(self._store, name)
         stored = ranges.KeyMap(self._service_id)
--- a/libs/direct/src/oriolefold_direct/leaderrecords.py
+++ b/libs/direct/src/oriolefold_direct/leaderrecords.py
@@ -149,7 +149,9 @@
                 this VM has written.
         """
         async with self.lock:
-            beat = self.beat + 1
+            # A write whose answer was lost may have taken effect in a later
+            # era than that of its record.
+            beat = leaderelection.next_beat(self.beat, self.era)
             self._document = await self._replace(
                 self._document, self.own_record(beat, inherited_s)
             )
--- a/libs/direct/tests/test_restores.py
+++ b/libs/direct/tests/test_restores.py
@@ -9,7 +9,7 @@
 
 from oriolefold_coordination import leaderelection, rangeleases
 from oriolefold_core import errors
-from oriolefold_direct import changefeed, documents
+from oriolefold_direct import changefeed, documents, messages
 from oriolefold_store import memory, updates
 from oriolefold_store import ports as store_ports
 
@@ -256,3 +256,45 @@
         self.assertFalse(
             leaderelection.has_ended(former, restored + 1, statement)
         )
+
+    async def test_a_leader_states_nothing_about_a_version_of_an_earlier_era(
+        self,
+    ):
+        leader = await self.start_leader()
+        self.store.restore(self.store.copy())
+        await self.wait_for_map_of_era(2)
+        record = await updates.read(self.store, RECORD_NAME)
+        revision = record.version % store_ports.VERSIONS_PER_ERA
+        with self.assertRaises(errors.ProtocolError):
+            await leader.ask(messages.EndTerms('svc', revision + 1))
+        count = len(self.instances.grants)
+        await self.wait_for(lambda: len(self.instances.grants) > count)
+
+    @mock.patch.object(rangeleases, 'AUTHORITY_S', 1.0)
+    async def test_a_leader_without_authority_does_not_go_on_after_a_restore(
+        self,
+    ):
+        leader = await self.start_leader()
+        cut_off = asyncio.Event()
+        write = self.store.write
+
+        async def lose_heartbeat(name, content, expected_version):
+            if name != RECORD_NAME or cut_off.is_set():
+                return await write(name, content, expected_version)
+            self.store.answers_to_lose = 1
+            try:
+                return await write(name, content, expected_version)
+            finally:
+                self.store.down = True
+                cut_off.set()
+
+        self.store.write = lose_heartbeat
+        await cut_off.wait()
+        copied = self.store.copy()
+        await asyncio.sleep(1.5)
+        self.store.restore(copied)
+        self.store.down = False
+        await self.wait_for(lambda: leader._lease_manager is None)
+        self.assertLess(
+            (await self.key_map()).next_token, 2 * rangeleases.TOKENS_PER_ERA
+        )
