--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -14,6 +14,7 @@
     coordinator,
     coordinators,
     dispatcher,
+    following,
     messages,
     peering,
     ports,
@@ -142,7 +143,7 @@
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
         feed = changefeed.ChangeFeed(time, region_id)
-        self._store = changefeed.FollowerStore(
+        self._store = following.FollowerStore(
             store,
             self._peers,
             feed,
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -15,6 +15,7 @@
     coordinators,
     dispatcher,
     documents,
+    following,
     messages,
     ports,
 )
@@ -153,7 +154,7 @@
             f'process of {vm_id}',
             0.0,
             _address(vm_id),
-            changefeed.FollowerStore(
+            following.FollowerStore(
                 self.store, self.peers, feed, self.clock, fakes.follower()
             ),
             feed,
--- /dev/null
+++ b/libs/direct/tests/test_following.py
@@ -0,0 +1,265 @@
+"""Tests of oriolefold_direct.following."""
+
+import asyncio
+
+import fakes
+
+from oriolefold_core import clock, errors
+from oriolefold_direct import changefeed, following, messages
+from oriolefold_store import ports
+from oriolefold_testbed import basecase
+
+
+def stored(name, version, content=b'{"x":1}'):
+    return ports.StoredObject(f'k/{name}', version, content)
+
+
+def in_era(era, revision):
+    """Returns a revision of an era."""
+    return era * ports.VERSIONS_PER_ERA + revision
+
+
+class QueuedPeers(fakes.FakePeers):
+    """Peers whose polls are answered from a queue."""
+
+    def __init__(self):
+        super().__init__()
+        self.answers: asyncio.Queue = asyncio.Queue()
+        self.polls: list[dict[str, int]] = []
+        self.poll_targets: list[tuple[str, messages.Follower]] = []
+
+    async def changes(self, address, follower, revisions_by_prefix):
+        self.polls.append(dict(revisions_by_prefix))
+        self.poll_targets.append((address, follower))
+        answer = await self.answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        if isinstance(answer, messages.ChangesReply):
+            return answer
+        return messages.ChangesReply(answer)
+
+
+class FollowerStoreTest(basecase.AsyncCase):
+    """Watches continue when their source changes."""
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.feed = changefeed.ChangeFeed(self.clock)
+        self.store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            self.feed,
+            self.clock,
+            fakes.follower(),
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.inner_store.script.put_nowait(
+            ports.Changes(5, (stored('a', 3),), complete=True)
+        )
+        self.first = await self.store.watch('k/', 0, 1.0)
+
+    async def test_initial_list_is_read_from_the_store(self):
+        self.assertEqual(self.first.revision, 5)
+
+    async def test_pending_watch_switches_to_the_feed_and_back(self):
+        waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        await asyncio.sleep(0)
+        self.store.follow('10.0.0.1:80')
+        self.assertEqual((await waiting).revision, 5)
+        feed_changes = ports.Changes(6, (stored('b', 6),))
+        self.peers.answers.put_nowait({'k/': feed_changes})
+        self.assertEqual(await self.store.watch('k/', 5, 1.0), feed_changes)
+        waiting = asyncio.create_task(self.store.watch('k/', 6, 1.0))
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertEqual(self.peers.polls[-1], {'k/': 6})
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        self.assertEqual((await waiting).revision, 6)
+        self.assertFalse(self.store.is_following)
+        self.inner_store.script.put_nowait(ports.Changes(7, (stored('c', 7),)))
+        self.assertEqual((await self.store.watch('k/', 6, 1.0)).revision, 7)
+        self.assertEqual(self.inner_store.revisions[-1], 6)
+
+    async def test_store_only_prefixes_are_watched_in_the_store(self):
+        store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            changefeed.ChangeFeed(self.clock),
+            self.clock,
+            fakes.follower(),
+            frozenset({'large/'}),
+        )
+        self.addAsyncCleanup(store.close)
+        store.follow('10.0.0.1:80')
+        change = ports.Changes(9, (stored('a', 9),))
+        self.inner_store.script.put_nowait(change)
+        self.assertEqual(await store.watch('large/', 5, 1.0), change)
+
+    async def test_failed_feed_is_retried_after_a_delay(self):
+        self.store.follow('10.0.0.1:80')
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(lambda: not self.store.is_following)
+        self.assertTrue(self.store.is_leader_suspected)
+        self.store.follow('10.0.0.1:80')
+        self.assertFalse(self.store.is_following)
+        self.clock.advance(following.FEED_RETRY_S)
+        self.store.follow('10.0.0.1:80')
+        self.assertTrue(self.store.is_following)
+
+    async def test_unexpected_error_ends_following(self):
+        waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        self.store.follow('10.0.0.1:80')
+        # The leader replies for a prefix that nobody here watches.
+        change = ports.Changes(6, (stored('b', 6),))
+        self.peers.answers.put_nowait({'unknown/': change})
+        async with asyncio.timeout(1):
+            self.assertEqual((await waiting).revision, 5)
+            waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+            self.inner_store.script.put_nowait(change)
+            self.assertEqual(await waiting, change)
+        self.assertFalse(self.store.is_following)
+
+    async def test_redirect_to_a_relay_is_followed(self):
+        self.store.follow('10.0.0.1:80')
+        relay = messages.ChangesReply({}, relay_address='10.0.0.2:80')
+        self.peers.answers.put_nowait(relay)
+        await self.wait_for(lambda: len(self.peers.poll_targets) == 2)
+        self.assertEqual(self.peers.poll_targets[1][0], '10.0.0.2:80')
+        feed_changes = ports.Changes(6, (stored('b', 6),))
+        self.peers.answers.put_nowait({'k/': feed_changes})
+        self.assertEqual(await self.store.watch('k/', 5, 1.0), feed_changes)
+        # A VM that polls a relay is not a relay itself.
+        self.assertFalse(self.feed.is_fresh)
+
+    async def test_failed_relay_does_not_make_the_leader_suspected(self):
+        self.store.follow('10.0.0.1:80')
+        relay = messages.ChangesReply({}, relay_address='10.0.0.2:80')
+        self.peers.answers.put_nowait(relay)
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(lambda: not self.store.is_following)
+        self.assertFalse(self.store.is_leader_suspected)
+        self.clock.advance(following.FEED_RETRY_S)
+        self.store.follow('10.0.0.1:80')
+        await self.wait_for(lambda: len(self.peers.poll_targets) == 3)
+        address, follower = self.peers.poll_targets[2]
+        self.assertEqual(address, '10.0.0.1:80')
+        self.assertEqual(follower.avoided_address, '10.0.0.2:80')
+
+    async def test_redirect_from_a_relay_ends_following(self):
+        self.store.follow('10.0.0.1:80')
+        for address in ('10.0.0.2:80', '10.0.0.3:80'):
+            reply = messages.ChangesReply({}, relay_address=address)
+            self.peers.answers.put_nowait(reply)
+        await self.wait_for(lambda: not self.store.is_following)
+
+    async def test_slow_answer_does_not_make_the_contact_later(self):
+        self.store.follow('10.0.0.1:80')
+        # The leader's clock is 60 s behind; its answer took no time.
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 39.5))
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertTrue(self.feed.is_fresh)
+        # The next answer was in transit for 1.5 s.
+        self.clock.advance(1.5)
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 39.9))
+        await self.wait_for(lambda: len(self.peers.polls) == 3)
+        self.assertFalse(self.feed.is_fresh)
+
+    async def test_received_but_unread_changes_are_not_lost(self):
+        self.store.follow('10.0.0.1:80')
+        feed_changes = ports.Changes(6, (stored('b', 6),))
+        self.peers.answers.put_nowait({'k/': feed_changes})
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(lambda: not self.store.is_following)
+        self.inner_store.script.put_nowait(ports.Changes(7, (stored('b', 6),)))
+        await self.store.watch('k/', 5, 1.0)
+        self.assertEqual(self.inner_store.revisions[-1], 5)
+
+    async def follow_until_restore(self):
+        """Follows a feed that then has the list of the restored store."""
+        self.store.follow('10.0.0.1:80')
+        self.listing = ports.Changes(
+            in_era(1, 2), (stored('b', in_era(1, 1)),), (), True
+        )
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': self.listing}, era=1)
+        )
+        self.assertEqual(await self.store.watch('k/', 5, 1.0), self.listing)
+
+    async def test_follower_that_reaches_only_a_relay_sees_a_restore(self):
+        await self.follow_until_restore()
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertEqual(self.peers.polls[-1], {'k/': in_era(1, 2)})
+        again = ports.Changes(in_era(2, 1), (), (), True)
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': again}, era=2)
+        )
+        watched = await self.store.watch('k/', in_era(1, 2), 1.0)
+        self.assertEqual(watched, again)
+
+    async def test_relay_of_a_feed_serves_only_the_era_of_its_leader(self):
+        self.store.follow('10.0.0.1:80')
+        reply = messages.ChangesReply({}, 100.0, 100.0, era=1)
+        self.peers.answers.put_nowait(reply)
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertFalse(self.feed.is_fresh)
+
+    async def test_feed_without_eras_is_not_followed_with_eras(self):
+        await self.follow_until_restore()
+        waiting = asyncio.create_task(self.store.watch('k/', in_era(1, 2), 1.0))
+        self.peers.answers.put_nowait(messages.ChangesReply({}))
+        async with asyncio.timeout(1):
+            self.assertEqual((await waiting).revision, in_era(1, 2))
+        self.assertFalse(self.store.is_following)
+
+    async def test_changes_across_a_restore_without_the_list_end_following(
+        self,
+    ):
+        self.store.follow('10.0.0.1:80')
+        change = ports.Changes(in_era(1, 2), (stored('b', in_era(1, 2)),))
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': change}, era=1)
+        )
+        await self.wait_for(lambda: not self.store.is_following)
+        watch = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        await self.wait_for(lambda: self.inner_store.revisions[-1] == 5)
+        watch.cancel()
+
+    async def test_list_from_the_store_replaces_received_changes(self):
+        self.store.follow('10.0.0.1:80')
+        late = ports.Changes(6, (), ('k/a',))
+        self.peers.answers.put_nowait({'k/': late})
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        listing = ports.Changes(in_era(1, 2), (stored('a', 1),), (), True)
+        self.inner_store.script.put_nowait(listing)
+        self.assertEqual(await self.store.watch('k/', 0, 1.0), listing)
+        # The answer to a poll from before the restore.
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': ports.Changes(7, (), ('k/a',))}, era=1)
+        )
+        await self.wait_for(lambda: len(self.peers.polls) == 3)
+        self.assertEqual(self.peers.polls[-1], {'k/': in_era(1, 2)})
+        newer = ports.Changes(in_era(1, 3), (stored('c', in_era(1, 3)),))
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': newer}, era=1)
+        )
+        watched = await self.store.watch('k/', in_era(1, 2), 1.0)
+        self.assertEqual(watched, newer)
+
+    async def test_list_of_a_store_without_eras_may_go_back(self):
+        self.inner_store.script.put_nowait(ports.Changes(2, (), (), True))
+        await self.store.watch('k/', 0, 1.0)
+        self.store.follow('10.0.0.1:80')
+        await self.wait_for(lambda: self.peers.polls)
+        self.assertEqual(self.peers.polls[-1], {'k/': 2})
+
+    async def test_calls_tell_the_feed_the_era(self):
+        self.feed.start_leading('svc')
+        self.feed.record_contact()
+        self.assertTrue(self.feed.is_fresh)
+        self.inner_store.era = 1
+        with self.assertRaises(errors.StoreError):
+            await self.store.write('k/x', b'1', 1)
+        self.assertFalse(self.feed.is_fresh)
+        self.assertEqual(self.store.era, 1)
--- a/libs/direct/tests/test_restores.py
+++ b/libs/direct/tests/test_restores.py
@@ -9,7 +9,7 @@
 
 from oriolefold_coordination import leaderelection, rangeleases
 from oriolefold_core import errors
-from oriolefold_direct import changefeed, documents
+from oriolefold_direct import documents, following
 from oriolefold_store import memory, updates
 from oriolefold_store import ports as store_ports
 
@@ -57,7 +57,7 @@
         )
 
 
-class _FollowerStore(changefeed.FollowerStore):
+class _FollowerStore(following.FollowerStore):
     @property
     def era(self):
         return self._store.era
@@ -70,7 +70,7 @@
         await super().asyncSetUp()
         self.store = _RestorableStore()
         self.enterContext(
-            mock.patch.object(changefeed, 'FollowerStore', _FollowerStore)
+            mock.patch.object(following, 'FollowerStore', _FollowerStore)
         )
 
     async def start_leader(self):
