--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -6,14 +6,13 @@
 
 import asyncio
 import collections
-import dataclasses
 import math
 import random
 from typing import Any
 
 from oriolefold_coordination import ranges
 from oriolefold_core import clock, data, errors, tasks
-from oriolefold_direct import messages, pending, ports
+from oriolefold_direct import keyowners, messages, pending, ports
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import (
     announcements,
@@ -74,8 +73,7 @@
         self._policy: policy.Policy | None = None
         self._splitter = policy.TrafficSplitter()
         self._instance_table = concurrency.InstanceTable(locality)
-        self._maps_by_service_id: dict[str, ranges.KeyMap] = {}
-        self._map_versions_by_service_id: dict[str, int] = {}
+        self._key_owners = keyowners.KeyOwners(self._instance_table)
         self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
         self._budgets_by_service_id: dict[str, attempts.AttemptBudget] = {}
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
@@ -130,39 +128,12 @@
         self._wake_all()
 
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
-        service_id = update.key_map.service_id
-        if update.version <= self._map_versions_by_service_id.get(
-            service_id, 0
-        ):
-            return
-        known = self._maps_by_service_id.get(service_id)
-        if known and update.key_map.next_token < known.next_token:
-            # An older copy from a restored store: each write raises the token.
-            return
-        self._map_versions_by_service_id[service_id] = update.version
-        self._maps_by_service_id[service_id] = update.key_map
-        self._wake(service_id)
+        if self._key_owners.update(update):
+            self._wake(update.key_map.service_id)
 
     def _apply_granted(self, granted: messages.GrantedRanges) -> None:
-        """Lets requests go to ranges that their owners hold already.
-
-        The ranges of any other version of the map may have moved since.
-        """
-        service_id = granted.service_id
-        version = self._map_versions_by_service_id.get(service_id)
-        if granted.map_version != version:
-            return
-        key_map = self._maps_by_service_id[service_id]
-        self._maps_by_service_id[service_id] = dataclasses.replace(
-            key_map,
-            ranges=tuple(
-                dataclasses.replace(r, priors=())
-                if (r.first, r.last, r.token) in granted.bounds
-                else r
-                for r in key_map.ranges
-            ),
-        )
-        self._wake(service_id)
+        if self._key_owners.apply_granted(granted):
+            self._wake(granted.service_id)
 
     def _accept(self, dispatch: gateway_messages.Dispatch) -> None:
         now_s = self._clock.now_s()
@@ -485,33 +456,11 @@
         self, request: pending.PendingRequest
     ) -> concurrency.InstanceState | None:
         """Returns the owner of the key, or None if it cannot be sent to now."""
-        return self._find_owner(request)[0]
-
-    def _find_owner(
-        self, request: pending.PendingRequest
-    ) -> tuple[concurrency.InstanceState | None, str]:
-        """Returns the owner of the key, or None and why it has none now."""
-        key_map = self._maps_by_service_id.get(request.service_id)
-        if key_map is None:
-            return None, 'no key map'
-        key_range = key_map.range_of(request.key)
-        if key_range is None:
-            return None, 'not assigned'
-        if key_range.priors:
-            return None, 'moving'
-        holder = key_range.owner
-        known = self._instance_table.states_by_id.get(holder.instance_id)
-        if known is None:
-            return None, 'not registered'
-        if known.endpoint.born_ms != holder.born_ms:
-            return None, 'other incarnation'
-        if known.endpoint.draining:
-            return None, 'draining'
-        return known, ''
+        return self._key_owners.find(request.service_id, request.key)[0]
 
     def _log_unavailable_owner(self, request: pending.PendingRequest) -> None:
         """Logs why the owner of a key got no request."""
-        owner, obstacle = self._find_owner(request)
+        owner, obstacle = self._key_owners.find(request.service_id, request.key)
         self._reporter.owner_unavailable(request, owner, obstacle)
 
     async def _send(
@@ -574,20 +523,8 @@
             announcements.Announcement(said.leaving, said.pushback_s),
             now_s,
         )
-        if news.leaving:
-            logs.event(
-                'instance.leaving',
-                instance=endpoint.instance_id,
-                born_ms=endpoint.born_ms,
-                source='answer',
-            )
+        self._reporter.announced(endpoint, news)
         if news.pushback_s:
-            logs.event(
-                'instance.pushback',
-                instance=endpoint.instance_id,
-                born_ms=endpoint.born_ms,
-                pushback_s=news.pushback_s,
-            )
             self._refuse_pushed_back(endpoint.service_id)
 
     def _refuse_pushed_back(self, service_id: str) -> None:
@@ -662,10 +599,9 @@
         version = self._policy.version if self._policy else 0
         if service_id is None:
             return pending.View(version)
-        key_map = self._maps_by_service_id.get(service_id)
         return pending.View(
             version,
-            key_map.next_token if key_map else 0,
+            self._key_owners.next_token(service_id),
             len(self._queue(service_id)),
         )
 
@@ -712,8 +648,5 @@
         return {
             'policy_version': self._policy.version if self._policy else 0,
             'instances': len(self._instance_table.states_by_id),
-            'key_maps': {
-                service_id: key_map.next_token
-                for service_id, key_map in self._maps_by_service_id.items()
-            },
+            'key_maps': self._key_owners.next_tokens_by_service_id(),
         }
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -5,7 +5,7 @@
 from oriolefold_core import clock, data
 from oriolefold_direct import ports
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import concurrency, policy
+from oriolefold_routing import announcements, concurrency, policy, topology
 from oriolefold_telemetry import counters, logs
 
 MIN_FAILURE_STATUS = 500  # Lowest status that reports a server error.
@@ -136,6 +136,25 @@
             **fields,
         )
 
+    def announced(
+        self, endpoint: topology.Endpoint, news: announcements.Announcement
+    ) -> None:
+        """Logs what an instance has newly announced with an answer."""
+        if news.leaving:
+            logs.event(
+                'instance.leaving',
+                instance=endpoint.instance_id,
+                born_ms=endpoint.born_ms,
+                source='answer',
+            )
+        if news.pushback_s:
+            logs.event(
+                'instance.pushback',
+                instance=endpoint.instance_id,
+                born_ms=endpoint.born_ms,
+                pushback_s=news.pushback_s,
+            )
+
     def sent(
         self,
         instance: concurrency.InstanceState,
