--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -1,7 +1,6 @@
-"""Task that dispatches requests to instances and decides on retries.
+"""Task that dispatches requests to instances until one has answered.
 
 Requests wait in a priority queue per service until an instance has capacity.
-Retries are bounded by a retry budget per service.
 """
 
 import asyncio
@@ -10,24 +9,27 @@
 import random
 from typing import Any
 
-from oriolefold_coordination import ranges
 from oriolefold_core import clock, data, errors, tasks
-from oriolefold_direct import keyowners, messages, pending, ports
+from oriolefold_direct import (
+    admission,
+    keyowners,
+    messages,
+    pending,
+    ports,
+    retries,
+)
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import (
     announcements,
     attempts,
     concurrency,
-    deadlines,
     draining,
-    policy,
     topology,
     waitqueue,
 )
 from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import counters, logs
 
-MAX_SENDS = 3  # Sends of one request, including refused ones.
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
 WAKE_INTERVAL_S = 0.05  # Interval of capacity checks while requests wait.
@@ -64,18 +66,15 @@
             generator: Source of random numbers.
         """
         super().__init__('dispatcher')
-        self._key_header = key_header
         self._instances = instances
         self._clock = time
-        self._budget_limits = budget_limits
+        self._retries = retries.Retries(time, budget_limits)
         self._reporter = pending.Reporter(time, recorder)
         self._random = generator
-        self._policy: policy.Policy | None = None
-        self._splitter = policy.TrafficSplitter()
+        self._admission = admission.Admission(key_header)
         self._instance_table = concurrency.InstanceTable(locality)
         self._key_owners = keyowners.KeyOwners(self._instance_table)
         self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
-        self._budgets_by_service_id: dict[str, attempts.AttemptBudget] = {}
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._wake_scheduled_ids: set[str] = set()
         self._stops_at_s = math.inf
@@ -89,7 +88,7 @@
             case gateway_messages.Dispatch():
                 self._accept(message)
             case messages.PolicyUpdated():
-                self._policy = message.policy
+                self._admission.policy = message.policy
             case messages.EndpointsUpdated():
                 self._update_endpoints(message.endpoints_by_id)
             case messages.KeyMapUpdated():
@@ -138,7 +137,10 @@
     def _accept(self, dispatch: gateway_messages.Dispatch) -> None:
         now_s = self._clock.now_s()
         try:
-            request = self._admit(dispatch, now_s)
+            request = self._admission.admit(dispatch, now_s)
+            self._retries.record_request(request.service_id, now_s)
+            if request.key is not None:
+                self._recent_keys(request.service_id).append(request.key)
             self._check_may_send(request)
         except errors.OriolefoldError as error:
             self._reporter.refused(dispatch, error, self._view())
@@ -154,49 +156,6 @@
             lambda reply: serving.cancel() if reply.cancelled() else None
         )
 
-    def _admit(
-        self, dispatch: gateway_messages.Dispatch, now_s: float
-    ) -> pending.PendingRequest:
-        if self._policy is None:
-            raise errors.NoOwnerError('no configuration has been loaded yet')
-        host = dispatch.headers.get('Host', '')
-        route = self._policy.find(host, dispatch.target)
-        if route is None:
-            raise errors.UnknownServiceError(
-                f'no route of host {host[:64]!r} matches the path'
-            )
-        caller_left_s = (
-            deadlines.initial_deadline(
-                now_s, deadlines.MAX_DEADLINE_S, dispatch.requested_deadline_ms
-            )
-            - now_s
-        )
-        service_id = self._splitter.choose(route)
-        profile = self._policy.services_by_id.get(service_id)
-        if profile is None:
-            raise errors.NoOwnerError(f'service {service_id} is not configured')
-        key = self._key(dispatch) if profile.keyed else None
-        call = ports.Call(
-            dispatch.request_id,
-            dispatch.method,
-            dispatch.target,
-            dispatch.header_pairs,
-            dispatch.body,
-        )
-        self._budget(service_id).record_request(now_s)
-        if key is not None:
-            self._recent_keys(service_id).append(key)
-        return pending.PendingRequest(
-            dispatch,
-            route,
-            service_id,
-            key,
-            call,
-            now_s,
-            now_s + min(caller_left_s, route.timeout_s),
-            caller_left_s,
-        )
-
     def _check_may_send(self, request: pending.PendingRequest) -> None:
         """Checks that a request can end before this VM stops.
 
@@ -209,23 +168,6 @@
                 'this VM stops before the request is sure to end'
             )
 
-    def _key(self, dispatch: gateway_messages.Dispatch) -> int:
-        text = dispatch.headers.get(self._key_header, '').strip()
-        if not text:
-            raise errors.MissingKeyError(
-                f'header {self._key_header}: missing or empty'
-            )
-        if not text.isascii() or not text.isdigit():
-            raise errors.RequestError(
-                f'header {self._key_header}: {text[:16]!r} is not a number'
-            )
-        key = int(text)
-        if key >= ranges.KEY_COUNT:
-            raise errors.RequestError(
-                f'header {self._key_header}: {key} is too large'
-            )
-        return key
-
     async def _serve(self, request: pending.PendingRequest) -> None:
         try:
             answer = await self._answer_in_time(request)
@@ -292,7 +234,7 @@
             try:
                 answer = await self._send(request, instance)
             except errors.OriolefoldError as error:
-                if not self._may_retry(request, error):
+                if not self._retries.may_retry(request, error):
                     raise self._caller_error(request, error) from error
                 if error.category is errors.Category.MISDIRECTED:
                     await asyncio.sleep(MISDIRECTED_RETRY_DELAY_S)
@@ -303,7 +245,7 @@
             ):
                 return answer
             request.error_answer = answer
-            if not self._may_retry(request, None):
+            if not self._retries.may_retry(request, None):
                 return answer
 
     def _caller_error(
@@ -326,31 +268,6 @@
             return errors.OutcomeUnknownError(error.message)
         return error
 
-    def _may_retry(self, request: pending.PendingRequest, error) -> bool:
-        """Whether a request may be sent again; if so, charges the retry budget.
-
-        Args:
-            request: The request.
-            error: Error of the last send, or None if the instance answered
-                with a server error.
-        """
-        if error is None or error.category is errors.Category.OUTCOME_UNKNOWN:
-            if not request.route.idempotent:
-                return False
-            if len(request.tried_ids) >= request.route.max_instances:
-                return False
-        elif error.category is errors.Category.UNREACHABLE:
-            # Nothing was sent, so a retry adds no load and needs no budget.
-            return request.sends < 2 * MAX_SENDS
-        elif error.category not in (
-            errors.Category.OVERLOADED,
-            errors.Category.MISDIRECTED,
-        ):
-            return False
-        if request.sends >= MAX_SENDS:
-            return False
-        return self._budget(request.service_id).take(self._clock.now_s())
-
     async def _acquire_instance(
         self, request: pending.PendingRequest
     ) -> concurrency.InstanceState:
@@ -596,7 +513,7 @@
         return error
 
     def _view(self, service_id: str | None = None) -> pending.View:
-        version = self._policy.version if self._policy else 0
+        version = self._admission.policy_version
         if service_id is None:
             return pending.View(version)
         return pending.View(
@@ -613,13 +530,6 @@
             )
         return queue
 
-    def _budget(self, service_id: str) -> attempts.AttemptBudget:
-        budget = self._budgets_by_service_id.get(service_id)
-        if budget is None:
-            budget = attempts.AttemptBudget(self._budget_limits)
-            self._budgets_by_service_id[service_id] = budget
-        return budget
-
     def _recent_keys(self, service_id: str) -> collections.deque[int]:
         keys = self._keys_by_service_id.get(service_id)
         if keys is None:
@@ -646,7 +556,7 @@
 
     def _describe(self) -> dict:
         return {
-            'policy_version': self._policy.version if self._policy else 0,
+            'policy_version': self._admission.policy_version,
             'instances': len(self._instance_table.states_by_id),
             'key_maps': self._key_owners.next_tokens_by_service_id(),
         }
