A key of thousands of digits is a bad request

What callers saw: 502 instead of 400 for such a key, since Python converts no number of more than 4,300 digits. The test case failed with ValueError.

--- a/libs/direct/src/oriolefold_direct/admission.py
+++ b/libs/direct/src/oriolefold_direct/admission.py
@@ -6,6 +6,8 @@
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import deadlines, policy
 
+MAX_KEY_DIGITS = 100  # Python converts no number of thousands of digits.
+
 
 class Admission:
     """Admits requests by the active configuration.
@@ -79,9 +81,8 @@
             raise errors.RequestError(
                 f'header {self._key_header}: {text[:16]!r} is not a number'
             )
-        key = int(text)
-        if key >= ranges.KEY_COUNT:
+        if len(text) > MAX_KEY_DIGITS or int(text) >= ranges.KEY_COUNT:
             raise errors.RequestError(
-                f'header {self._key_header}: {key} is too large'
+                f'header {self._key_header}: {text[:16]} is too large'
             )
-        return key
+        return int(text)
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -420,6 +420,7 @@
             (None, errors.MissingKeyError),
             ('x', errors.RequestError),
             ('65536', errors.RequestError),
+            ('9' * 5000, errors.RequestError),
         ]
         for key, error_class in cases:
             with self.subTest(key=key):
--- a/libs/routing/src/oriolefold_routing/incarnations.py
+++ b/libs/routing/src/oriolefold_routing/incarnations.py
@@ -17,7 +17,7 @@
 
 
 class IncarnationMemory:
-    """Decides which registrations of a restored store to believe."""
+    """Decides which registrations of a restored store are valid."""
 
     def __init__(self):
         self._copied_up_to = 0
