--- a/libs/http/src/oriolefold_http/sockets.py
+++ b/libs/http/src/oriolefold_http/sockets.py
@@ -1,11 +1,7 @@
-"""TCP sockets of connections, and of those who accept them."""
+"""TCP sockets that detect a dead peer."""
 
 import socket
 
-from tornado import netutil
-
-from oriolefold_core import data
-
 KEEPALIVE_IDLE_S = 1  # Idle time after which the kernel probes a connection.
 KEEPALIVE_INTERVAL_S = 1  # Interval between the probes.
 KEEPALIVE_PROBES = 2  # Unanswered probes after which a connection is closed.
@@ -27,8 +23,3 @@
     connected.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     connected.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-def listen(address: data.Address) -> list[socket.socket]:
-    """Opens listening sockets."""
-    return netutil.bind_sockets(address.port, address.host)
