A takeover waits for a map of a former era only if its record is of this era

Cause: widened the wait to records of any era, to cover the second in which a heartbeat that took effect over the restore leaves a counter of the former era.

Change: the wait is as before.

--- a/libs/coordination/src/oriolefold_coordination/rangeleases.py
+++ b/libs/coordination/src/oriolefold_coordination/rangeleases.py
@@ -163,7 +163,7 @@
         self._busy_since_s: dict[tuple, float] = {}
         self._first_token_of_era = era * TOKENS_PER_ERA
         self._acts_from_s = float('-inf')
-        if previous_era >= 0 and not self.is_published:
+        if previous_era >= era and not self.is_published:
             self._acts_from_s = inherited_until_s
         # Earlier leaders may have sent all tokens below.
         self._first_own_token = max(
