--- /dev/null
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -0,0 +1,151 @@
+"""Tests of oriolefold_direct.following with feeds that are behind."""
+
+import asyncio
+
+import fakes
+import test_following
+import test_watching
+
+from oriolefold_core import clock, errors
+from oriolefold_direct import (
+    availability,
+    changefeed,
+    following,
+    messages,
+    watching,
+)
+from oriolefold_store import ports
+from oriolefold_testbed import basecase
+
+LEADER = '10.0.0.1:80'
+RELAY = '10.0.0.2:80'
+KNOWN = test_following.stored('a', test_following.in_era(2, 3), b'new')
+
+
+class _Reader(test_watching.TextReader):
+    may_expire = False
+
+
+class _OutdatedFeedCase(basecase.AsyncCase):
+    """Test case with a watcher that has seen a list and follows a leader."""
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = test_following.QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            changefeed.ChangeFeed(self.clock),
+            self.clock,
+            fakes.follower(),
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.subscriber = basecase.RecordingTask('subscriber')
+        self.watcher = watching.Watcher(
+            self.store,
+            _Reader(),
+            [self.subscriber],
+            self.clock,
+            availability.Availability(self.clock),
+        )
+        self.inner_store.script.put_nowait(
+            ports.Changes(test_following.in_era(2, 5), (KNOWN,), complete=True)
+        )
+        await self.start(self.subscriber, self.watcher)
+        await self.wait_for(lambda: self.subscriber.messages)
+        await self.follow()
+
+    def content_by_name(self):
+        """Returns what the subscriber knows."""
+        return self.subscriber.messages[-1]
+
+    async def follow(self):
+        """Begins to follow the leader and waits for the poll."""
+        count = len(self.peers.polls)
+        self.store.follow(LEADER)
+        await self.wait_for(lambda: len(self.peers.polls) > count)
+
+    async def reply(self, reply):
+        """Answers a poll and waits for the next one."""
+        count = len(self.peers.polls)
+        self.peers.answers.put_nowait(reply)
+        await self.wait_for(lambda: len(self.peers.polls) > count)
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    async def deliver(self, revision, *objects, era=2, **changes):
+        """Answers a poll with changes."""
+        changes = ports.Changes(revision, objects, **changes)
+        await self.reply(messages.ChangesReply({'k/': changes}, era=era))
+
+    async def redirect_to_a_relay(self):
+        await self.reply(messages.ChangesReply({}, relay_address=RELAY))
+        self.assertEqual(self.peers.poll_targets[-1][0], RELAY)
+
+    async def fail_feed(self):
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(lambda: not self.store.is_following)
+
+
+class OutdatedFeedTest(_OutdatedFeedCase):
+    """A feed that is behind replaces nothing that was seen before."""
+
+    async def test_older_revision_of_a_relay_brings_no_older_object_back(self):
+        await self.redirect_to_a_relay()
+        older = test_following.stored('a', test_following.in_era(2, 2), b'old')
+        await self.deliver(test_following.in_era(2, 4), older)
+        await self.deliver(test_following.in_era(2, 6), older)
+        await self.deliver(
+            test_following.in_era(2, 7),
+            test_following.stored('b', test_following.in_era(2, 7)),
+        )
+        await self.wait_for(lambda: len(self.subscriber.messages) == 2)
+        self.assertEqual(self.content_by_name()['k/a'], b'new')
+
+    async def test_older_list_of_a_relay_removes_nothing(self):
+        await self.redirect_to_a_relay()
+        await self.deliver(test_following.in_era(2, 4), complete=True)
+        self.assertEqual(self.content_by_name(), {'k/a': b'new'})
+        self.assertEqual(
+            self.peers.polls[-1], {'k/': test_following.in_era(2, 5)}
+        )
+
+    async def test_removal_by_a_relay_that_is_behind_removes_nothing(self):
+        await self.redirect_to_a_relay()
+        await self.deliver(test_following.in_era(2, 4), removed_names=('k/a',))
+        self.assertEqual(self.content_by_name(), {'k/a': b'new'})
+
+    async def test_list_of_an_older_era_replaces_nothing(self):
+        await self.redirect_to_a_relay()
+        older = test_following.stored('a', test_following.in_era(1, 90), b'old')
+        for era in (1, 2):
+            with self.subTest(era):
+                await self.deliver(
+                    test_following.in_era(1, 99), older, era=era, complete=True
+                )
+                await self.deliver(test_following.in_era(1, 99), older, era=era)
+                self.assertEqual(self.content_by_name(), {'k/a': b'new'})
+                self.assertEqual(
+                    self.peers.polls[-1], {'k/': test_following.in_era(2, 5)}
+                )
+
+    async def test_changes_of_leader_relay_and_leader_never_go_back(self):
+        await self.deliver(
+            test_following.in_era(2, 7),
+            test_following.stored('a', test_following.in_era(2, 7), b'newest'),
+        )
+        await self.redirect_to_a_relay()
+        self.assertEqual(
+            self.peers.polls[-1], {'k/': test_following.in_era(2, 7)}
+        )
+        await self.deliver(test_following.in_era(2, 5), KNOWN, complete=True)
+        await self.fail_feed()
+        self.clock.advance(following.FEED_RETRY_S)
+        await self.follow()
+        self.assertEqual(self.peers.poll_targets[-1][0], LEADER)
+        self.assertEqual(
+            self.peers.polls[-1], {'k/': test_following.in_era(2, 7)}
+        )
+        await self.deliver(test_following.in_era(2, 6), KNOWN, complete=True)
+        self.assertEqual(self.content_by_name(), {'k/a': b'newest'})
