Failing tests: unread changes of a failed feed are applied after later ones

Would be seen by callers: requests sent to an instance that is gone, or to none though it is registered; and on deployments that feed configurations (config-apply-s of 2.5 or more), a VM that follows another one keeps an older configuration, answering 404 for a route that was added, until the operator writes once more.

Cause: FollowerStore keeps what a feed has sent and no watch has returned yet. A watch pauses 0.2 s after each change (batch_delay_s), so something is often unread. If the feed fails then, the watch reads the same and more from the store, but the inbox stays as it is; once this VM follows again, its old changes are returned first. Objects that were removed since come back, ones that were written again are removed. They are also appended to this VM's own change log, behind the later ones, under the newest revision: a follower gets the older object and never asks for the newer.

Result: not mended here; the lead decides.

--- a/libs/direct/tests/test_outdatedfeeds.py
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -29,22 +29,27 @@
 class _OutdatedFeedCase(basecase.AsyncCase):
     """Test case with a watcher that has seen a list and follows a leader."""
 
+    batch_delay_s = 0.0
+
     async def asyncSetUp(self):
         self.inner_store = fakes.ScriptedStore()
         self.peers = test_following.QueuedPeers()
         self.clock = clock.ManualClock(100.0)
+        self.feed = changefeed.ChangeFeed(self.clock)
         self.store = following.FollowerStore(
             self.inner_store,
             self.peers,
-            changefeed.ChangeFeed(self.clock),
+            self.feed,
             self.clock,
             fakes.follower(),
         )
         self.addAsyncCleanup(self.store.close)
+        reader = _Reader()
+        reader.batch_delay_s = self.batch_delay_s
         self.subscriber = basecase.RecordingTask('subscriber')
         self.watcher = watching.Watcher(
             self.store,
-            _Reader(),
+            reader,
             [self.subscriber],
             self.clock,
             availability.Availability(self.clock),
@@ -149,3 +154,77 @@
         )
         await self.deliver(test_following.in_era(2, 6), KNOWN, complete=True)
         self.assertEqual(self.content_by_name(), {'k/a': b'newest'})
+
+
+class UnreadChangesTest(_OutdatedFeedCase):
+    """Changes of a failed feed are not applied after later ones."""
+
+    batch_delay_s = 0.05
+
+    async def receive_unread(self, revision, *objects, **changes):
+        """Receives changes in the watcher's delay, then loses the feed."""
+        await self.deliver(
+            test_following.in_era(2, 6),
+            test_following.stored('first', test_following.in_era(2, 6)),
+        )
+        await self.wait_for(lambda: 'k/first' in self.content_by_name())
+        await self.deliver(revision, *objects, **changes)
+        await self.fail_feed()
+
+    async def watch_store_and_follow_again(self, changes):
+        """Has the store answer the watch, then follows the feed again."""
+        count = len(self.subscriber.messages)
+        self.inner_store.script.put_nowait(changes)
+        await self.wait_for(lambda: len(self.subscriber.messages) > count)
+        self.clock.advance(following.FEED_RETRY_S)
+        await self.follow()
+        await asyncio.sleep(3 * self.batch_delay_s)
+
+    async def test_removed_object_does_not_come_back_from_a_failed_feed(self):
+        await self.receive_unread(
+            test_following.in_era(2, 7),
+            test_following.stored('gone', test_following.in_era(2, 7)),
+        )
+        await self.watch_store_and_follow_again(
+            ports.Changes(
+                test_following.in_era(2, 9),
+                (test_following.stored('b', test_following.in_era(2, 9)),),
+            )
+        )
+        self.assertNotIn('k/gone', self.content_by_name())
+
+    async def test_object_is_not_removed_by_a_failed_feed(self):
+        await self.receive_unread(
+            test_following.in_era(2, 7), removed_names=('k/a',)
+        )
+        again = test_following.stored(
+            'a', test_following.in_era(2, 8), b'again'
+        )
+        await self.watch_store_and_follow_again(
+            ports.Changes(test_following.in_era(2, 9), (again,))
+        )
+        self.assertEqual(self.content_by_name().get('k/a'), b'again')
+
+    async def test_followers_get_no_older_object_after_a_failed_feed(self):
+        await self.receive_unread(
+            test_following.in_era(2, 7),
+            test_following.stored('a', test_following.in_era(2, 7), b'older'),
+        )
+        newest = test_following.stored(
+            'a', test_following.in_era(2, 8), b'newest'
+        )
+        await self.watch_store_and_follow_again(
+            ports.Changes(test_following.in_era(2, 9), (newest,))
+        )
+        self.feed.start_leading('svc')
+        self.feed.record_contact()
+        for revision in (
+            test_following.in_era(2, 5),
+            test_following.in_era(2, 4),
+        ):
+            with self.subTest(revision):
+                reply = await self.feed.changes(
+                    fakes.follower(), {'k/': revision}
+                )
+                objects = reply.changes_by_prefix['k/'].objects
+                self.assertIn(newest, objects)
