Unread changes of a failed feed are not applied after later ones

Callers would see: an instance that is gone gets requests, or one that is registered gets none; and on deployments that feed configurations, a VM that follows another one may keep an older configuration (404 for a route that was added) until the operator writes again.

Cause: a watch pauses 0.2 s after changes, so a feed that fails often leaves some unread. The store returns the same and later changes to the next watch, but the unread ones stayed in the inbox and were returned first once this VM followed a feed again: also to its own change log, behind the later ones, under the newest revision. The class: state that was confirmed is replaced by an older copy of it, here without a restore.

A VM's own configuration is guarded by its version, so there only followers of a relay with a revision before the unread one would take the older configuration.

Change: a watch discards unread changes up to the revision that it has reached.

--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -78,6 +78,11 @@
         self.revision = changes.revision
         self.changes.append(changes)
 
+    def discard_until(self, revision: int) -> None:
+        """Discards changes up to a revision that the watch has reached."""
+        while self.changes and self.changes[0].revision <= revision:
+            self.changes.popleft()
+
     def replace(self, listing: store_ports.Changes) -> None:
         """Replaces all by a list from the store, whatever its revision."""
         later = [c for c in self.changes if c.revision > listing.revision]
@@ -197,6 +202,8 @@
                 )
         inbox = self._inboxes_by_prefix.setdefault(prefix, _Inbox())
         inbox.revision = max(inbox.revision, after_revision)
+        # A feed may fail with unread changes, which the store then returns.
+        inbox.discard_until(after_revision)
         if after_revision and self.is_following:
             changes = await self._watch_feed(inbox, after_revision)
         else:
