--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -11,7 +11,9 @@
 from oriolefold_store import ports, updates
 from oriolefold_telemetry import logs
 
-WATCH_TIMEOUT_S = 20.0  # Bounds how long a dead connection stays unnoticed.
+# Bounds how long a lost answer stays unnoticed, which looks like no changes.
+# With the transit time it is shorter than a change may take to be in force.
+WATCH_TIMEOUT_S = 1.2
 PROBE_TIMEOUT_S = 0.1  # Timeout of a watch during an outage.
 PROBE_INTERVAL_S = 0.4  # Mean interval between probes in an outage.
 FALLBACK_RETRY_S = 2.0  # Longest wait of watches that do not probe.
