Failed reads and writes of the store end the waiting watches

Cause: the watches rely on any failed call ending them, but only some callers report failures. A heartbeat whose answer is lost is resolved by reads, whose failures stay within that loop for up to 3.6 s; it then ends as a conflict, which is no failure, and the VM steps down with its watches still on the silent connections.

Change: the store that the tasks share reports each failed read and write itself (availability.MonitoredStore); answers such as conflicts are no failures.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -143,8 +143,9 @@
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
         feed = changefeed.ChangeFeed(time, region_id)
+        store_availability = availability.Availability(time)
         self._store = following.FollowerStore(
-            store,
+            availability.MonitoredStore(store, store_availability),
             self._peers,
             feed,
             time,
@@ -156,7 +157,6 @@
             ),
         )
         generator = random.Random()
-        store_availability = availability.Availability(time)
         incarnation = uuid.uuid4().hex
         self._dispatcher = dispatcher.Dispatcher(
             settings.locality,
--- a/libs/direct/src/oriolefold_direct/availability.py
+++ b/libs/direct/src/oriolefold_direct/availability.py
@@ -6,10 +6,19 @@
 """
 
 import asyncio
+import contextlib
 
 from oriolefold_core import clock, errors
+from oriolefold_store import ports
 from oriolefold_telemetry import logs
 
+# Errors that show that a call did not get through, or its answer did not.
+_FAILURES = (
+    errors.StoreUnavailableError,
+    errors.StoreAnswerLostError,
+    errors.StoreBudgetError,
+)
+
 
 class Availability:
     """Whether the store is reachable from this process.
@@ -59,3 +68,65 @@
     async def wait_until_available(self) -> None:
         """Waits until the store answers again."""
         await self._available_event.wait()
+
+
+class MonitoredStore(ports.Store):
+    """Store whose failed reads and writes count as an outage.
+
+    Callers may retry or resolve a failure themselves, so they cannot be relied
+    on to report it. Those that watch report the failures of their watches.
+    """
+
+    def __init__(self, store: ports.Store, store_availability: Availability):
+        """Initializes the store.
+
+        Args:
+            store: The underlying store.
+            store_availability: Shared health of the store.
+        """
+        self._store = store
+        self._availability = store_availability
+
+    @property
+    def era(self) -> int:
+        """Latest era in the answers of the underlying store."""
+        return self._store.era
+
+    def observe_era(self, era: int) -> None:
+        """Takes note of an era that the store has told another VM."""
+        self._store.observe_era(era)
+
+    async def read(self, name: str) -> ports.StoredObject:
+        """Reads an object."""
+        with self._reporting_failures():
+            return await self._store.read(name)
+
+    async def read_stale(self, name: str) -> ports.StoredObject:
+        """Reads an object that may be seconds old."""
+        with self._reporting_failures():
+            return await self._store.read_stale(name)
+
+    async def write(
+        self, name: str, content: bytes, expected_version: int
+    ) -> int:
+        """Writes an object if its version is the expected one."""
+        with self._reporting_failures():
+            return await self._store.write(name, content, expected_version)
+
+    async def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> ports.Changes:
+        """Waits for changes after a revision."""
+        return await self._store.watch(prefix, after_revision, timeout_s)
+
+    async def close(self) -> None:
+        """Releases the connections."""
+        await self._store.close()
+
+    @contextlib.contextmanager
+    def _reporting_failures(self):
+        try:
+            yield
+        except _FAILURES as error:
+            self._availability.mark_unavailable(error)
+            raise
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -282,3 +282,55 @@
         self.assertFalse(self.build(4000, in_era(1, 4)))
         self.assertTrue(self.build(9000, in_era(1, 5)))
         self.assertTrue(self.build(14000, in_era(1, 6)))
+
+
+class _FailingStore(fakes.ScriptedStore):
+    """Store whose reads and writes fail."""
+
+    def __init__(self, error):
+        super().__init__()
+        self._error = error
+
+    async def read(self, name):
+        raise self._error
+
+    async def write(self, name, content, expected_version):
+        raise self._error
+
+
+class MonitoredStoreTest(basecase.AsyncCase):
+    """Calls that do not get through count as an outage; refusals do not."""
+
+    async def is_unavailable_after(self, error):
+        """Returns whether each of a failed read and write is an outage."""
+        found = []
+        for call in (
+            lambda store: store.read('k/a'),
+            lambda store: store.read_stale('k/a'),
+            lambda store: store.write('k/a', b'{}', 1),
+        ):
+            health = availability.Availability(clock.ManualClock(100.0))
+            store = availability.MonitoredStore(_FailingStore(error), health)
+            with self.assertRaises(type(error)):
+                await call(store)
+            found.append(health.is_unavailable)
+        return found
+
+    async def test_failure_that_a_caller_resolves_is_an_outage(self):
+        for error in (
+            errors.StoreUnavailableError('away'),
+            errors.StoreAnswerLostError('lost'),
+            errors.StoreBudgetError('busy'),
+        ):
+            with self.subTest(error):
+                found = await self.is_unavailable_after(error)
+                self.assertEqual(found, [True, True, True])
+
+    async def test_answer_of_the_store_is_no_outage(self):
+        for error in (
+            errors.VersionConflictError('newer'),
+            errors.ObjectNotFoundError('none'),
+        ):
+            with self.subTest(error):
+                found = await self.is_unavailable_after(error)
+                self.assertEqual(found, [False, False, False])
