A cut watch goes on at once, and the watch that is on the store probes it

Callers see: on deployments where every VM watches configurations, 404 for a route that was added, for 2.0 s after its confirmation and the transit time, at a VM that follows another one's feed, after a single failed call.

Cause: after any failed call a watch waited up to 2 s for the store to answer another one. Only the watch of instances probed; on a follower a feed serves that one, so that nobody did.

Change: the first try after a failure comes at once; then whichever watch waits first probes the store, one at a time (Availability.claim_probe instead of an attribute of readers).

--- a/libs/direct/src/oriolefold_direct/availability.py
+++ b/libs/direct/src/oriolefold_direct/availability.py
@@ -1,12 +1,13 @@
 """Health of the store connection, shared by all clients in this process.
 
 A long poll on a dead connection looks like one without changes. Any failed
-call therefore aborts the pending watches, and one of them probes the store
+call therefore aborts the pending watches, and one at a time probes the store
 until it answers again.
 """
 
 import asyncio
 import contextlib
+from collections.abc import Iterator
 
 from oriolefold_core import clock, errors
 from oriolefold_store import ports
@@ -33,6 +34,7 @@
         self._unavailable_event = asyncio.Event()
         self._available_event = asyncio.Event()
         self._available_event.set()
+        self._is_probe_claimed = False
         self.recovered_at_s = float('-inf')
 
     @property
@@ -61,6 +63,18 @@
         self._available_event.set()
         logs.event('store.recovered', outage_s=outage_s)
 
+    @contextlib.contextmanager
+    def claim_probe(self) -> Iterator[bool]:
+        """Yields whether the caller is the one that probes the store next."""
+        if self._is_probe_claimed:
+            yield False
+            return
+        self._is_probe_claimed = True
+        try:
+            yield True
+        finally:
+            self._is_probe_claimed = False
+
     async def wait_until_unavailable(self) -> None:
         """Waits until a call fails."""
         await self._unavailable_event.wait()
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -31,8 +31,6 @@
     prefix: str
     # Delay after changes, so that the next call returns several at once.
     batch_delay_s = 0.0
-    # Whether this watch probes the store during an outage.
-    probes = False
     # Whether objects may expire during an outage and be written again after it.
     may_expire = False
     # Time after which an outdated object that is still stored is read again.
@@ -167,9 +165,11 @@
                 logs.event('watch.history_lost', prefix=self._reader.prefix)
                 revision = 0
             except errors.StoreError as error:
-                has_failed = True
                 self._store_availability.mark_unavailable(error)
-                await self._wait_after_failure()
+                # A watch may be cut by a store that is available.
+                if has_failed:
+                    await self._wait_after_failure()
+                has_failed = True
             else:
                 has_failed = False
                 self._store_availability.mark_available()
@@ -208,11 +208,12 @@
         raise errors.StoreUnavailableError('another call to the store failed')
 
     async def _wait_after_failure(self) -> None:
-        """Waits after a failure; only one watch probes the store."""
+        """Waits before the next try; one watch at a time probes the store."""
         pause_s = PROBE_INTERVAL_S * (0.75 + 0.5 * random.random())
-        if self._reader.probes:
-            await asyncio.sleep(pause_s)
-            return
+        with self._store_availability.claim_probe() as is_prober:
+            if is_prober:
+                await asyncio.sleep(pause_s)
+                return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FALLBACK_RETRY_S):
                 await self._store_availability.wait_until_available()
--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -1,6 +1,7 @@
 """Tests of oriolefold_direct.watching and availability."""
 
 import asyncio
+from unittest import mock
 
 import fakes
 
@@ -16,7 +17,6 @@
 
     prefix = 'k/'
     may_expire = True
-    probes = True
 
     def read(self, stored):
         if stored.content == b'bad':
@@ -284,6 +284,31 @@
         self.assertTrue(self.build(14000, in_era(1, 6)))
 
 
+class ProbeTest(basecase.AsyncCase):
+    """One watch at a time probes a store that is away."""
+
+    async def test_one_watch_probes_whichever_is_served_by_the_store(self):
+        health = availability.Availability(clock.ManualClock(100.0))
+        with health.claim_probe() as first, health.claim_probe() as second:
+            self.assertEqual((first, second), (True, False))
+        with health.claim_probe() as later:
+            self.assertTrue(later)
+
+    async def test_cut_watch_goes_on_at_once(self):
+        store = fakes.ScriptedStore()
+        time = clock.ManualClock(100.0)
+        health = availability.Availability(time)
+        subscriber = basecase.RecordingTask('subscriber')
+        watcher = watching.Watcher(
+            store, TextReader(), [subscriber], time, health
+        )
+        store.script.put_nowait(ports.Changes(3, (), complete=True))
+        store.script.put_nowait(errors.StoreUnavailableError('cut'))
+        with mock.patch.object(watching, 'PROBE_INTERVAL_S', 60.0):
+            await self.start(subscriber, watcher)
+            await self.wait_for(lambda: len(store.timeouts_s) == 3)
+
+
 class _FailingStore(fakes.ScriptedStore):
     """Store whose reads and writes fail."""
 
