A leader does not follow the feed of another service's leader

Callers would see, where two services are keyed: no VM takes a configuration, an instance or a key map any more (404 for added routes), for good. Seen by the reviewer on loopback: a new version was not in force after 45 s at either of two VMs.

Cause: the coordinator of a service that this VM does not lead follows that service's leader, also if this VM leads another service. Two such leaders follow each other; neither watches the store, and their heartbeats keep both feeds fresh.

Evidence: test_leaders_of_two_services_do_not_follow_each_other failed before and passes now.

Change: a VM that leads a service watches the store itself.

--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -117,6 +117,11 @@
         self._contact_at_s = self._clock.now_s()
         self._notify_waiters()
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether this VM leads a service."""
+        return bool(self._led_service_ids)
+
     def start_leading(self, service_id: str) -> None:
         """Starts serving other VMs as leader of a service."""
         self._relaying = False
@@ -151,7 +156,7 @@
 
     @property
     def _has_contact(self) -> bool:
-        if not self._led_service_ids and not self._relaying:
+        if not self.is_leading and not self._relaying:
             return False
         return self._clock.now_s() - self._contact_at_s < MAX_CONTACT_AGE_S
 
@@ -187,7 +192,7 @@
                     return None
                 await self._wait_for_update()
                 continue
-            if self._led_service_ids:
+            if self.is_leading:
                 address = self._relays.relay_for(follower, now_s)
                 if address:
                     return messages.ChangesReply({}, relay_address=address)
--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -139,7 +139,13 @@
         return self._clock.now_s() - self._leader_failed_at_s < SUSPICION_S
 
     def follow(self, address: str) -> None:
-        """Serves the watches from the feed of the VM at an address."""
+        """Serves the watches from the feed of the VM at an address.
+
+        A VM that leads a service watches the store itself: its followers rely
+        on that, among them perhaps the VM at the address.
+        """
+        if self._feed.is_leading:
+            return
         if address == self._feed_address and self.is_following:
             return
         since_failure_s = self._clock.now_s() - self._failed_at_s
