Announcements beside a failure that proves nothing are heeded

An instance that failed a request with a 500 or 503 of its own, without X-Response-Signature and without X-Not-Executed, got further requests although the same response said Server-Leaving: 1, or Retry-After beside 503. The headers were read, and dropped with the OutcomeUnknownError; only answers and refusals were heeded.

Both errors that may come from an instance's response are an AnnouncingError now. 421 is still not heeded: another instance at the address may have written it.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -96,6 +96,19 @@
     category = Category.REQUEST_TIMEOUT
 
 
+class AnnouncingError(OriolefoldError):
+    """An error that may come from a response of an instance.
+
+    Attributes:
+        leaving: Whether the instance announces that it is about to end.
+        pushback_s: For how long it announces that it wants no requests, in
+            seconds.
+    """
+
+    leaving = False
+    pushback_s = 0.0
+
+
 class NotRunError(OriolefoldError):
     """The request was refused and is known not to have run.
 
@@ -125,18 +138,10 @@
     category = Category.MISDIRECTED
 
 
-class OverloadedError(NotRunError):
-    """A load limit was reached before the request was sent.
-
-    Attributes:
-        leaving: Whether the instance that refused it announces that it is about
-            to end.
-        pushback_s: For how long that instance wants no requests, in seconds.
-    """
+class OverloadedError(AnnouncingError, NotRunError):
+    """A load limit was reached before the request was sent."""
 
     category = Category.OVERLOADED
-    leaving = False
-    pushback_s = 0.0
 
 
 class UnreachableError(NotRunError):
@@ -164,7 +169,7 @@
     retry_after_s = 0.0  # Another process can take the request at once.
 
 
-class OutcomeUnknownError(OriolefoldError):
+class OutcomeUnknownError(AnnouncingError):
     """The request was sent and no complete response was received."""
 
     category = Category.OUTCOME_UNKNOWN
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -406,7 +406,7 @@
         except errors.NotRunError as error:
             request.may_have_run = may_have_run_before
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
-            if isinstance(error, errors.OverloadedError):
+            if isinstance(error, errors.AnnouncingError):
                 self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
@@ -415,6 +415,8 @@
             raise
         except errors.OriolefoldError as error:
             result = concurrency.SendResult.FAILED
+            if isinstance(error, errors.AnnouncingError):
+                self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
         finally:
@@ -429,9 +431,9 @@
     def _heed(
         self,
         endpoint: topology.Endpoint,
-        said: data.Answer | errors.OverloadedError,
+        said: data.Answer | errors.AnnouncingError,
     ) -> None:
-        """Records what an instance has announced with an answer or refusal."""
+        """Records what an instance has announced with a response."""
         if not said.leaving and said.pushback_s <= 0:
             return
         now_s = self._clock.now_s()
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -73,11 +73,13 @@
         event.assert_called_once_with('instance.draining', instance='one')
 
     def announcing(self, **announced):
-        """Returns an answer and a refusal with announcements."""
+        """Returns an answer, a refusal and a failure with announcements."""
         refusal = errors.OverloadedError('full')
+        failure = errors.OutcomeUnknownError('unsigned')
         for name, value in announced.items():
             setattr(refusal, name, value)
-        return data.Answer(200, (), b'', 'one', **announced), refusal
+            setattr(failure, name, value)
+        return data.Answer(200, (), b'', 'one', **announced), refusal, failure
 
     async def test_instance_that_says_it_leaves_gets_no_more_requests(self):
         for born_ms, said in enumerate(self.announcing(leaving=True), 1):
@@ -127,7 +129,7 @@
             )
             if key is not None:
                 self.post_key_map()
-            answer, _ = self.announcing(pushback_s=5.0)
+            answer, *_ = self.announcing(pushback_s=5.0)
             self.instances.outcomes = {name: [answer]}
             await self.ask(key=key)
             before_s = clock.BootClock().now_s()
@@ -140,7 +142,7 @@
         self,
     ):
         self.prepare(endpoints=[fakes.endpoint('one', slots=1)])
-        _, refusal = self.announcing(pushback_s=5.0)
+        _, refusal, _ = self.announcing(pushback_s=5.0)
         self.instances.outcomes = {'one': [0.05, refusal, refusal]}
         before_s = clock.BootClock().now_s()
         results = await asyncio.gather(
@@ -155,7 +157,7 @@
     async def test_keyed_requests_go_to_a_leaving_owner_for_a_short_time(self):
         self.prepare(keyed=True, endpoints=[fakes.endpoint('one')])
         self.post_key_map()
-        answer, _ = self.announcing(leaving=True)
+        answer, *_ = self.announcing(leaving=True)
         self.instances.outcomes = {'one': [answer]}
         grace = mock.patch.object(announcements, 'KEYED_GRACE_S', 0.3)
         with grace:
