Queued requests are refused as soon as only busy instances stay

A request that waited for room held its caller until its time in the queue was over, although it was known before that no instance would take it: the instance that it waited for announced its leaving or was removed, or a second refusal extended the pushback of the last one. Only the first pushback of an instance was checked against the queue.

The queue is checked whenever an announcement or a listing changes what may be used, and only while an instance of the service pushes back, so that a long queue costs nothing otherwise.

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -124,6 +124,8 @@
             if endpoint.draining and not (known and known.endpoint.draining):
                 logs.event('instance.draining', instance=instance_id)
         self._instance_table.update(endpoints_by_id, self._clock.now_s())
+        for service_id in self._queues_by_service_id:
+            self._refuse_pushed_back(service_id)
         self._wake_all()
 
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
@@ -443,12 +445,16 @@
             now_s,
         )
         self._reporter.announced(endpoint, news)
-        if news.pushback_s:
+        if news.leaving or said.pushback_s:
             self._refuse_pushed_back(endpoint.service_id)
 
     def _refuse_pushed_back(self, service_id: str) -> None:
         """Refuses the queued requests that no instance wants in their time."""
         queue = self._queue(service_id)
+        if not queue or not self._instance_table.any_pushes_back(
+            service_id, self._clock.now_s()
+        ):
+            return
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -53,8 +53,9 @@
     """Instances with scripted outcomes that record all calls.
 
     Attributes:
-        outcomes: Outcomes of the next sends by instance: answers, errors, or
-            seconds to wait before the default answer.
+        outcomes: Outcomes of the next sends by instance: answers, errors,
+            seconds to wait before the default answer, or a pair of seconds to
+            wait and an outcome.
         sent: Requests in the order they were sent.
         cancelled_ids: Requests that were cancelled.
         grants: Key ranges that were granted.
@@ -88,8 +89,10 @@
         outcome = outcomes.pop(0) if outcomes else ANSWER
         try:
             if isinstance(outcome, float):
-                await asyncio.sleep(outcome)
-                outcome = ANSWER
+                outcome = (outcome, ANSWER)
+            if isinstance(outcome, tuple):
+                delay_s, outcome = outcome
+                await asyncio.sleep(delay_s)
         except asyncio.CancelledError:
             self.cancelled_ids.append(call.request_id)
             raise
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -154,6 +154,63 @@
             self.assertIsInstance(error, errors.OverloadedError)
             self.assertGreater(error.retry_after_s, 4.5)
 
+    async def test_queued_requests_are_refused_when_a_pushback_is_extended(
+        self,
+    ):
+        self.prepare(
+            fakes.route(objective_s=2.0, timeout_s=3.0),
+            endpoints=[fakes.endpoint('one', slots=2)],
+        )
+        self.instances.outcomes = {
+            'one': [
+                (after_s, self.announcing(pushback_s=pushback_s)[1])
+                for after_s, pushback_s in ((0.05, 0.1), (0.1, 5.0))
+            ]
+        }
+        before_s = clock.BootClock().now_s()
+        results = await asyncio.gather(
+            *(self.ask(deadline_ms='2000') for _ in range(4)),
+            return_exceptions=True,
+        )
+        self.assertLess(clock.BootClock().now_s() - before_s, 0.6)
+        for error in results:
+            self.assertIsInstance(error, errors.OverloadedError)
+            self.assertGreater(error.retry_after_s, 4.0)
+
+    async def test_queued_requests_are_refused_when_only_busy_instances_stay(
+        self,
+    ):
+        leaves = self.announcing(leaving=True)[0]
+        for born_ms, said in enumerate((leaves, fakes.ANSWER), 1):
+            with self.subTest(leaving=said.leaving):
+                busy, free = (
+                    fakes.endpoint('one', born_ms=born_ms),
+                    fakes.endpoint('two', zone='z3', slots=1, born_ms=born_ms),
+                )
+                self.prepare(
+                    fakes.route(objective_s=2.0, timeout_s=3.0),
+                    endpoints=[busy, free],
+                )
+                self.instances.outcomes = {
+                    'one': [self.announcing(pushback_s=5.0)[0]],
+                    'two': [(0.1, said)],
+                }
+                await self.ask()
+                before_s = clock.BootClock().now_s()
+                asked = [
+                    asyncio.create_task(self.ask(deadline_ms='2000'))
+                    for _ in range(4)
+                ]
+                await asyncio.sleep(0.05)
+                if not said.leaving:
+                    self.dispatcher.post(fakes.endpoints_updated(busy))
+                results = await asyncio.gather(*asked, return_exceptions=True)
+                self.assertLess(clock.BootClock().now_s() - before_s, 0.6)
+                self.assertEqual(results[0].status, 200)
+                for error in results[1:]:
+                    self.assertIsInstance(error, errors.OverloadedError)
+                    self.assertGreater(error.retry_after_s, 4.0)
+
     async def test_keyed_requests_go_to_a_leaving_owner_for_a_short_time(self):
         self.prepare(keyed=True, endpoints=[fakes.endpoint('one')])
         self.post_key_map()
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -280,6 +280,13 @@
             if state.belief.is_leaving(now_s)
         ]
 
+    def any_pushes_back(self, service_id: str, now_s: float) -> bool:
+        """Whether an instance of a service wants no requests now."""
+        return any(
+            now_s < state.belief.busy_until_s
+            for state in self.of_service(service_id)
+        )
+
     def busy_until_s(
         self, service_id: str, excluded_ids: Iterable[str], now_s: float
     ) -> float:
