What is known to leave stays so after its successor pushes back

An instance that had announced its leaving could get requests again: its next incarnation under the same name announced a pushback, which replaced all that was known of the name, and then an older listing, as after a restore of the store, named the former incarnation as ready.

Evidence: test_leaving_is_known_after_a_newer_incarnation_pushed_back failed.

An incarnation that is older than one that has announced anything counts as leaving from that announcement on.

Result: the tests of routing pass.

--- a/libs/routing/src/oriolefold_routing/announcements.py
+++ b/libs/routing/src/oriolefold_routing/announcements.py
@@ -35,11 +35,14 @@
         born_ms: Start time of the incarnation.
         leaves_since_s: When it was first known to leave, or infinity.
         busy_until_s: It wants no requests before this time.
+        known_since_s: When it first announced anything, or infinity. Older
+            incarnations had ended by then.
     """
 
     born_ms: int
     leaves_since_s: float = math.inf
     busy_until_s: float = -math.inf
+    known_since_s: float = math.inf
 
     def is_leaving(self, now_s: float) -> bool:
         """Whether it was known to leave by a time."""
@@ -73,7 +76,7 @@
             return Announcement()
         known = self._beliefs_by_id.pop(instance_id, None)
         if known is None or known.born_ms < born_ms:
-            known = Belief(born_ms)
+            known = Belief(born_ms, known_since_s=now_s)
         self._beliefs_by_id[instance_id] = known
         if len(self._beliefs_by_id) > MAX_INSTANCES:
             del self._beliefs_by_id[next(iter(self._beliefs_by_id))]
@@ -92,11 +95,11 @@
     def belief(self, instance_id: str, born_ms: int) -> Belief:
         """Returns what is known of an incarnation.
 
-        An incarnation that is older than one that leaves has ended.
+        It leaves if a newer one under the name has announced anything.
         """
         known = self._beliefs_by_id.get(instance_id)
         if known is None or known.born_ms < born_ms:
             return Belief(born_ms)
         if known.born_ms == born_ms:
             return known
-        return Belief(born_ms, known.leaves_since_s)
+        return Belief(born_ms, leaves_since_s=known.known_since_s)
--- a/libs/routing/tests/test_announcements.py
+++ b/libs/routing/tests/test_announcements.py
@@ -44,6 +44,15 @@
         self.assertFalse(self.known.belief('i', 6).is_leaving(2.0))
         self.assertFalse(self.known.belief('j', 5).is_leaving(2.0))
 
+    def test_leaving_is_known_after_a_newer_incarnation_pushed_back(self):
+        self.known.record('i', 5, LEAVES, 1.0)
+        self.known.record('i', 6, busy(3.0), 2.0)
+        self.assertTrue(self.known.belief('i', 5).is_leaving(3.0))
+        self.assertFalse(self.known.belief('i', 6).is_leaving(3.0))
+        # The leaving of a successor does not renew the grace time.
+        self.known.record('i', 6, LEAVES, 9.0)
+        self.assertFalse(self.known.belief('i', 5).may_get_keyed(9.0))
+
     def test_late_answer_of_a_former_incarnation_is_ignored(self):
         self.known.record('i', 6, busy(3.0), 1.0)
         news = self.known.record('i', 5, LEAVES, 2.0)
