A VM reports an instance that leaves to the leader without new requests too

Keys of an instance that had announced its leaving stayed with it longer than needed: the VM that had passed on the announcement named it to the leader only in a report with keys of new requests. If the announcement came with the answer to the last of them, the leader heard nothing until the next request, and that one waited for the move, or was sent to an instance about to end.

An instance that leaves is reported once to each leader without any key, until the report is answered, and in every report with keys as before. A leader that restarted at the same address hears of it again with the next keys.

Cost: one report of about 200 bytes for each VM, keyed service and instance that leaves, at most; before, this VM would have sent it with its next keys.

--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -35,6 +35,8 @@
         self._dispatcher = dispatcher
         self._report_count = 0
         self._deferred_keys: tuple[int, ...] = ()
+        self._leader_address = ''
+        self._reported_leaving_by_id: dict[str, int] = {}
 
     async def collect(self) -> messages.ObservedLoad:
         """Returns the load since the last call."""
@@ -52,7 +54,8 @@
         """Reports the keys of recent requests to the leader.
 
         A report with few keys is merged into the next one, so that many VMs
-        with little load do not keep the leader busy.
+        with little load do not keep the leader busy. An instance that leaves is
+        reported at once, also without keys.
 
         Args:
             leader_address: Address of the leader, or an empty string.
@@ -63,7 +66,13 @@
             recent.times_by_id,
             recent.leaving_by_id,
         )
-        if not leader_address or not load.keys:
+        if leader_address != self._leader_address:
+            self._leader_address = leader_address
+            self._reported_leaving_by_id = {}
+        has_news = not (
+            load.leaving_by_id.items() <= self._reported_leaving_by_id.items()
+        )
+        if not leader_address or not (load.keys or has_news):
             return
         if (
             len(load.keys) < MIN_REPORTED_KEYS
@@ -87,4 +96,5 @@
                 error=str(error),
             )
         else:
+            self._reported_leaving_by_id = load.leaving_by_id
             self.apply(reply)
--- /dev/null
+++ b/libs/direct/tests/test_loadreports.py
@@ -0,0 +1,76 @@
+"""Tests of oriolefold_direct.loadreports."""
+
+import fakes
+
+from oriolefold_core import errors
+from oriolefold_direct import loadreports, messages
+from oriolefold_testbed import basecase
+
+LEADER = '10.0.0.8:80'
+
+
+class _Dispatcher(basecase.RecordingTask):
+    """Dispatcher with a scripted load.
+
+    Attributes:
+        load: The load that it has observed.
+    """
+
+    load = messages.ObservedLoad((), {})
+
+    async def handle(self, message):
+        if isinstance(message, messages.CollectLoad):
+            message.answer(self.load)
+        else:
+            await super().handle(message)
+
+
+class LoadReporterTest(basecase.AsyncCase):
+    """The leader gets reports of keys, and of instances that leave."""
+
+    async def asyncSetUp(self):
+        self.dispatcher = _Dispatcher('dispatcher')
+        await self.start(self.dispatcher)
+        self.peers = fakes.FakePeers()
+        self.reporter = loadreports.LoadReporter(
+            'svc', 'vm', self.peers, self.dispatcher
+        )
+
+    async def report(self, leader=LEADER, keys=(), **leaving_by_id):
+        """Reports a load; returns whether it was sent."""
+        self.dispatcher.load = messages.ObservedLoad(keys, {}, leaving_by_id)
+        before = len(self.peers.reports)
+        await self.reporter.report(leader)
+        return len(self.peers.reports) > before
+
+    async def test_nothing_is_sent_without_load(self):
+        self.assertFalse(await self.report())
+
+    async def test_leaving_instance_is_reported_once_without_requests(self):
+        self.assertTrue(await self.report(one=1))
+        self.assertFalse(await self.report(one=1))
+        self.assertTrue(await self.report(one=1, two=1))
+        self.assertTrue(await self.report(one=2, two=1))
+        self.assertFalse(await self.report(one=2))
+
+    async def test_leaving_instance_is_reported_to_each_leader(self):
+        self.assertTrue(await self.report(one=1))
+        self.assertFalse(await self.report('', one=1))
+        self.assertTrue(await self.report('10.0.0.9:80', one=1))
+        self.assertTrue(await self.report(one=1))
+
+    async def test_leaving_instance_is_reported_until_the_leader_answers(self):
+        async def fail(address, report):
+            raise errors.UnreachableError('no answer')
+
+        answering, self.peers.report = self.peers.report, fail
+        await self.report(one=1)
+        self.peers.report = answering
+        self.assertTrue(await self.report(one=1))
+
+    async def test_leaving_instances_are_in_all_reports_of_keys(self):
+        for _ in range(2):
+            self.assertTrue(await self.report(keys=(1, 2, 3, 4), one=1))
+            self.assertEqual(
+                self.peers.reports[-1][1].load.leaving_by_id, {'one': 1}
+            )
