The leader learns from the answer to a grant that an owner leaves

All answers of an instance that leaves say so, those to grants too, but only answers to requests were read. The leader went on renewing the keys of such an owner, and gave it new ones, until a VM had passed on one of its answers and reported it, up to 0.5 s later; an owner whose keys nobody asked for was not relieved before the store said draining.

Releases need no such word: they take keys away.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -603,7 +603,12 @@
     def _record_leaving(
         self, vm_id: str, leaving_by_id: dict[str, int]
     ) -> None:
-        """Records the instances that told a VM that they leave."""
+        """Records the instances that told a VM that they leave.
+
+        Args:
+            vm_id: The VM, which may be this one.
+            leaving_by_id: Start time of each of them.
+        """
         begins = False
         for instance_id, born_ms in leaving_by_id.items():
             news = self._announcements.record(
@@ -766,6 +771,11 @@
             ended.outcome.newest_connection,
             ended.outcome.in_transit_s,
         )
+        if ended.outcome.leaving:
+            holder = sent.owner
+            self._record_leaving(
+                self._vm_id, {holder.instance_id: holder.born_ms}
+            )
         if result is not ports.GrantResult.ACCEPTED:
             self._log_key_range('grant.failed', sent, result.value)
         elif sent.priors:
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -66,11 +66,13 @@
             written, or None if nothing was written.
         in_transit_s: How long the grant may still be on its way, in seconds,
             since the answer may be one to an earlier call.
+        leaving: Whether the instance announces that it is about to end.
     """
 
     result: GrantResult
     newest_connection: int | None = None
     in_transit_s: float = dataclasses.field(default=0.0, compare=False)
+    leaving: bool = dataclasses.field(default=False, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -65,6 +65,7 @@
             release here.
         rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
+        leaving_ids: Instances that announce their leaving beside grants.
         grant_error: Raised by grants after they were recorded.
         may_answer: Set while grants, which take effect at once, are answered.
     """
@@ -77,6 +78,7 @@
         self.releases: list[tuple[ranges.KeyRange, str]] = []
         self.silent_ids: set[str] = set()
         self.replaced_ids: set[str] = set()
+        self.leaving_ids: set[str] = set()
         self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
         self.grant_error: Exception | None = None
@@ -114,7 +116,11 @@
         if self.grant_error is not None:
             raise self.grant_error
         await self.may_answer.wait()
-        return ports.GrantOutcome(ports.GrantResult.ACCEPTED, 1)
+        return ports.GrantOutcome(
+            ports.GrantResult.ACCEPTED,
+            1,
+            leaving=key_range.owner.instance_id in self.leaving_ids,
+        )
 
     async def release(self, key_range, holder):
         if holder.instance_id in self.silent_ids | self.replaced_ids:
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -242,6 +242,23 @@
 
         await self.wait_for(settled)
 
+    async def test_owner_that_leaves_by_its_answer_to_a_grant_hands_over(self):
+        started = await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        self.instances.leaving_ids.add('a')
+        started.post(
+            fakes.endpoints_updated(fakes.endpoint('a'), fakes.endpoint('bb'))
+        )
+
+        async def settled():
+            key_map = await self.key_map()
+            return all(
+                r.owner.instance_id == 'bb' and not r.priors
+                for r in key_map.ranges
+            )
+
+        await self.wait_for(settled)
+
     async def test_an_instance_of_another_service_ends_a_former_holder(self):
         former = fakes.endpoint('a')
         started = await self.start_coordinator('one', former)
