Each change of what is believed of an instance is logged with its source

An operator could not tell from the log whether an instance got no more requests because of its own announcement or of the registry, how old the word was, or when a newer incarnation under the name was used again: instance.pushback and instance.draining had no source, and the return no line.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -590,7 +590,7 @@
         """Records the load of a VM and returns the reply to it."""
         if self._lease_manager is None:
             return messages.LoadReply({})
-        self._record_leaving(vm_id, load.leaving_by_id)
+        self._record_leaving('report', vm_id, load.leaving_by_id)
         shares_by_id = self._load_tracker.record(
             vm_id,
             load,
@@ -601,11 +601,12 @@
         return messages.LoadReply(shares_by_id, self._granted_ranges())
 
     def _record_leaving(
-        self, vm_id: str, leaving_by_id: dict[str, int]
+        self, source: str, vm_id: str, leaving_by_id: dict[str, int]
     ) -> None:
         """Records the instances that told a VM that they leave.
 
         Args:
+            source: Where they told it, for the log.
             vm_id: The VM, which may be this one.
             leaving_by_id: Start time of each of them.
         """
@@ -618,7 +619,13 @@
                 self._clock.now_s(),
             )
             if news.leaving:
-                self._log('owner.leaving', instance=instance_id, told=vm_id)
+                self._log(
+                    'owner.leaving',
+                    instance=instance_id,
+                    born_ms=born_ms,
+                    source=source,
+                    told=vm_id,
+                )
                 begins = True
         if begins:
             self._update_candidates()
@@ -774,7 +781,7 @@
         if ended.outcome.leaving:
             holder = sent.owner
             self._record_leaving(
-                self._vm_id, {holder.instance_id: holder.born_ms}
+                'grant', self._vm_id, {holder.instance_id: holder.born_ms}
             )
         if result is not ports.GrantResult.ACCEPTED:
             self._log_key_range('grant.failed', sent, result.value)
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -28,7 +28,7 @@
     waitqueue,
 )
 from oriolefold_sending import messages as sending_messages
-from oriolefold_telemetry import counters, logs
+from oriolefold_telemetry import counters
 
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
@@ -119,11 +119,11 @@
     def _update_endpoints(
         self, endpoints_by_id: dict[str, topology.Endpoint]
     ) -> None:
+        now_s = self._clock.now_s()
         for instance_id, endpoint in endpoints_by_id.items():
             known = self._instance_table.states_by_id.get(instance_id)
-            if endpoint.draining and not (known and known.endpoint.draining):
-                logs.event('instance.draining', instance=instance_id)
-        self._instance_table.update(endpoints_by_id, self._clock.now_s())
+            self._reporter.listed(endpoint, known, now_s)
+        self._instance_table.update(endpoints_by_id, now_s)
         for service_id in self._queues_by_service_id:
             self._refuse_pushed_back(service_id)
         self._wake_all()
@@ -444,7 +444,8 @@
             announcements.Announcement(said.leaving, said.pushback_s),
             now_s,
         )
-        self._reporter.announced(endpoint, news)
+        held_up_s = said.held_up_s if isinstance(said, data.Answer) else 0.0
+        self._reporter.announced(endpoint, news, held_up_s)
         if news.leaving or said.pushback_s:
             self._refuse_pushed_back(endpoint.service_id)
 
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -137,22 +137,58 @@
         )
 
     def announced(
-        self, endpoint: topology.Endpoint, news: announcements.Announcement
+        self,
+        endpoint: topology.Endpoint,
+        news: announcements.Announcement,
+        age_s: float,
     ) -> None:
-        """Logs what an instance has newly announced with an answer."""
+        """Logs what an instance has newly announced with an answer.
+
+        Args:
+            endpoint: The instance.
+            news: What is new.
+            age_s: Time since the head of the answer arrived, in seconds.
+        """
+        fields = {
+            'instance': endpoint.instance_id,
+            'born_ms': endpoint.born_ms,
+            'source': 'answer',
+            'age_ms': round(age_s * 1000),
+        }
         if news.leaving:
+            logs.event('instance.leaving', **fields)
+        if news.pushback_s:
             logs.event(
-                'instance.leaving',
-                instance=endpoint.instance_id,
-                born_ms=endpoint.born_ms,
-                source='answer',
+                'instance.pushback', **fields, pushback_s=news.pushback_s
             )
-        if news.pushback_s:
+
+    def listed(
+        self,
+        endpoint: topology.Endpoint,
+        known: concurrency.InstanceState | None,
+        now_s: float,
+    ) -> None:
+        """Logs what the registry newly says about whether to use an instance.
+
+        Args:
+            endpoint: The instance as it is registered now.
+            known: What was known under its name, if anything.
+            now_s: Current time.
+        """
+        fields = {
+            'instance': endpoint.instance_id,
+            'born_ms': endpoint.born_ms,
+            'source': 'listing',
+        }
+        if endpoint.draining and not (known and known.endpoint.draining):
+            logs.event('instance.draining', **fields)
+        if known is None or known.endpoint.born_ms >= endpoint.born_ms:
+            return
+        if known.belief.is_leaving(now_s) or now_s < known.belief.busy_until_s:
             logs.event(
-                'instance.pushback',
-                instance=endpoint.instance_id,
-                born_ms=endpoint.born_ms,
-                pushback_s=news.pushback_s,
+                'instance.replaced',
+                former_born_ms=known.endpoint.born_ms,
+                **fields,
             )
 
     def sent(
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -70,7 +70,42 @@
                     )
                 )
             await self.dispatcher.ask(messages.DescribeView())
-        event.assert_called_once_with('instance.draining', instance='one')
+        event.assert_called_once_with(
+            'instance.draining', instance='one', born_ms=1, source='listing'
+        )
+
+    async def test_each_change_of_belief_is_logged_with_source_and_age(self):
+        said = data.Answer(
+            200, (), b'', 'one', leaving=True, pushback_s=0.2, held_up_s=0.03
+        )
+        self.instances.outcomes = {'one': [said, said]}
+        with mock.patch.object(logs, 'event') as logged:
+            self.prepare(endpoints=[fakes.endpoint('one')])
+            await self.ask()
+            for born_ms in (1, 2, 2):
+                self.dispatcher.post(
+                    fakes.endpoints_updated(
+                        fakes.endpoint('one', born_ms=born_ms)
+                    )
+                )
+            await self.dispatcher.ask(messages.DescribeView())
+        common = {'instance': 'one', 'born_ms': 1, 'source': 'answer'}
+        self.assertEqual(
+            logged.call_args_list,
+            [
+                mock.call('instance.leaving', **common, age_ms=30),
+                mock.call(
+                    'instance.pushback', **common, age_ms=30, pushback_s=0.2
+                ),
+                mock.call(
+                    'instance.replaced',
+                    instance='one',
+                    born_ms=2,
+                    former_born_ms=1,
+                    source='listing',
+                ),
+            ],
+        )
 
     def announcing(self, **announced):
         """Returns an answer, a refusal and a failure with announcements."""
