--- a/libs/ownership/tests/test_planner.py
+++ b/libs/ownership/tests/test_planner.py
@@ -1,8 +1,11 @@
 """Tests of oriolefold_ownership.planner with an in-memory store."""
 
+import asyncio
 import collections
+from unittest import mock
 
 from oriolefold_backend import memory as backend_memory
+from oriolefold_backend import ports as backend_ports
 from oriolefold_coordination import messages as lease_messages
 from oriolefold_core import errors, notices, tasks
 from oriolefold_ownership import messages, planner
@@ -74,6 +77,21 @@
         self.backend.instance('s1').up = True
         await self.wait_for(lambda: self.owners()['s1'])
 
+    async def test_lost_server_is_not_used_again_while_it_says_that_it_leaves(
+        self,
+    ):
+        server = self.backend.instance('s1')
+        server.state = backend_ports.HealthState.LEAVING
+        epoch = self.maps[-1].epoch
+        self.planner.post(messages.InstanceLost('s1', epoch))
+        await self.wait_for(lambda: 's1' not in self.owners())
+        with mock.patch.object(planner, 'PROBE_INTERVAL_S', 0.05):
+            # Long enough for its return if it were healthy.
+            await asyncio.sleep(3.0)
+            self.assertNotIn('s1', self.owners())
+            server.state = backend_ports.HealthState.OK
+            await self.wait_for(lambda: self.owners()['s1'])
+
     def prior_epochs(self):
         """Returns the epochs of the rows that wait for a prior home."""
         rows = enumerate(self.maps[-1].rows)
--- a/libs/routing/tests/test_announcements.py
+++ b/libs/routing/tests/test_announcements.py
@@ -109,6 +109,12 @@
         self.update(endpoint('a', born_ms=6))
         self.assertEqual(self.chosen(4.0), 'a')
 
+    def test_leaving_outlasts_a_registration_that_drains_and_is_ready(self):
+        self.table.record_announcement(endpoint('a'), LEAVES, 1.0)
+        self.update(endpoint('a', draining=True))
+        self.update(endpoint('a'))
+        self.assertIsNone(self.chosen(2.0))
+
     def test_another_instance_at_the_address_is_chosen(self):
         self.table.record_announcement(endpoint('a'), LEAVES, 1.0)
         self.update(endpoint('b'))
