--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -28,7 +28,7 @@
     waitqueue,
 )
 from oriolefold_sending import messages as sending_messages
-from oriolefold_telemetry import counters, logs
+from oriolefold_telemetry import counters
 
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
@@ -119,11 +119,13 @@
     def _update_endpoints(
         self, endpoints_by_id: dict[str, topology.Endpoint]
     ) -> None:
+        now_s = self._clock.now_s()
         for instance_id, endpoint in endpoints_by_id.items():
             known = self._instance_table.states_by_id.get(instance_id)
-            if endpoint.draining and not (known and known.endpoint.draining):
-                logs.event('instance.draining', instance=instance_id)
-        self._instance_table.update(endpoints_by_id, self._clock.now_s())
+            self._reporter.listed(endpoint, known, now_s)
+        self._instance_table.update(endpoints_by_id, now_s)
+        for service_id in self._queues_by_service_id:
+            self._refuse_pushed_back(service_id)
         self._wake_all()
 
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
@@ -388,12 +390,24 @@
         request.sends += 1
         request.tried_ids.add(endpoint.instance_id)
         result = concurrency.SendResult.CANCELLED
+        withheld = False
         held_up_s = 0.0
         may_have_run_before = request.may_have_run
         request.may_have_run = True
+
+        def may_send() -> bool:
+            nonlocal withheld
+            withheld = not instance.wants(
+                request.key is not None, self._clock.now_s()
+            )
+            return not withheld
+
         try:
             answer = await self._instances.send(
-                endpoint, request.call, request.expires_at_s - started_s
+                endpoint,
+                request.call,
+                request.expires_at_s - started_s,
+                may_send,
             )
             held_up_s = answer.held_up_s
             self._heed(endpoint, answer)
@@ -406,7 +420,9 @@
         except errors.NotRunError as error:
             request.may_have_run = may_have_run_before
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
-            if isinstance(error, errors.OverloadedError):
+            if withheld:
+                result = concurrency.SendResult.WITHHELD
+            if isinstance(error, errors.AnnouncingError):
                 self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
@@ -415,6 +431,8 @@
             raise
         except errors.OriolefoldError as error:
             result = concurrency.SendResult.FAILED
+            if isinstance(error, errors.AnnouncingError):
+                self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
             raise
         finally:
@@ -429,9 +447,9 @@
     def _heed(
         self,
         endpoint: topology.Endpoint,
-        said: data.Answer | errors.OverloadedError,
+        said: data.Answer | errors.AnnouncingError,
     ) -> None:
-        """Records what an instance has announced with an answer or refusal."""
+        """Records what an instance has announced with a response."""
         if not said.leaving and said.pushback_s <= 0:
             return
         now_s = self._clock.now_s()
@@ -440,13 +458,18 @@
             announcements.Announcement(said.leaving, said.pushback_s),
             now_s,
         )
-        self._reporter.announced(endpoint, news)
-        if news.pushback_s:
+        held_up_s = said.held_up_s if isinstance(said, data.Answer) else 0.0
+        self._reporter.announced(endpoint, news, held_up_s)
+        if news.leaving or said.pushback_s:
             self._refuse_pushed_back(endpoint.service_id)
 
     def _refuse_pushed_back(self, service_id: str) -> None:
         """Refuses the queued requests that no instance wants in their time."""
         queue = self._queue(service_id)
+        if not queue or not self._instance_table.any_pushes_back(
+            service_id, self._clock.now_s()
+        ):
+            return
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -66,11 +66,13 @@
             written, or None if nothing was written.
         in_transit_s: How long the grant may still be on its way, in seconds,
             since the answer may be one to an earlier call.
+        leaving: Whether the instance announces that it is about to end.
     """
 
     result: GrantResult
     newest_connection: int | None = None
     in_transit_s: float = dataclasses.field(default=0.0, compare=False)
+    leaving: bool = dataclasses.field(default=False, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +142,11 @@
 
     @abc.abstractmethod
     async def send(
-        self, endpoint: topology.Endpoint, call: Call, remaining_s: float
+        self,
+        endpoint: topology.Endpoint,
+        call: Call,
+        remaining_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> data.Answer:
         """Sends a request once and returns the complete answer.
 
@@ -148,6 +154,8 @@
             endpoint: The instance.
             call: The request.
             remaining_s: Time until the deadline, in seconds.
+            may_send: Called right before the request is written to the socket;
+                if it returns false, nothing is sent.
 
         Raises:
             OverloadedError: If the instance refused it without running it.
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -53,8 +53,10 @@
     """Instances with scripted outcomes that record all calls.
 
     Attributes:
-        outcomes: Outcomes of the next sends by instance: answers, errors, or
-            seconds to wait before the default answer.
+        outcomes: Outcomes of the next sends by instance: answers, errors,
+            seconds to wait before the default answer, or a pair of seconds to
+            wait and an outcome.
+        connect_s_by_id: How long the next sends wait for a connection.
         sent: Requests in the order they were sent.
         cancelled_ids: Requests that were cancelled.
         grants: Key ranges that were granted.
@@ -64,32 +66,42 @@
             release here.
         rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
+        leaving_ids: Instances that announce their leaving beside grants.
         grant_error: Raised by grants after they were recorded.
         may_answer: Set while grants, which take effect at once, are answered.
     """
 
     def __init__(self):
         self.outcomes: dict[str, list] = {}
+        self.connect_s_by_id: dict[str, list[float]] = {}
         self.sent: list[Sent] = []
         self.cancelled_ids: list[str] = []
         self.grants: list[ranges.KeyRange] = []
         self.releases: list[tuple[ranges.KeyRange, str]] = []
         self.silent_ids: set[str] = set()
         self.replaced_ids: set[str] = set()
+        self.leaving_ids: set[str] = set()
         self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
         self.grant_error: Exception | None = None
         self.may_answer = asyncio.Event()
         self.may_answer.set()
 
-    async def send(self, endpoint, call, remaining_s):
+    async def send(self, endpoint, call, remaining_s, may_send=None):
+        delays_s = self.connect_s_by_id.get(endpoint.instance_id)
+        if delays_s:
+            await asyncio.sleep(delays_s.pop(0))
+        if may_send is not None and not may_send():
+            raise errors.UnreachableError('the permission has expired')
         self.sent.append(Sent(endpoint.instance_id, call.request_id))
         outcomes = self.outcomes.get(endpoint.instance_id, [])
         outcome = outcomes.pop(0) if outcomes else ANSWER
         try:
             if isinstance(outcome, float):
-                await asyncio.sleep(outcome)
-                outcome = ANSWER
+                outcome = (outcome, ANSWER)
+            if isinstance(outcome, tuple):
+                delay_s, outcome = outcome
+                await asyncio.sleep(delay_s)
         except asyncio.CancelledError:
             self.cancelled_ids.append(call.request_id)
             raise
@@ -111,7 +123,11 @@
         if self.grant_error is not None:
             raise self.grant_error
         await self.may_answer.wait()
-        return ports.GrantOutcome(ports.GrantResult.ACCEPTED, 1)
+        return ports.GrantOutcome(
+            ports.GrantResult.ACCEPTED,
+            1,
+            leaving=key_range.owner.instance_id in self.leaving_ids,
+        )
 
     async def release(self, key_range, holder):
         if holder.instance_id in self.silent_ids | self.replaced_ids:
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -70,14 +70,51 @@
                     )
                 )
             await self.dispatcher.ask(messages.DescribeView())
-        event.assert_called_once_with('instance.draining', instance='one')
+        event.assert_called_once_with(
+            'instance.draining', instance='one', born_ms=1, source='listing'
+        )
+
+    async def test_each_change_of_belief_is_logged_with_source_and_age(self):
+        said = data.Answer(
+            200, (), b'', 'one', leaving=True, pushback_s=0.2, held_up_s=0.03
+        )
+        self.instances.outcomes = {'one': [said, said]}
+        with mock.patch.object(logs, 'event') as logged:
+            self.prepare(endpoints=[fakes.endpoint('one')])
+            await self.ask()
+            for born_ms in (1, 2, 2):
+                self.dispatcher.post(
+                    fakes.endpoints_updated(
+                        fakes.endpoint('one', born_ms=born_ms)
+                    )
+                )
+            await self.dispatcher.ask(messages.DescribeView())
+        common = {'instance': 'one', 'born_ms': 1, 'source': 'answer'}
+        self.assertEqual(
+            logged.call_args_list,
+            [
+                mock.call('instance.leaving', **common, age_ms=30),
+                mock.call(
+                    'instance.pushback', **common, age_ms=30, pushback_s=0.2
+                ),
+                mock.call(
+                    'instance.replaced',
+                    instance='one',
+                    born_ms=2,
+                    former_born_ms=1,
+                    source='listing',
+                ),
+            ],
+        )
 
     def announcing(self, **announced):
-        """Returns an answer and a refusal with announcements."""
+        """Returns an answer, a refusal and a failure with announcements."""
         refusal = errors.OverloadedError('full')
+        failure = errors.OutcomeUnknownError('unsigned')
         for name, value in announced.items():
             setattr(refusal, name, value)
-        return data.Answer(200, (), b'', 'one', **announced), refusal
+            setattr(failure, name, value)
+        return data.Answer(200, (), b'', 'one', **announced), refusal, failure
 
     async def test_instance_that_says_it_leaves_gets_no_more_requests(self):
         for born_ms, said in enumerate(self.announcing(leaving=True), 1):
@@ -118,6 +155,44 @@
             await self.ask()
             self.assertEqual(self.instances.sent[-1].instance_id, 'one')
 
+    async def test_request_that_waits_for_a_connection_heeds_announcements(
+        self,
+    ):
+        recorder = _RecordingCounters()
+        self.dispatcher = dispatcher.Dispatcher(
+            LOCALITY,
+            KEY_HEADER,
+            self.instances,
+            clock.BootClock(),
+            BUDGET_LIMITS,
+            recorder,
+            self.random,
+        )
+        await self.start(self.dispatcher)
+        for born_ms, announced in enumerate(
+            ({'leaving': True}, {'pushback_s': 5.0}), 1
+        ):
+            with self.subTest(announced):
+                self.prepare(
+                    endpoints=[
+                        fakes.endpoint('one', born_ms=born_ms),
+                        fakes.endpoint('two', zone='z3', born_ms=born_ms),
+                    ]
+                )
+                self.instances.sent.clear()
+                self.instances.outcomes = {
+                    'one': [self.announcing(**announced)[0]]
+                }
+                self.instances.connect_s_by_id = {'one': [0.0, 0.1, 0.1]}
+                results = await asyncio.gather(*(self.ask() for _ in range(3)))
+                self.assertEqual({r.status for r in results}, {200})
+                self.assertEqual(
+                    [sent.instance_id for sent in self.instances.sent],
+                    ['one', 'two', 'two'],
+                )
+        self.assertNotIn('unreachable', recorder.results)
+        self.assertEqual(recorder.results.count('withheld'), 4)
+
     async def test_request_that_no_instance_wants_in_time_is_refused_at_once(
         self,
     ):
@@ -127,7 +202,7 @@
             )
             if key is not None:
                 self.post_key_map()
-            answer, _ = self.announcing(pushback_s=5.0)
+            answer, *_ = self.announcing(pushback_s=5.0)
             self.instances.outcomes = {name: [answer]}
             await self.ask(key=key)
             before_s = clock.BootClock().now_s()
@@ -140,7 +215,7 @@
         self,
     ):
         self.prepare(endpoints=[fakes.endpoint('one', slots=1)])
-        _, refusal = self.announcing(pushback_s=5.0)
+        _, refusal, _ = self.announcing(pushback_s=5.0)
         self.instances.outcomes = {'one': [0.05, refusal, refusal]}
         before_s = clock.BootClock().now_s()
         results = await asyncio.gather(
@@ -152,10 +227,67 @@
             self.assertIsInstance(error, errors.OverloadedError)
             self.assertGreater(error.retry_after_s, 4.5)
 
+    async def test_queued_requests_are_refused_when_a_pushback_is_extended(
+        self,
+    ):
+        self.prepare(
+            fakes.route(objective_s=2.0, timeout_s=3.0),
+            endpoints=[fakes.endpoint('one', slots=2)],
+        )
+        self.instances.outcomes = {
+            'one': [
+                (after_s, self.announcing(pushback_s=pushback_s)[1])
+                for after_s, pushback_s in ((0.05, 0.1), (0.1, 5.0))
+            ]
+        }
+        before_s = clock.BootClock().now_s()
+        results = await asyncio.gather(
+            *(self.ask(deadline_ms='2000') for _ in range(4)),
+            return_exceptions=True,
+        )
+        self.assertLess(clock.BootClock().now_s() - before_s, 0.6)
+        for error in results:
+            self.assertIsInstance(error, errors.OverloadedError)
+            self.assertGreater(error.retry_after_s, 4.0)
+
+    async def test_queued_requests_are_refused_when_only_busy_instances_stay(
+        self,
+    ):
+        leaves = self.announcing(leaving=True)[0]
+        for born_ms, said in enumerate((leaves, fakes.ANSWER), 1):
+            with self.subTest(leaving=said.leaving):
+                busy, free = (
+                    fakes.endpoint('one', born_ms=born_ms),
+                    fakes.endpoint('two', zone='z3', slots=1, born_ms=born_ms),
+                )
+                self.prepare(
+                    fakes.route(objective_s=2.0, timeout_s=3.0),
+                    endpoints=[busy, free],
+                )
+                self.instances.outcomes = {
+                    'one': [self.announcing(pushback_s=5.0)[0]],
+                    'two': [(0.1, said)],
+                }
+                await self.ask()
+                before_s = clock.BootClock().now_s()
+                asked = [
+                    asyncio.create_task(self.ask(deadline_ms='2000'))
+                    for _ in range(4)
+                ]
+                await asyncio.sleep(0.05)
+                if not said.leaving:
+                    self.dispatcher.post(fakes.endpoints_updated(busy))
+                results = await asyncio.gather(*asked, return_exceptions=True)
+                self.assertLess(clock.BootClock().now_s() - before_s, 0.6)
+                self.assertEqual(results[0].status, 200)
+                for error in results[1:]:
+                    self.assertIsInstance(error, errors.OverloadedError)
+                    self.assertGreater(error.retry_after_s, 4.0)
+
     async def test_keyed_requests_go_to_a_leaving_owner_for_a_short_time(self):
         self.prepare(keyed=True, endpoints=[fakes.endpoint('one')])
         self.post_key_map()
-        answer, _ = self.announcing(leaving=True)
+        answer, *_ = self.announcing(leaving=True)
         self.instances.outcomes = {'one': [answer]}
         grace = mock.patch.object(announcements, 'KEYED_GRACE_S', 0.3)
         with grace:
@@ -237,7 +369,7 @@
     async def test_waits_for_memory_of_this_vm_do_not_make_an_instance_slow(
         self,
     ):
-        async def send_and_wait(endpoint, call, remaining_s):
+        async def send_and_wait(endpoint, call, remaining_s, may_send=None):
             await asyncio.sleep(0.3)
             return data.Answer(
                 200, (), b'', endpoint.instance_id, held_up_s=0.25
