Send no request ID with the refusal of a request whose head is unread

What callers saw: a 503 at the end of a stop, or a 408 after `header-timeout-s`, with an `X-Request-Id` that no caller had sent. A caller that compares IDs takes it for the answer to another request. In a stop this also met whole requests that arrived in the moment in which their kept connection was ended.

Cause: `Exchange._write_failure` made an ID up where none had been read. It was in no log line, so it led nowhere: `request.cut` has an empty ID there.

Change: without a head the header is left out, and `request_id` in the body is empty. Requests that come without an ID get one of this VM as before, which the log has. The front end is shared, so that holds for both interfaces; other places that answer before the head is read (malformed requests, by Tornado) send none.

--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -317,14 +317,15 @@
 
     def _write_failure(self, error, close: bool = False) -> None:
         failure = errors.failure_of(error)
-        request_id = self._request_id or uuid.uuid4().hex
         response_headers = httputil.HTTPHeaders(
             {
                 'Content-Type': 'application/json',
-                results.REQUEST_ID_HEADER: request_id,
                 results.OUTCOME_HEADER: results.outcome_of(failure).value,
             }
         )
+        # Before the head has been read, any ID would be of another request.
+        if self._request_id:
+            response_headers[results.REQUEST_ID_HEADER] = self._request_id
         status = results.status_of(failure)
         if status == results.DEFAULT_STATUS:
             response_headers['Retry-After'] = f'{_retry_after_s(error):g}'
@@ -335,7 +336,7 @@
                 'outcome': results.outcome_of(failure).value,
                 'category': failure.category.value,
                 'message': failure.message,
-                'request_id': request_id,
+                'request_id': self._request_id,
             }
         )
         self._write(status, response_headers, body.encode() + b'\n')
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -352,6 +352,15 @@
                 self.assertEqual(cut['stage'], 'reading')
                 self.assertEqual(cut['closed_by'], 'vm')
 
+    async def test_refusal_of_an_unread_head_has_no_invented_request_id(self):
+        caller = await self.send_part(GET[:30])
+        await self.frontend.stop()
+        answer = parse(await caller.read_to_end())
+        self.assert_refused(answer, 503)
+        _, headers, body = answer
+        self.assertNotIn('X-Request-Id', headers)
+        self.assertEqual(json.loads(body)['request_id'], '')
+
     async def test_a_request_that_stops_arriving_holds_up_no_drain(self):
         for raw in (GET[:30], POST + b'xxxxx'):
             with self.subTest(part=raw):
