--- a/testbed/src/oriolefold_testbed/histories.py
+++ b/testbed/src/oriolefold_testbed/histories.py
@@ -7,7 +7,7 @@
 import dataclasses
 import json
 import pathlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from oriolefold_core import results
 
@@ -48,27 +48,37 @@
 
 
 def read_journals(folder: pathlib.Path) -> list[Execution]:
-    """Reads the journals that the servers of a deployment wrote."""
-    history = []
+    """Reads the executions that the servers of a deployment wrote."""
+    return [
+        Execution(
+            entry['request'],
+            entry['instance'],
+            entry['method'],
+            entry['shard'],
+            entry['token'],
+            entry['begun_s'],
+            entry['ended_s'],
+        )
+        for entry in _read_entries(folder)
+        if 'request' in entry
+    ]
+
+
+def read_begun_ids(folder: pathlib.Path) -> set[str]:
+    """Returns the requests that servers began to execute, also in vain."""
+    return {
+        entry['begun'] for entry in _read_entries(folder) if 'begun' in entry
+    }
+
+
+def _read_entries(folder: pathlib.Path) -> Iterator[dict]:
     for path in sorted(folder.glob('journal-*.jsonl')):
         for line in path.read_text('utf-8').splitlines():
             try:
-                entry = json.loads(line)
+                yield json.loads(line)
             except ValueError:
                 # The last line of a killed server may be truncated.
                 continue
-            history.append(
-                Execution(
-                    entry['request'],
-                    entry['instance'],
-                    entry['method'],
-                    entry['shard'],
-                    entry['token'],
-                    entry['begun_s'],
-                    entry['ended_s'],
-                )
-            )
-    return history
 
 
 def check_single_owner(history: Iterable[Execution]) -> list[Violation]:
--- a/testbed/src/oriolefold_testbed/keptconnections.py
+++ b/testbed/src/oriolefold_testbed/keptconnections.py
@@ -234,7 +234,13 @@
                 status, headers, body = await self._receive(connection)
             outcome = headers.get(results.OUTCOME_HEADER.lower(), '')
             if outcome == results.Outcome.ANSWERED.value:
-                damage = _damage(request, body)
+                damage = damage_of(
+                    request.method,
+                    request.target,
+                    request.body,
+                    request.response_bytes,
+                    body,
+                )
         except (OSError, EOFError, TimeoutError):
             self._disconnect()
         self.sent.append(
@@ -289,14 +295,24 @@
         return int(first.split()[1]), headers, bytes(body)
 
 
-def _damage(request: _Request, body: bytes) -> str:
-    """Returns what differs from the answer to a request."""
-    answer = json.loads(body)
+def damage_of(
+    method: str, target: str, sent: bytes, filler_bytes: int, received: bytes
+) -> str:
+    """Returns what differs from the answer to a request; empty if nothing.
+
+    Args:
+        method: Method of the request.
+        target: Path and query of the request.
+        sent: Body of the request.
+        filler_bytes: Size of the answer that the request asks for.
+        received: Body of the answer.
+    """
+    answer = json.loads(received)
     expected = {
-        'target': request.target,
-        'method': request.method,
-        'digest': hashlib.sha256(request.body).hexdigest(),
-        'filler': 'x' * request.response_bytes,
+        'target': target,
+        'method': method,
+        'digest': hashlib.sha256(sent).hexdigest(),
+        'filler': 'x' * filler_bytes,
     }
     wrong = [name for name in expected if answer.get(name) != expected[name]]
     return ', '.join(wrong)
--- a/testbed/src/oriolefold_testbed/servers.py
+++ b/testbed/src/oriolefold_testbed/servers.py
@@ -179,6 +179,16 @@
     def record(self, entry: dict) -> None:
         """Adds an entry to the journal and its file, if any."""
         self.journal.append(entry)
+        self._write(entry)
+
+    def note_begun(self, request_id: str) -> None:
+        """Notes in the file, if any, that the execution of a request begins.
+
+        A request that is cancelled before its end has no entry in the journal.
+        """
+        self._write({'begun': request_id})
+
+    def _write(self, entry: dict) -> None:
         if self._journal_file is not None:
             self._journal_file.write(json.dumps(entry) + '\n')
             self._journal_file.flush()
@@ -322,6 +332,7 @@
                 return
         stand_in.in_flight += 1
         begun_s = now_s()
+        stand_in.note_begun(headers.get(results.REQUEST_ID_HEADER, ''))
         try:
             await asyncio.sleep(self._work_s())
         finally:
--- a/testbed/tests/test_histories.py
+++ b/testbed/tests/test_histories.py
@@ -1,5 +1,9 @@
 """Tests of oriolefold_testbed.histories with known violations."""
 
+import json
+import pathlib
+import tempfile
+
 from oriolefold_testbed import basecase, histories, probing
 
 
@@ -66,3 +70,25 @@
     def test_reported_as_answered_but_never_executed(self):
         violations = histories.check_answered([], [sample('answered')])
         self.assertEqual(len(violations), 1)
+
+
+class JournalTest(basecase.BaseCase):
+    """Journals tell what was executed from what was only begun."""
+
+    def test_a_request_that_was_only_begun_is_no_execution(self):
+        executed = {
+            'request': 'r',
+            'instance': 's1',
+            'method': 'GET',
+            'shard': 3,
+            'token': 1,
+            'begun_s': 0.0,
+            'ended_s': 1.0,
+        }
+        lines = [{'begun': 'q'}, {'begun': 'r'}, executed]
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            text = ''.join(json.dumps(line) + '\n' for line in lines)
+            (folder / 'journal-s1.jsonl').write_text(text + '{"begun": "cu')
+            self.assertEqual(histories.read_journals(folder), [execution()])
+            self.assertEqual(histories.read_begun_ids(folder), {'q', 'r'})
