Test: the deadline between two sends hides that none ran (fails)

A request whose sends were all refused, and whose deadline passes while it waits for the next one, is told that its outcome is unknown. Fails on this commit: OutcomeUnknownError `no answer came before the deadline` instead of DeadlineExpiredError.

--- a/libs/gateway/tests/test_dispatcher.py
+++ b/libs/gateway/tests/test_dispatcher.py
@@ -59,9 +59,11 @@
             notices.ConfigurationUpdated(basecase.make_configuration(register))
         )
 
-    def ask(self, method='GET'):
+    def ask(self, method='GET', deadline_ms=3000):
         return self.dispatcher.ask(
-            messages.Dispatch('q', method, '/svc/a', {}, (), b'', '3000')
+            messages.Dispatch(
+                'q', method, '/svc/a', {}, (), b'', str(deadline_ms)
+            )
         )
 
     async def test_refused_retry_of_a_lost_request_is_outcome_unknown(self):
@@ -73,6 +75,22 @@
             await self.ask()
         self.assertGreater(self.sender.sends, 1)
 
+    async def test_deadline_between_two_sends_does_not_hide_that_none_ran(self):
+        refused = errors.UnreachableError('down')
+        lost = errors.OutcomeUnknownError('lost')
+        cases = [
+            ('only refused sends', [refused], errors.DeadlineExpiredError),
+            ('a lost send', [lost], errors.OutcomeUnknownError),
+            ('a send in progress', [None], errors.OutcomeUnknownError),
+        ]
+        for name, outcomes, error_class in cases:
+            with self.subTest(name):
+                self.sender.outcomes = outcomes
+                # Longer than the time until the deadline.
+                with mock.patch.object(retries, 'backoff_s', return_value=5.0):
+                    with self.assertRaises(error_class):
+                        await self.ask(deadline_ms=100)
+
     async def test_draining_does_not_retry_what_could_be_cut(self):
         self.sender.outcomes = [errors.UnreachableError('down')]
         with mock.patch.object(retries, 'backoff_s', return_value=0.3):
