A deadline between two sends leaves a request that ran nowhere as not run

Callers saw 502 `unknown` for requests that no server had got: in a planned stop of one VM in calm, also POST, which may then not be repeated. The log of such a request has only refusals (`not-home`, five waits), then `no answer came before the deadline` 50 ms after the deadline.

Cause: the pause between two sends is up to 100 ms, the time that a request may exceed its deadline is 50 ms. If the deadline passes in that pause, the timeout reported an unknown outcome without asking whether a send was in progress. Nothing else: sends that time out at a server have its error and end earlier.

Change: the timeout reports that the deadline has passed; what any failure goes through, `_fail`, makes that unknown if a send may have run or is in progress. The dispatcher of `direct` already asked (`_answer_in_time`).

Tests of gateway, daemon, peer and sending pass.

--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -196,8 +196,9 @@
             async with asyncio.timeout(left_s + DEADLINE_GRACE_S):
                 answer = await self._send_with_retries(pending)
         except TimeoutError:
+            # A send in progress makes this an unknown outcome.
             text = 'no answer came before the deadline'
-            self._fail(pending, errors.OutcomeUnknownError(text))
+            self._fail(pending, errors.DeadlineExpiredError(text))
         except errors.OriolefoldError as error:
             self._fail(pending, error)
         except Exception as error:
