Close the connection of a call made at most once after its answer

Cause: a call that must not be sent twice goes out on a new connection. Curl keeps that connection after the answer, though no such call uses it again, in a pool of up to four times the calls in progress. In the wave the new home had 110 connections to one server with no request in progress at it (/proc/net/tcp for 2 s; `in_flight` of the server 0), which is the server's limit; it closed the next ones unread.

Change: curl is told not to keep such a connection. Idempotent calls use kept connections as before.

Result: `test_calls_at_most_once_leave_no_connections_open` passes, and all 33 of libs/http.

--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -166,7 +166,7 @@
                 reused connection turns out to be closed, curl itself sends the
                 request a second time, although the server may have run the
                 first. A new connection rules that out, at the cost of opening
-                it.
+                it; it is closed afterwards.
             may_send: Called when the connection is open, right before the
                 request is written; nothing is sent if it returns false.
 
@@ -220,6 +220,9 @@
             curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.PATH_AS_IS, 1)
             curl.setopt(pycurl.FRESH_CONNECT, 1 if at_most_once else 0)
+            # Curl would keep each of these connections, beyond the limit of
+            # the server.
+            curl.setopt(pycurl.FORBID_REUSE, 1 if at_most_once else 0)
             curl.setopt(pycurl.PREREQFUNCTION, prerequisite)
 
         request = httpclient.HTTPRequest(
