Test: a call that crosses the end of a peer connection is not known not to have run (fails)

`test_call_that_crosses_the_end_of_the_connection_has_not_run` fails on this commit with OutcomeUnknownError. A second new test, of a reply that could not be sent, passes and shall go on to.

--- a/libs/peer/tests/test_link.py
+++ b/libs/peer/tests/test_link.py
@@ -217,6 +217,61 @@
             await draining
         self.assertEqual(self.handler.started, 2)
 
+    async def test_call_that_crosses_the_end_of_the_connection_has_not_run(
+        self,
+    ):
+        await self.call('before')
+        receive = connection.Connection.receive
+        end_output = connection.Connection.end_output
+        ended = asyncio.Event()
+
+        async def receive_late(conn):
+            try:
+                return await receive(conn)
+            finally:
+                if ended.is_set():
+                    await asyncio.sleep(0.2)
+
+        def end_output_and_note(conn):
+            end_output(conn)
+            ended.set()
+
+        with (
+            mock.patch.object(connection.Connection, 'receive', receive_late),
+            mock.patch.object(
+                connection.Connection, 'end_output', end_output_and_note
+            ),
+            mock.patch.object(connection.Connection, 'input_ended', False),
+        ):
+            draining = asyncio.create_task(
+                self.server.ask(messages.DrainCalls())
+            )
+            await ended.wait()
+            with self.assertRaises(errors.UnreachableError):
+                await self.call('crossing')
+            await draining
+        self.assertEqual(self.handler.started, 1)
+
+    async def test_call_whose_reply_could_not_be_sent_may_have_run(self):
+        send = connection.Connection.send
+
+        def send_no_failure(conn, call_id, message):
+            if isinstance(message, errors.Failure):
+                raise errors.OverloadedError('no room')
+            send(conn, call_id, message)
+
+        with (
+            mock.patch.object(connection.Connection, 'send', send_no_failure),
+            self.assertLogs('oriolefold_peer.server', 'ERROR'),
+            self.assertLogs('oriolefold_core.tasks', 'ERROR'),
+        ):
+            calling = asyncio.create_task(self.call('refuse'))
+            await self.wait_for(lambda: self.handler.started)
+            await asyncio.sleep(0.05)
+            await self.server.ask(messages.DrainCalls())
+            with self.assertRaises(errors.OutcomeUnknownError):
+                await calling
+
     async def drain_with_failed_connection(self, failure):
         await self.call('before')
         with mock.patch.object(
