Test that fails: a feed's change ends an outage that was long over, and is held back

Callers would see: requests at an instance whose entry was removed, for 2.0 s more, at a VM that follows a feed and of which one read or write has failed since the feed's last change, however long ago. Watchers end, resume on the feed, and nothing marks the store as available until the feed has a change; if that is the removal, recovered_at_s is now and ABSENCE_GRACE_S begins.

--- a/libs/direct/tests/test_outdatedfeeds.py
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -228,3 +228,48 @@
                 )
                 objects = reply.changes_by_prefix['k/'].objects
                 self.assertIn(newest, objects)
+
+
+class FedAvailabilityTest(basecase.AsyncCase):
+    """What a feed answers tells nothing of this VM's calls to the store."""
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = test_following.QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.health = availability.Availability(self.clock)
+        self.store = following.FollowerStore(
+            availability.MonitoredStore(self.inner_store, self.health),
+            self.peers,
+            changefeed.ChangeFeed(self.clock),
+            self.clock,
+            fakes.follower(),
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.subscriber = basecase.RecordingTask('subscriber')
+        watcher = watching.Watcher(
+            self.store,
+            test_watching.TextReader(),
+            [self.subscriber],
+            self.clock,
+            self.health,
+        )
+        listed = test_following.stored('a', 3), test_following.stored('b', 3)
+        self.inner_store.script.put_nowait(
+            ports.Changes(5, listed, complete=True)
+        )
+        await self.start(self.subscriber, watcher)
+        await self.wait_for(lambda: self.subscriber.messages)
+        self.store.follow(LEADER)
+        await self.wait_for(lambda: self.peers.polls)
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.write('k/z', b'1', ports.NEW_OBJECT)
+
+    async def test_removal_long_after_a_failed_write_takes_effect_at_once(self):
+        await asyncio.sleep(0.1)
+        self.clock.advance(3600.0)
+        removal = ports.Changes(6, (), ('k/a',))
+        self.peers.answers.put_nowait({'k/': removal})
+        async with asyncio.timeout(1):
+            await self.wait_for(lambda: len(self.subscriber.messages) == 2)
+        self.assertEqual(set(self.subscriber.messages[-1]), {'k/b'})
