Test that fails: the end of a feed counts as an answer of the store

A watch whose source changes returns no changes, and the watcher takes that for an answer: an outage ends in the log, and the next watch waits 1.2 s (given up after 1.8 s) on a store that may be silent, instead of 0.1 s as a probe (0.7 s).

--- a/libs/direct/tests/test_outdatedfeeds.py
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -273,3 +273,15 @@
         async with asyncio.timeout(1):
             await self.wait_for(lambda: len(self.subscriber.messages) == 2)
         self.assertEqual(set(self.subscriber.messages[-1]), {'k/b'})
+
+    async def test_end_of_a_feed_is_no_answer_of_the_store(self):
+        await asyncio.sleep(0.1)
+        watches = len(self.inner_store.timeouts_s)
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(
+            lambda: len(self.inner_store.timeouts_s) > watches
+        )
+        self.assertTrue(self.health.is_unavailable)
+        self.assertEqual(
+            self.inner_store.timeouts_s[-1], watching.PROBE_TIMEOUT_S
+        )
