--- a/libs/direct/tests/test_outdatedfeeds.py
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -278,9 +278,7 @@
         await asyncio.sleep(0.1)
         watches = len(self.inner_store.timeouts_s)
         self.peers.answers.put_nowait(errors.UnreachableError('gone'))
-        await self.wait_for(
-            lambda: len(self.inner_store.timeouts_s) > watches
-        )
+        await self.wait_for(lambda: len(self.inner_store.timeouts_s) > watches)
         self.assertTrue(self.health.is_unavailable)
         self.assertEqual(
             self.inner_store.timeouts_s[-1], watching.PROBE_TIMEOUT_S
