Test that fails: one lost answer of a write delays removals by 2 s

Callers would see: requests at an instance whose entry was removed, for up to 2.0 s after the store told its removal (drain-s is 2 s at some sites). Each recovery begins ABSENCE_GRACE_S, however short the outage was.

--- a/libs/direct/tests/test_watching.py
+++ b/libs/direct/tests/test_watching.py
@@ -137,6 +137,19 @@
             await self.wait_for(lambda: len(self.subscriber.messages) == 2)
         self.assertEqual(self.subscriber.messages[-1], {})
 
+    async def test_lost_answer_of_a_write_delays_no_removal(self):
+        await self.deliver(ports.Changes(3, (stored('a', 1),)), 1)
+        lost = _FailingStore(errors.StoreAnswerLostError('lost'))
+        store = availability.MonitoredStore(lost, self.store_availability)
+        with self.assertRaises(errors.StoreAnswerLostError):
+            await store.write('k/z', b'{}', 1)
+        self.store.script.put_nowait(ports.Changes(3, ()))
+        await self.wait_for(lambda: not self.store_availability.is_unavailable)
+        self.store.script.put_nowait(ports.Changes(4, (), ('k/a',)))
+        async with asyncio.timeout(1):
+            await self.wait_for(lambda: len(self.subscriber.messages) == 2)
+        self.assertEqual(self.subscriber.messages[-1], {})
+
     async def test_removal_long_after_an_outage_takes_effect_at_once(self):
         await self.recover_then_remove(watching.ABSENCE_GRACE_S + 0.2)
         async with asyncio.timeout(0.5):
