Only answers of the store end an outage, and only long ones delay removals

Cause: what ends an outage was told by watches, also for answers of a change feed and for the end of one. Any end of an outage, however short, began the time in which expired objects may return.

Change: MonitoredStore alone reports answers and failures, of watches too. Objects may have expired only in an outage of 1 s or more in which several calls failed.

A retry at once now comes at most once a second, and others pause 0.1 s.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -188,7 +188,6 @@
                 self._peers,
                 self._dispatcher,
                 time,
-                store_availability,
                 recorder,
                 generator,
             )
--- a/libs/direct/src/oriolefold_direct/availability.py
+++ b/libs/direct/src/oriolefold_direct/availability.py
@@ -13,6 +13,10 @@
 from oriolefold_store import ports
 from oriolefold_telemetry import logs
 
+# Objects expire only in outages that last for some time, in which several calls
+# fail. A VM that makes few calls may learn late that only one of them failed.
+MIN_EXPIRY_S = 1.0
+MIN_FAILED_CALLS = 2
 # Errors that show that a call did not get through, or its answer did not.
 _FAILURES = (
     errors.StoreUnavailableError,
@@ -25,7 +29,8 @@
     """Whether the store is reachable from this process.
 
     Attributes:
-        recovered_at_s: When the store last recovered from an outage.
+        recovered_at_s: When the store last recovered from an outage in which
+            objects may have expired.
     """
 
     def __init__(self, time: clock.Clock):
@@ -35,15 +40,17 @@
         self._available_event = asyncio.Event()
         self._available_event.set()
         self._is_probe_claimed = False
+        self._failed_calls = 0  # Since the store last answered one.
         self.recovered_at_s = float('-inf')
 
     @property
     def is_unavailable(self) -> bool:
-        """Whether a call has failed since the store last answered a watch."""
+        """Whether a call has failed since the store last answered one."""
         return self._unavailable_since_s is not None
 
     def mark_unavailable(self, error: errors.StoreError) -> None:
         """Records a failed call."""
+        self._failed_calls += 1
         if self._unavailable_since_s is not None:
             return
         self._unavailable_since_s = self._clock.now_s()
@@ -52,13 +59,15 @@
         logs.event('store.unavailable', error=str(error))
 
     def mark_available(self) -> None:
-        """Records that the store answered a watch."""
+        """Records that the store answered a call."""
         if self._unavailable_since_s is None:
             return
         now_s = self._clock.now_s()
         outage_s = round(now_s - self._unavailable_since_s, 3)
         self._unavailable_since_s = None
-        self.recovered_at_s = now_s
+        if outage_s >= MIN_EXPIRY_S and self._failed_calls >= MIN_FAILED_CALLS:
+            self.recovered_at_s = now_s
+        self._failed_calls = 0
         self._unavailable_event.clear()
         self._available_event.set()
         logs.event('store.recovered', outage_s=outage_s)
@@ -85,10 +94,10 @@
 
 
 class MonitoredStore(ports.Store):
-    """Store whose failed reads and writes count as an outage.
+    """Store that reports which of its calls get through.
 
     Callers may retry or resolve a failure themselves, so they cannot be relied
-    on to report it. Those that watch report the failures of their watches.
+    on to report it.
     """
 
     def __init__(self, store: ports.Store, store_availability: Availability):
@@ -112,35 +121,40 @@
 
     async def read(self, name: str) -> ports.StoredObject:
         """Reads an object."""
-        with self._reporting_failures():
+        with self._reporting():
             return await self._store.read(name)
 
     async def read_stale(self, name: str) -> ports.StoredObject:
         """Reads an object that may be seconds old."""
-        with self._reporting_failures():
+        with self._reporting():
             return await self._store.read_stale(name)
 
     async def write(
         self, name: str, content: bytes, expected_version: int
     ) -> int:
         """Writes an object if its version is the expected one."""
-        with self._reporting_failures():
+        with self._reporting():
             return await self._store.write(name, content, expected_version)
 
     async def watch(
         self, prefix: str, after_revision: int, timeout_s: float
     ) -> ports.Changes:
         """Waits for changes after a revision."""
-        return await self._store.watch(prefix, after_revision, timeout_s)
+        with self._reporting():
+            return await self._store.watch(prefix, after_revision, timeout_s)
 
     async def close(self) -> None:
         """Releases the connections."""
         await self._store.close()
 
     @contextlib.contextmanager
-    def _reporting_failures(self):
+    def _reporting(self):
         try:
             yield
         except _FAILURES as error:
             self._availability.mark_unavailable(error)
             raise
+        except errors.StoreError:
+            self._availability.mark_available()
+            raise
+        self._availability.mark_available()
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -18,7 +18,6 @@
 )
 from oriolefold_core import clock, errors, tasks
 from oriolefold_direct import (
-    availability,
     changefeed,
     documents,
     following,
@@ -100,7 +99,6 @@
         peers: ports.Peers,
         dispatcher: tasks.Task,
         time: clock.Clock,
-        store_availability: availability.Availability,
         recorder: counters.Counters,
         generator: random.Random,
     ):
@@ -120,7 +118,6 @@
             dispatcher: Task that observes load and applies shares and key
                 maps.
             time: Clock.
-            store_availability: Shared health of the store.
             recorder: Metrics of grants and releases.
             generator: Source of random numbers.
         """
@@ -134,7 +131,6 @@
         self._peers = peers
         self._dispatcher = dispatcher
         self._clock = time
-        self._store_availability = store_availability
         self._metrics = recorder
         self._random = generator
         self._takeover_delay_s = takeover_delay_s
@@ -277,8 +273,7 @@
                 return False
             async with self._records.lock:
                 return await self._become_leader(vacancy)
-        except errors.StoreError as error:
-            self._store_availability.mark_unavailable(error)
+        except errors.StoreError:
             return False
         except errors.ConfigurationError as error:
             self._log('leadership.unreadable', error=str(error))
@@ -477,7 +472,6 @@
         except errors.ConfigurationError as error:
             self._step_down(str(error))
         except errors.StoreError as error:
-            self._store_availability.mark_unavailable(error)
             self._log('leadership.renewal_failed', error=str(error))
         else:
             self._feed.record_contact()
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -16,6 +16,8 @@
 WATCH_TIMEOUT_S = 1.2
 PROBE_TIMEOUT_S = 0.1  # Timeout of a watch during an outage.
 PROBE_INTERVAL_S = 0.4  # Mean interval between probes in an outage.
+RETRY_INTERVAL_S = 1.0  # Minimum between retries without a pause.
+MIN_PAUSE_S = 0.1  # Shortest pause of watches that do not probe.
 FALLBACK_RETRY_S = 2.0  # Longest wait of watches that do not probe.
 # After an outage, until objects that expired in it have been written again.
 ABSENCE_GRACE_S = 2.0
@@ -142,6 +144,7 @@
         self._era = 0
         self._restored_at_s = float('-inf')
         self._store_availability = store_availability
+        self._retried_at_s = float('-inf')
         self.is_synchronized = False
 
     async def on_start(self) -> None:
@@ -164,15 +167,15 @@
             except errors.HistoryLostError:
                 logs.event('watch.history_lost', prefix=self._reader.prefix)
                 revision = 0
-            except errors.StoreError as error:
-                self._store_availability.mark_unavailable(error)
+                if not self._may_retry_at_once():
+                    await asyncio.sleep(PROBE_INTERVAL_S)
+            except errors.StoreError:
                 # A watch may be cut by a store that is available.
-                if has_failed:
+                if has_failed or not self._may_retry_at_once():
                     await self._wait_after_failure()
                 has_failed = True
             else:
                 has_failed = False
-                self._store_availability.mark_available()
                 revision = changes.revision
                 self.post(changes)
                 if changes.objects or changes.removed_names:
@@ -207,13 +210,22 @@
             watch.cancel()
         raise errors.StoreUnavailableError('another call to the store failed')
 
+    def _may_retry_at_once(self) -> bool:
+        """Whether the last retry without a pause was some time ago."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._retried_at_s + RETRY_INTERVAL_S:
+            return False
+        self._retried_at_s = now_s
+        return True
+
     async def _wait_after_failure(self) -> None:
-        """Waits before the next try; one watch at a time probes the store."""
+        """Waits before the next try; one watch at a time waits to probe."""
         pause_s = PROBE_INTERVAL_S * (0.75 + 0.5 * random.random())
         with self._store_availability.claim_probe() as is_prober:
             if is_prober:
                 await asyncio.sleep(pause_s)
                 return
+        await asyncio.sleep(MIN_PAUSE_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FALLBACK_RETRY_S):
                 await self._store_availability.wait_until_available()
