Pipelined requests with safe methods are in progress together

The bytes behind the current request were read without noticing that the caller had left.

Change: the front end reads on while requests are in progress. Those with safe methods (RFC 9110, 9.2.1) are passed on at once, up to 16 on a connection; any other one waits until the earlier ones have their responses. `ResponseQueue` writes responses in the order of the requests, and decides what is passed on: a response that ends the connection is the last one for a request that was passed on, so what is behind it has not been read for the caller, also in a drain and a stop. Tornado's parser only reads; its own 400 and 100 responses wait for their turn (`RequestReader`). A head without end behind a good request stops the reading, not the earlier responses. The time that a request waited counts against its deadline (`Dispatch.held_s`). The other interface has the same front end, and so the same behaviour.

Ruled out: reading ahead into memory without passing on, which keeps the waiting.

--- a/libs/direct/src/oriolefold_direct/admission.py
+++ b/libs/direct/src/oriolefold_direct/admission.py
@@ -42,11 +42,14 @@
             raise errors.UnknownServiceError(
                 f'no route of host {host[:64]!r} matches the path'
             )
+        arrived_at_s = now_s - dispatch.held_s
         caller_left_s = (
             deadlines.initial_deadline(
-                now_s, deadlines.MAX_DEADLINE_S, dispatch.requested_deadline_ms
+                arrived_at_s,
+                deadlines.MAX_DEADLINE_S,
+                dispatch.requested_deadline_ms,
             )
-            - now_s
+            - arrived_at_s
         )
         service_id = self._splitter.choose(route)
         profile = self.policy.services_by_id.get(service_id)
@@ -66,8 +69,8 @@
             service_id,
             key,
             call,
-            now_s,
-            now_s + min(caller_left_s, route.timeout_s),
+            arrived_at_s,
+            arrived_at_s + min(caller_left_s, route.timeout_s),
             caller_left_s,
         )
 
--- a/libs/gateway/src/oriolefold_gateway/callerstream.py
+++ b/libs/gateway/src/oriolefold_gateway/callerstream.py
@@ -7,7 +7,7 @@
 import termios
 from collections.abc import Callable
 
-from tornado import iostream
+from tornado import ioloop, iostream
 
 _LINE_ENDS = b'\r\n'
 
@@ -26,6 +26,7 @@
 
     Attributes:
         stalled: Whether it was closed since the caller took no more output.
+        input_stopped: Whether no more is read, since the input is unreadable.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         on_input: Callable[[], None],
         on_output_ended: Callable[[], None],
         is_between_requests: Callable[[], bool],
+        owes_responses: Callable[[], bool],
     ):
         """Initializes the stream.
 
@@ -45,24 +47,43 @@
             is_between_requests: Returns whether the bytes that arrive next
                 belong to no request that has begun. Empty lines are dropped
                 then (RFC 9112, section 2.2).
+            owes_responses: Returns whether earlier requests wait for their
+                responses, so that unreadable input must not end the stream.
         """
         super().__init__(connection)
         self._on_input = on_input
         self._on_output_ended = on_output_ended
         self._is_between_requests = is_between_requests
+        self._owes_responses = owes_responses
         self._input_ended = False
         self._output_ended = False
+        self._is_end_deferred = False
         self._sent_bytes = 0
         self._taken_bytes = -1
         self._taken_at_s = 0.0
         self._is_watched = False
         self.stalled = False
+        self.input_stopped = False
 
     @property
     def output_ended(self) -> bool:
         """Whether nothing more may be written."""
         return self._output_ended
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether nothing more may be written, or the stream is closed."""
+        return self._output_ended or self.closed()
+
+    def reading(self) -> bool:
+        """Returns whether bytes are waited for.
+
+        The end of the input is read again once the output is written.
+        """
+        if self.input_stopped or (self._is_end_deferred and self.writing()):
+            return False
+        return super().reading()
+
     def has_unread_input(self) -> bool:
         """Returns whether bytes have arrived that were not read yet."""
         if self.closed():
@@ -92,8 +113,8 @@
         if size:
             self._on_input()
         elif size == 0:
-            if self.writing() and not self.reading():
-                # The end is read again once the output is written.
+            if self.writing():
+                self._is_end_deferred = True
                 return None
             self._input_ended = True
         return size
@@ -158,8 +179,15 @@
         )
 
     def close(self, exc_info=False):
-        """Ends the output; after a failure, closes the stream."""
-        if exc_info or self._input_ended:
+        """Ends the output; after a failure, closes the stream.
+
+        Input without an end of its head is not read any further; the stream is
+        closed once the earlier requests have their responses.
+        """
+        is_endless = isinstance(exc_info, iostream.UnsatisfiableReadError)
+        if is_endless and self._owes_responses():
+            self._stop_reading()
+        elif exc_info or self._input_ended:
             self._close_now(exc_info)
         elif not self._output_ended and not self.closed():
             written = super().write(b'')
@@ -173,6 +201,12 @@
         """Closes the stream at once; what is not written yet is lost."""
         super().close()
 
+    def _stop_reading(self) -> None:
+        self.input_stopped = True
+        if self._state is not None:
+            self._state &= ~ioloop.IOLoop.READ
+            self.io_loop.update_handler(self.socket, self._state)
+
     def _shut_down(self) -> None:
         if self.closed():
             return
--- a/libs/gateway/src/oriolefold_gateway/connections.py
+++ b/libs/gateway/src/oriolefold_gateway/connections.py
@@ -8,16 +8,20 @@
 from tornado import http1connection, iostream
 
 from oriolefold_core import errors, tasks
-from oriolefold_gateway import callerstream, exchange
+from oriolefold_gateway import (
+    callerstream,
+    exchange,
+    requestreader,
+    responsequeue,
+)
 
 LINGER_S = 1.0  # Time to read on after the output of a connection has ended.
 DISCARD_BYTES = 65536
-CROSSED = 'crossed'  # Stage of a request that arrived after the end.
 _LOGGER = logging.getLogger(__name__)
 
 
 class Connection:
-    """Serves the requests of one connection, one after the other."""
+    """Reads the requests of one connection while earlier ones are served."""
 
     def __init__(
         self, accepted: socket.socket, frontend, dispatcher: tasks.Task
@@ -37,6 +41,10 @@
             self._on_input,
             self._on_output_ended,
             self._is_between_requests,
+            self._owes_responses,
+        )
+        self._responses = responsequeue.ResponseQueue(
+            frontend, self._stream, self._on_responses_written
         )
         self._accepted_at_s = self._loop.time()
         self._idle_since_s = self._accepted_at_s
@@ -57,12 +65,12 @@
                 arrived completely no longer counts, in seconds.
         """
         current = self._exchange
-        if self._stream.output_ended:
+        if self._stream.output_ended or self._owes_responses():
             return True
         if current is None or not current.has_begun:
             return False
         pause_s = self._loop.time() - self._last_input_s
-        return current.is_read or pause_s < stall_s
+        return pause_s < stall_s
 
     def is_delivering(self, stall_s: float) -> bool:
         """Returns whether the caller is still taking an earlier answer.
@@ -86,6 +94,8 @@
 
     def start(self) -> None:
         """Begins to serve the connection."""
+        self._stream.set_nodelay(True)
+        self._stream.set_close_callback(self._responses.drop_all)
         self._serving = asyncio.create_task(self._serve())
 
     def end(self) -> None:
@@ -95,8 +105,9 @@
         """
         if self._stream.output_ended:
             return
-        if self._exchange is not None and self._exchange.has_begun:
-            self._exchange.stop()
+        if self._responses:
+            for current in self._responses:
+                current.stop()
         elif not self._stream.has_unread_input():
             self._end_idle()
 
@@ -107,10 +118,11 @@
 
     async def _serve(self) -> None:
         try:
-            while not self._stream.output_ended and not self._stream.closed():
-                await self._serve_request()
+            while not self._stream.is_ending:
+                await self._read_request()
                 # Pipelined requests leave other connections their turn.
                 await asyncio.sleep(0)
+                await self._responses.wait_for_room()
             await self._discard_input()
         except iostream.StreamClosedError:
             pass
@@ -120,31 +132,52 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._stream.abort()
+            self._responses.drop_all()
             self._log_late_input()
             self._frontend.connection_ended(self)
 
-    async def _serve_request(self) -> None:
+    async def _read_request(self) -> None:
+        reader = requestreader.RequestReader(self._stream)
         http = http1connection.HTTP1Connection(
-            self._stream, False, self._frontend.http_parameters
+            reader, False, self._frontend.http_parameters
         )
         current = exchange.Exchange(
-            self._frontend, self._dispatcher, http, self._stream
+            self._frontend,
+            self._dispatcher,
+            http,
+            self._stream,
+            self._responses,
         )
+        reader.exchange = current
         self._exchange = current
-        self._idle_since_s = self._loop.time()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._stream.skip_empty_lines():
             self._begin(current)
-        else:
-            idle_timeout_s = self._frontend.idle_timeout_s
-            self._set_timer(idle_timeout_s, self._on_idle_timeout)
+        elif not self._responses:
+            self._begin_idle_time()
         try:
-            # Returns when the answer is written or the connection has ended.
+            # Returns when the request has been read or the connection ended.
             await http.read_response(current)
         except iostream.StreamClosedError:
             pass
         finally:
             self._exchange = None
-            current.end()
+
+    def _owes_responses(self) -> bool:
+        return self._responses.owes_responses
+
+    def _on_responses_written(self) -> None:
+        if self._stream.is_ending:
+            return
+        current = self._exchange
+        if current is not None and not current.has_begun:
+            self._begin_idle_time()
+
+    def _begin_idle_time(self) -> None:
+        self._idle_since_s = self._loop.time()
+        self._exchange.note_idle(self._idle_since_s)
+        self._set_timer(self._frontend.idle_timeout_s, self._on_idle_timeout)
 
     async def _discard_input(self) -> None:
         while True:
@@ -177,7 +210,7 @@
         late_s = self._late_input_at_s - self._ended_at_s
         self._frontend.request_cut(
             late.request_id if late is not None else '',
-            CROSSED,
+            exchange.CROSSED,
             closed_by='vm',
             idle_before_ms=round(idle_s * 1000),
             after_close_ms=round(late_s * 1000),
@@ -195,6 +228,7 @@
 
     def _on_output_ended(self) -> None:
         self._ended_at_s = self._loop.time()
+        self._responses.wake_reader()
         current = self._exchange
         if current is None or current.is_read:
             if self._stream.skip_empty_lines():
@@ -203,7 +237,7 @@
         self._set_timer(LINGER_S, self._stream.abort)
 
     def _on_idle_timeout(self) -> None:
-        if self._exchange is None or self._exchange.has_begun:
+        if self._exchange is None or self._responses:
             return
         # The timeout may have been changed since the connection became idle.
         idle_s = self._loop.time() - self._idle_since_s
--- a/libs/gateway/src/oriolefold_gateway/dispatcher.py
+++ b/libs/gateway/src/oriolefold_gateway/dispatcher.py
@@ -143,7 +143,7 @@
             self._configuration, ask.method, ask.target, ask.headers
         )
         expires_at_s = deadlines.initial_deadline(
-            now_s, route.deadline_s, ask.requested_deadline_ms
+            now_s - ask.held_s, route.deadline_s, ask.requested_deadline_ms
         )
         request = data.Request(
             ask.request_id,
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller and its answer, on a connection."""
 
 import asyncio
+import dataclasses
 import enum
 import json
 import re
@@ -27,6 +28,11 @@
     }
 )
 _NO_BODY_STATUS = frozenset({204, 304})
+CROSSED = 'crossed'  # Stage of a request that is behind the connection's end.
+
+
+_SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
+_LINE_BREAK = re.compile(r'[\r\n]')
 
 
 class Stage(enum.Enum):
@@ -34,13 +40,29 @@
 
     IDLE = 'idle'
     READING = 'reading'
+    HELD = 'held'  # Read; waits for the responses of earlier requests.
     WAITING = 'waiting'
     WRITING = 'writing'
     WRITTEN = 'written'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A response that is ready to be written.
+
+    Attributes:
+        head: Status line and headers, without the empty line after them.
+        body: The body.
+        is_raw: Whether `head` is all that is written.
+    """
+
+    head: bytes
+    body: bytes
+    is_raw: bool = False
+
+
 class Exchange(httputil.HTTPMessageDelegate):
-    """Reads one request of a caller and writes its answer."""
+    """Reads one request of a caller and has its response."""
 
     def __init__(
         self,
@@ -48,21 +70,29 @@
         dispatcher: tasks.Task,
         http: http1connection.HTTP1Connection,
         stream: callerstream.CallerStream,
+        queue,
     ):
         """Initializes the exchange before its request begins to arrive.
 
         Args:
             frontend: The front end, which has the limits and the counts.
             dispatcher: Task that handles the request.
-            http: Reads the request and writes the answer.
-            stream: The stream that `http` uses.
+            http: Reads the request.
+            stream: The stream to which the response is written.
+            queue: The `ResponseQueue` of the connection.
         """
         self._frontend = frontend
         self._dispatcher = dispatcher
         self._max_body_bytes = 0
         self._http = http
         self._stream = stream
+        self._queue = queue
         self._stage = Stage.IDLE
+        self._response: Response | None = None
+        self._interim = b''
+        self._is_last = False
+        self._dispatch: messages.Dispatch | None = None
+        self._read_at_s = 0.0
         self._is_read = False
         self._is_ignored = False
         self._is_logged = False
@@ -96,11 +126,49 @@
         """Id of the request; empty before its head has arrived."""
         return self._request_id
 
+    @property
+    def has_safe_method(self) -> bool:
+        """Whether the method allows requests to be in progress beside it."""
+        return (
+            self._start_line is not None
+            and self._start_line.method in _SAFE_METHODS
+        )
+
+    @property
+    def has_response(self) -> bool:
+        """Whether the response is ready."""
+        return self._response is not None
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the request is read and waits for earlier responses."""
+        return self._stage is Stage.HELD
+
+    @property
+    def is_passed_on(self) -> bool:
+        """Whether the request was passed on, so that it must be answered."""
+        return self._reply is not None
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether the caller waits for a response to a whole request."""
+        return self._is_read or self.has_response
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection ends after the response."""
+        return self._is_last
+
+    def note_idle(self, since_s: float) -> None:
+        """Notes that the connection has become idle before this request."""
+        self._created_at_s = since_s
+
     def begin(self) -> None:
         """Notes that the request begins to arrive."""
         self._stage = Stage.READING
         self._began_at_s = asyncio.get_running_loop().time()
         self._frontend.request_started()
+        self._queue.add(self)
 
     def headers_received(self, start_line, headers):
         """Checks the sizes of headers and body, and reserves room for it."""
@@ -111,6 +179,7 @@
             return
         if not self.has_begun:
             self.begin()
+        self._is_last = not _can_keep_alive(start_line, headers)
         # The limits may have been changed since the connection became idle.
         self._max_body_bytes = self._frontend.max_body_bytes
         self._http.set_max_body_size(
@@ -138,15 +207,17 @@
             self._chunks.append(chunk)
 
     def finish(self):
-        """Passes the complete request to the dispatcher."""
+        """Passes the complete request to the dispatcher, or holds it."""
         self._is_read = True
+        # The next request is read while this one is in progress.
+        self._http.detach()
         if self._is_ignored:
             return
         if self._frontend.refusing:
             self._write_failure(errors.StoppingError('this VM is stopping'))
             return
         try:
-            dispatch = self._make_dispatch()
+            self._dispatch = self._make_dispatch()
         except errors.RequestError as error:
             self._write_failure(error)
             return
@@ -155,12 +226,63 @@
             text = f'the request cannot be handled: {error!r}'
             self._write_failure(errors.NotRunError(text))
             return
-        self._stage = Stage.WAITING
-        self._reply = dispatch.reply
-        self._reply.add_done_callback(self._on_reply)
-        # Until the answer is written, Tornado reports a lost connection here.
-        self._http.set_close_callback(self.on_connection_close)
-        self._dispatcher.post(dispatch)
+        self._read_at_s = asyncio.get_running_loop().time()
+        self._stage = Stage.HELD
+        if self._queue.may_pass_on(self):
+            self._pass_on()
+
+    def reach_front(self) -> None:
+        """Goes on with a request that no earlier one holds up any longer."""
+        if self._stage is Stage.HELD:
+            self._pass_on()
+        elif self._interim and not self._is_ignored:
+            interim, self._interim = self._interim, b''
+            self._stream.write(interim)
+
+    def queue_interim(self, interim: bytes) -> None:
+        """Writes an interim response once the request is the first."""
+        self._interim = interim
+        self._queue.advance()
+
+    def reject_malformed(self, response: bytes) -> None:
+        """Answers a request that cannot be parsed."""
+        logs.event('request.unreadable', request=self._request_id)
+        self._is_logged = True
+        self._complete(Response(response, b'', is_raw=True), close=True)
+
+    def end_connection(self) -> None:
+        """Ends the connection after the earlier responses."""
+        if not self.has_response:
+            self._complete(Response(b'', b'', is_raw=True), close=True)
+
+    def write_response(self, is_closing: bool) -> asyncio.Future:
+        """Begins to write the response and returns the end of that.
+
+        Args:
+            is_closing: Whether the connection ends after it.
+        """
+        response, self._response = self._response, Response(b'', b'')
+        self._stage = Stage.WRITING
+        if response.is_raw:
+            return self._stream.write(response.head)
+        connection = self._connection_header(is_closing)
+        return self._stream.write(
+            b''.join((response.head, connection, b'\r\n', response.body))
+        )
+
+    def note_written(self) -> None:
+        """Notes that the kernel has taken the whole response."""
+        if not self._stream.closed():
+            self._stage = Stage.WRITTEN
+
+    def drop(self) -> None:
+        """Gives up a request behind the end of the connection, as unread."""
+        self._is_ignored = True
+        if self._stage in (Stage.READING, Stage.HELD):
+            self._chunks = []
+            self._dispatch = None
+            self._room.release()
+            self._log_cut('vm', stage=CROSSED)
 
     def on_connection_close(self):
         """Cancels a request whose connection ended before its answer."""
@@ -173,8 +295,13 @@
 
     def stop(self) -> None:
         """Answers a request in progress without waiting for its result."""
+        if self.has_response:
+            return
         if self._stage is Stage.READING:
             self.cut_reading(errors.StoppingError('this VM is stopping'))
+        elif self._stage is Stage.HELD:
+            self._dispatch = None
+            self._write_failure(errors.StoppingError('this VM is stopping'))
         elif self._stage is Stage.WAITING and not self._reply.done():
             self._log_cut('vm')
             self._write_failure(
@@ -191,10 +318,7 @@
         """Notes that the answer is written or the connection has ended."""
         if not self.has_begun:
             return
-        if self._stage is Stage.READING and self._stream.output_ended:
-            # Tornado has answered with status 400.
-            logs.event('request.unreadable', request=self._request_id)
-        elif self._stage is not Stage.WRITTEN:
+        if self._stage is not Stage.WRITTEN:
             is_closing = self._frontend.is_closing
             is_endless = isinstance(
                 self._stream.error, iostream.UnsatisfiableReadError
@@ -204,6 +328,15 @@
         self._room.release()
         self._frontend.request_ended()
 
+    def _pass_on(self) -> None:
+        dispatch, self._dispatch = self._dispatch, None
+        held_s = asyncio.get_running_loop().time() - self._read_at_s
+        dispatch.held_s = held_s
+        self._stage = Stage.WAITING
+        self._reply = dispatch.reply
+        self._reply.add_done_callback(self._on_reply)
+        self._dispatcher.post(dispatch)
+
     def _reserve_room(self, count: int) -> bool:
         """Reserves room for the body; without room, refuses the request."""
         if count <= 0 or self._room.reserve(count):
@@ -257,15 +390,12 @@
                 self._write_answer(reply.result())
             except Exception as error:
                 self._log_failure('answer.unwritable', error)
-                if self._stage is Stage.WAITING:
-                    self._write_failure(error)
-                else:
-                    self._stream.abort()
+                self._write_failure(error)
 
     def _log_failure(self, event: str, error: Exception) -> None:
         logs.event(event, request=self._request_id, error=repr(error))
 
-    def _log_cut(self, closed_by: str) -> None:
+    def _log_cut(self, closed_by: str, stage: str | None = None) -> None:
         """Logs a cut request once; a caller may leave while it waits."""
         if self._is_logged:
             return
@@ -275,7 +405,7 @@
         now_s = asyncio.get_running_loop().time()
         self._frontend.request_cut(
             self._request_id,
-            self._stage.value,
+            stage or self._stage.value,
             closed_by=closed_by,
             age_ms=round((now_s - self._began_at_s) * 1000),
             idle_before_ms=round(
@@ -329,8 +459,6 @@
         status = results.status_of(failure)
         if status == results.DEFAULT_STATUS:
             response_headers['Retry-After'] = f'{_retry_after_s(error):g}'
-        if close:
-            response_headers['Connection'] = 'close'
         body = json.dumps(
             {
                 'outcome': results.outcome_of(failure).value,
@@ -339,9 +467,11 @@
                 'request_id': self._request_id,
             }
         )
-        self._write(status, response_headers, body.encode() + b'\n')
+        self._write(status, response_headers, body.encode() + b'\n', close)
 
-    def _write(self, status, response_headers, body: bytes) -> None:
+    def _write(
+        self, status, response_headers, body: bytes, close: bool = False
+    ) -> None:
         is_head = (
             self._start_line is not None and self._start_line.method == 'HEAD'
         )
@@ -349,42 +479,54 @@
             body = b''
         if status == 204:
             response_headers.pop('Content-Length', None)
-        if self._frontend.draining:
-            response_headers['Connection'] = 'close'
         if self.has_head and results.CALL_ID_HEADER in self._headers:
             response_headers[results.CALL_ID_HEADER] = self._headers[
                 results.CALL_ID_HEADER
             ]
         if status not in _NO_BODY_STATUS and not is_head:
             response_headers['Content-Length'] = str(len(body))
-        reason = httputil.responses.get(status, 'Unknown')
-        start = httputil.ResponseStartLine('HTTP/1.1', status, reason)
-        if self.has_head:
-            self._http.write_headers(start, response_headers, body)
-            self._note_writing()
-            self._http.finish()
-        elif not self._stream.closed():
-            # Tornado writes no answers before it has read the headers.
-            lines = [f'HTTP/1.1 {status} {reason}']
-            lines += [f'{n}: {v}' for n, v in response_headers.get_all()]
-            head = '\r\n'.join(lines) + '\r\n\r\n'
-            self._stream.write(head.encode('latin-1') + body)
-            self._note_writing()
-        if response_headers.get('Connection') == 'close':
-            self._stream.close()
-
-    def _note_writing(self) -> None:
-        self._stage = Stage.WRITING
-        if self._stream.writing():
-            # Tornado does not report every write that is interrupted.
-            self._stream.write(b'').add_done_callback(self._on_written)
-            self._stream.watch_output(self._frontend.idle_timeout_s)
-        elif not self._stream.closed():
-            self._stage = Stage.WRITTEN
-
-    def _on_written(self, written: asyncio.Future) -> None:
-        if written.exception() is None:
-            self._stage = Stage.WRITTEN
+        head = _encode_head(status, response_headers)
+        self._complete(Response(head, body), close)
+
+    def _complete(self, response: Response, close: bool) -> None:
+        self._response = response
+        self._is_last = self._is_last or close
+        self._queue.advance()
+
+    def _connection_header(self, is_closing: bool) -> bytes:
+        if is_closing:
+            return b'Connection: close\r\n'
+        if self.has_head and self._start_line.version == 'HTTP/1.0':
+            return b'Connection: Keep-Alive\r\n'
+        return b''
+
+
+def _encode_head(status: int, headers: httputil.HTTPHeaders) -> bytes:
+    """Returns the status line and the headers of a response.
+
+    Raises:
+        TypeError: If a header is no text.
+        ValueError: If a header has a line break or cannot be encoded.
+    """
+    lines = [f'HTTP/1.1 {status} {httputil.responses.get(status, "Unknown")}']
+    lines += [name + ': ' + value for name, value in headers.get_all()]
+    for line in lines:
+        if _LINE_BREAK.search(line):
+            raise ValueError(f'line break in header {line[:64]!r}')
+    return '\r\n'.join([*lines, '']).encode('latin-1')
+
+
+def _can_keep_alive(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> bool:
+    """Returns whether the caller keeps the connection after the response."""
+    options = {
+        option.strip().lower()
+        for option in headers.get('Connection', '').split(',')
+    }
+    if start_line.version == 'HTTP/1.1':
+        return 'close' not in options
+    return 'keep-alive' in options
 
 
 def _head_size(
--- a/libs/gateway/src/oriolefold_gateway/messages.py
+++ b/libs/gateway/src/oriolefold_gateway/messages.py
@@ -18,6 +18,8 @@
         header_pairs: Headers to pass on to the server.
         body: The complete body.
         requested_deadline_ms: Value of the deadline header, if there is one.
+        held_s: Time for which the request waited behind others of its
+            connection, in seconds; the caller's deadline counts it.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     header_pairs: tuple[tuple[str, str], ...]
     body: bytes
     requested_deadline_ms: str | None
+    held_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
