Loss of a leader and store outages make few calls to the store

Change: - Each region has a relay, also that of the leader. A relay that has lost its leader watches the store and serves its region on. - A relay that fails is bypassed: the leader is polled at once, for 0.5 s at most. - A leader whose feed is stale stays polled; the poll waits there until it is fresh. Its followers return without a call of their own. - Before a VM falls back to the store, one cheap stale read checks that the store answers it; watches no longer probe an outage, one stale read every 0.4 s does. - After a start, and after an outage with a leader attached, watches wait 1.5 s and 0.8 s for the feed. `FeedPoller` has the polling; `FollowerStore` keeps what the watches get.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -241,6 +241,10 @@
     category = Category.PROTOCOL
 
 
+class StaleFeedError(ProtocolError):
+    """A peer answered that its change feed is not fresh."""
+
+
 NOT_RUN_CATEGORIES = frozenset(
     {
         Category.INVALID_REQUEST,
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -142,7 +142,7 @@
         self._peers = peering.HttpPeers(budget)
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
-        feed = changefeed.ChangeFeed(time, region_id)
+        feed = changefeed.ChangeFeed(time)
         store_availability = availability.Availability(time)
         self._store = following.FollowerStore(
             availability.MonitoredStore(store, store_availability),
--- a/libs/direct/src/oriolefold_direct/availability.py
+++ b/libs/direct/src/oriolefold_direct/availability.py
@@ -1,8 +1,8 @@
 """Health of the store connection, shared by all clients in this process.
 
 A long poll on a dead connection looks like one without changes. Any failed
-call therefore aborts the pending watches, and one at a time probes the store
-until it answers again.
+call therefore aborts the pending watches, and one of them probes the store by
+cheap calls until it answers again.
 """
 
 import asyncio
--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -2,8 +2,9 @@
 
 Every change completes every watch on the store, and each store call is billed.
 So only the leader of a service watches the store; the other VMs long-poll the
-leader, or a relay in their region that polls the leader for them. A feed ends
-its polls when the leader has been without contact with the store for a while.
+relay of their region, which polls the leader for them. A feed ends its polls
+when the leader has been without contact with the store for a while. A relay
+that has lost its leader watches the store until it follows the next one.
 """
 
 import asyncio
@@ -90,14 +91,14 @@
 class ChangeFeed:
     """Changes that this VM serves to others while it is leader or relay."""
 
-    def __init__(self, time: clock.Clock, region_id: str = ''):
+    def __init__(self, time: clock.Clock):
         self._clock = time
         self._logs_by_prefix: dict[str, ChangeLog] = {}
         self._update_event = asyncio.Event()
         self._contact_at_s = float('-inf')
         self._era = 0
         self._led_service_ids: set[str] = set()
-        self._relays = relaying.Relays(region_id)
+        self._relays = relaying.Relays()
         self._relaying = False
 
     def append(self, prefix: str, changes: store_ports.Changes) -> None:
@@ -149,6 +150,19 @@
         self._relaying = False
         self._notify_waiters()
 
+    @property
+    def is_source(self) -> bool:
+        """Whether this VM serves its changes to others, as leader or relay."""
+        return self.is_leading or self._relaying
+
+    @property
+    def needs_contact(self) -> bool:
+        """Whether others rely on this feed and it is about to become stale."""
+        if not self.is_source:
+            return False
+        age_s = self._clock.now_s() - self._contact_at_s
+        return age_s > MAX_CONTACT_AGE_S / 2
+
     @property
     def is_fresh(self) -> bool:
         """Whether other VMs may rely on this feed."""
@@ -156,7 +170,7 @@
 
     @property
     def _has_contact(self) -> bool:
-        if not self.is_leading and not self._relaying:
+        if not self.is_source:
             return False
         return self._clock.now_s() - self._contact_at_s < MAX_CONTACT_AGE_S
 
@@ -185,6 +199,8 @@
             or None if this feed is not fresh.
         """
         ends_at_s = self._clock.now_s() + POLL_S
+        if follower.waits_for_contact:
+            await self._wait_for_contact(ends_at_s)
         while self._has_contact:
             now_s = self._clock.now_s()
             if not self._is_of_one_era:
@@ -210,6 +226,14 @@
             await self._wait_for_update()
         return None
 
+    async def _wait_for_contact(self, until_s: float) -> None:
+        while (
+            self.is_source
+            and not self._has_contact
+            and self._clock.now_s() < until_s
+        ):
+            await self._wait_for_update()
+
     async def _wait_for_update(self) -> None:
         """Waits until something changes or freshness is to be checked."""
         with contextlib.suppress(TimeoutError):
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -164,6 +164,7 @@
 
     async def on_start(self) -> None:
         """Starts the election loop."""
+        self._store.expect_leader()
         self.spawn_loop(self._run_election)
 
     async def resign(self) -> None:
@@ -249,7 +250,9 @@
         interval_s = READ_INTERVAL_S
         if self._store.is_following:
             interval_s = FOLLOWING_READ_INTERVAL_S
-        elif self._store.is_leader_suspected:
+        elif (
+            self._store.is_leader_suspected or self._store.is_waiting_for_leader
+        ):
             interval_s = SUSPECTED_READ_INTERVAL_S
         until_s = self._clock.now_s() + interval_s * (
             0.75 + 0.5 * self._random.random()
@@ -259,7 +262,8 @@
             self._clock.now_s() < until_s
             and self._store.is_following == was_following
         ):
-            await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
+            left_s = until_s - self._clock.now_s()
+            await asyncio.sleep(min(LOAD_REPORT_INTERVAL_S, left_s))
             await self._load_reporter.report(self._records.leader_address)
 
     async def _try_to_lead(self) -> bool:
--- a/libs/direct/src/oriolefold_direct/documents.py
+++ b/libs/direct/src/oriolefold_direct/documents.py
@@ -10,6 +10,8 @@
 
 LEADER_PREFIX = 'oriolefold-offices/'
 KEY_MAP_PREFIX = 'oriolefold-key-maps/'
+# Never written; reading it shows at low cost whether the store answers.
+PROBE_NAME = LEADER_PREFIX + 'probe'
 MAX_COUNTER = 2**63 - 1  # Of tokens, versions, revisions and heartbeats.
 MAX_INHERITED_S = 3600.0  # Far above the sum of all leases.
 Key = Annotated[int, msgspec.Meta(ge=0, le=ranges.KEY_COUNT - 1)]
--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -1,50 +1,38 @@
 """Store whose changes come from another VM's feed.
 
 A VM follows the leader, or the relay that the leader names. It falls back to
-the store as soon as the polled VM does not answer, or its feed is not fresh.
+the store when the polled VM does not answer, or its feed is not fresh. Every
+call to the store is billed, so it does that only once a cheap call has shown
+that the store answers this VM, and not while a leader is about to serve it.
 """
 
 import asyncio
 import collections
 import contextlib
 import dataclasses
-import logging
 
 from oriolefold_core import clock, errors
-from oriolefold_direct import changefeed, messages, ports
+from oriolefold_direct import (
+    changefeed,
+    documents,
+    feedpolling,
+    messages,
+    ports,
+)
 from oriolefold_store import ports as store_ports
-from oriolefold_telemetry import logs
 
-FEED_RETRY_S = 2.0  # Delay before a failed feed is tried again.
-SUSPICION_S = 6.0  # How long a VM stays suspected after its feed failed.
-
-_LOGGER = logging.getLogger(__name__)
-
-
-class _ClockOffset:
-    """Estimate of how far this VM's clock is ahead of another VM's clock.
-
-    Transit time only adds to the observed difference, so the smallest
-    observed difference is the best estimate.
-    """
-
-    def __init__(self):
-        self._min_difference_s = float('inf')
-
-    def to_local_time_s(
-        self, remote_time_s: float, sent_at_s: float, received_at_s: float
-    ) -> float:
-        """Converts a time of the other VM to the clock of this VM.
-
-        Args:
-            remote_time_s: Time to convert, by the other VM's clock.
-            sent_at_s: When the reply was sent, by the other VM's clock.
-            received_at_s: When it was received, by this VM's clock.
-        """
-        self._min_difference_s = min(
-            self._min_difference_s, received_at_s - sent_at_s
-        )
-        return remote_time_s + self._min_difference_s
+# How long a VM that has just listed the objects waits for a leader to follow
+# before it watches the store.
+START_HOLD_S = 1.5
+# The same after an outage of the store, for a leader that it polls already.
+RETURN_HOLD_S = 0.8
+# Longest wait of a watch on whose answer the freshness of the own feed depends.
+CONTACT_WATCH_S = 0.1
+_FAILURES = (
+    errors.StoreUnavailableError,
+    errors.StoreAnswerLostError,
+    errors.StoreBudgetError,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,27 +104,49 @@
         """
         self._store_only_prefixes = store_only_prefixes
         self._store = store
-        self._peers = peers
         self._feed = feed
         self._clock = time
-        self._follower = follower
-        self._feed_address = ''
-        self._poll_task: asyncio.Task | None = None
-        self._failed_at_s = float('-inf')
-        self._leader_failed_at_s = float('-inf')
-        self._avoided_address = ''
         self._inboxes_by_prefix: dict[str, _Inbox] = {}
         self._source_event = asyncio.Event()
+        self._poller = feedpolling.FeedPoller(
+            peers,
+            feed,
+            time,
+            follower,
+            self._revisions,
+            self._receive,
+            self._notify_waiters,
+        )
+        self._hold_until_s: float | None = None
+        self._has_failed = False
+        self._probe: asyncio.Task | None = None
 
     @property
     def is_following(self) -> bool:
         """Whether another VM's feed serves the watches."""
-        return self._poll_task is not None
+        return self._poller.is_fresh
+
+    def is_fed(self, prefix: str) -> bool:
+        """Returns whether watches are answered without calls to the store."""
+        return self.is_following and prefix not in self._store_only_prefixes
+
+    @property
+    def is_waiting_for_leader(self) -> bool:
+        """Whether the watches wait for a leader to follow."""
+        return (
+            not self._poller.is_attached
+            and (self._hold_until_s or 0.0) > self._clock.now_s()
+        )
 
     @property
     def is_leader_suspected(self) -> bool:
         """Whether polling the leader has recently failed."""
-        return self._clock.now_s() - self._leader_failed_at_s < SUSPICION_S
+        return self._poller.is_leader_suspected
+
+    def expect_leader(self) -> None:
+        """Lets the watches wait for a leader, whose election begins now."""
+        if not self._poller.is_attached and not self._feed.is_leading:
+            self._hold_until_s = self._clock.now_s() + START_HOLD_S
 
     def follow(self, address: str) -> None:
         """Serves the watches from the feed of the VM at an address.
@@ -146,26 +156,16 @@
         """
         if self._feed.is_leading:
             return
-        if address == self._feed_address and self.is_following:
-            return
-        since_failure_s = self._clock.now_s() - self._failed_at_s
-        if address == self._feed_address and since_failure_s < FEED_RETRY_S:
-            return
         if not all(i.revision for i in self._inboxes_by_prefix.values()):
             # The initial lists are read from the store.
             return
-        self.stop_following()
-        self._feed_address = address
-        self._poll_task = asyncio.create_task(self._poll(address))
-        self._notify_waiters()
+        self._poller.attach(address)
 
     def stop_following(self) -> None:
         """Serves the watches from the underlying store."""
-        if self._poll_task is not None:
-            self._poll_task.cancel()
-            self._poll_task = None
-            self._feed.stop_relaying()
-            self._notify_waiters()
+        self._hold_until_s = self._clock.now_s()
+        self._poller.detach()
+        self._notify_waiters()
 
     @property
     def era(self) -> int:
@@ -194,9 +194,22 @@
         """Tells the feed the era after a call, whether or not it succeeds."""
         try:
             yield
+        except _FAILURES:
+            self._has_failed = True
+            raise
+        except errors.StoreError:
+            self._note_answer()
+            raise
+        else:
+            self._note_answer()
         finally:
             self._feed.observe_era(self._store.era)
 
+    def _note_answer(self) -> None:
+        if self._has_failed and self._poller.is_attached:
+            self._hold_until_s = self._clock.now_s() + RETURN_HOLD_S
+        self._has_failed = False
+
     async def watch(
         self, prefix: str, after_revision: int, timeout_s: float
     ) -> store_ports.Changes:
@@ -210,19 +223,52 @@
         inbox.revision = max(inbox.revision, after_revision)
         # A feed may fail with unread changes, which the store then returns.
         inbox.discard_until(after_revision)
+        if after_revision:
+            await self._wait_for_feed()
         if after_revision and self.is_following:
             changes = await self._watch_feed(inbox, after_revision)
         else:
+            if after_revision and self._poller.is_attached:
+                await self._check_store()
             with self._observing_era():
                 changes = await self._watch_store(
                     prefix, after_revision, timeout_s
                 )
             if changes.complete:
                 inbox.replace(changes)
+                if self._hold_until_s is None:
+                    self._hold_until_s = self._clock.now_s() + START_HOLD_S
         inbox.revision = max(inbox.revision, changes.revision)
         self._feed.append(prefix, changes)
         return changes
 
+    async def _wait_for_feed(self) -> None:
+        """Waits while a leader is about to serve the watches."""
+        while not self.is_following and not self._feed.is_leading:
+            left_s = (self._hold_until_s or 0.0) - self._clock.now_s()
+            if left_s <= 0 or self._feed.needs_contact:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._source_event.wait()
+
+    async def _check_store(self) -> None:
+        """Checks by a cheap call that the store answers, once for all watches.
+
+        Raises:
+            StoreError: If it does not.
+        """
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.create_task(
+                self.read_stale(documents.PROBE_NAME)
+            )
+            # Nobody may be left who waits for it.
+            self._probe.add_done_callback(
+                lambda probe: probe.cancelled() or probe.exception()
+            )
+        with contextlib.suppress(errors.ObjectNotFoundError):
+            await asyncio.shield(self._probe)
+
     async def _watch_feed(
         self, inbox: _Inbox, revision: int
     ) -> store_ports.Changes:
@@ -238,6 +284,8 @@
     async def _watch_store(
         self, prefix: str, revision: int, timeout_s: float
     ) -> store_ports.Changes:
+        if self._feed.needs_contact:
+            timeout_s = min(timeout_s, CONTACT_WATCH_S)
         watch = asyncio.ensure_future(
             self._store.watch(prefix, revision, timeout_s)
         )
@@ -255,87 +303,29 @@
             source_change.cancel()
             watch.cancel()
 
-    async def _poll(self, address: str) -> None:
-        """Polls the leader at an address, or the relay that it names."""
-        polled_address = address
-        try:
-            while True:
-                polled_address = await self._poll_one(
-                    polled_address, polled_address == address
-                )
-        except Exception as error:  # pylint: disable=broad-except
-            # The watches rely on this loop, so they have to learn of its end.
-            if not isinstance(error, errors.OriolefoldError):
-                _LOGGER.exception('the poll of %s failed', polled_address)
-            logs.event('feed.failed', address=polled_address, error=str(error))
-            self._failed_at_s = self._clock.now_s()
-            if polled_address == address:
-                self._leader_failed_at_s = self._failed_at_s
-            else:
-                self._avoided_address = polled_address
-            self._poll_task = None
-            self._feed.stop_relaying()
-            self._notify_waiters()
+    def _revisions(self) -> dict[str, int]:
+        return {
+            prefix: inbox.revision
+            for prefix, inbox in self._inboxes_by_prefix.items()
+        }
 
-    async def _poll_one(self, address: str, is_leader: bool) -> str:
-        """Polls one VM until it redirects; returns the address of the relay."""
-        offset = _ClockOffset()
-        follower = self._self_description(0.0)
-        while True:
-            revisions = {
-                prefix: inbox.revision
-                for prefix, inbox in self._inboxes_by_prefix.items()
-            }
-            reply = await self._peers.changes(address, follower, revisions)
-            if reply.relay_address:
-                self._feed.stop_relaying()
-                if not is_leader or reply.relay_address == follower.address:
-                    raise errors.ProtocolError(
-                        'redirected by a relay, or by the leader to this VM'
-                    )
-                logs.event('feed.redirected', relay=reply.relay_address)
-                return reply.relay_address
-            self._check_era(reply.era)
-            now_s = self._clock.now_s()
-            contact_at_s = offset.to_local_time_s(
-                reply.contact_at_s, reply.sent_at_s, now_s
-            )
-            self._deliver(reply.changes_by_prefix)
-            if is_leader:
-                self._feed.renew_relaying(contact_at_s)
-            follower = self._self_description(reply.contact_at_s)
-
-    def _check_era(self, era: int) -> None:
-        """Checks that a feed tells eras, if the store does.
+    def _receive(self, reply: messages.ChangesReply) -> None:
+        """Checks the era of a reply and delivers its changes.
 
-        VMs of earlier versions would never see this one's revisions as older.
+        VMs of earlier versions tell no era, and would never see this one's
+        revisions as older.
 
         Raises:
-            ProtocolError: If it does not.
+            ProtocolError: If the store tells eras and the reply does not.
         """
-        revisions = [i.revision for i in self._inboxes_by_prefix.values()]
-        if not era and store_ports.era_of(max(revisions, default=0)):
+        era = store_ports.era_of(max(self._revisions().values(), default=0))
+        if not reply.era and era:
             raise errors.ProtocolError('the feed tells no era')
-        self._feed.observe_era(era)
-        self._store.observe_era(era)
-
-    def _self_description(self, contact_at_s: float) -> messages.Follower:
-        """Returns the description of this VM for the next poll."""
-        since_failure_s = self._clock.now_s() - self._failed_at_s
-        if since_failure_s > SUSPICION_S:
-            self._avoided_address = ''
-        return dataclasses.replace(
-            self._follower,
-            avoided_address=self._avoided_address,
-            contact_at_s=contact_at_s,
-        )
-
-    def _deliver(
-        self, changes_by_prefix: dict[str, store_ports.Changes]
-    ) -> None:
-        for prefix, changes in changes_by_prefix.items():
+        self._feed.observe_era(reply.era)
+        self._store.observe_era(reply.era)
+        for prefix, changes in reply.changes_by_prefix.items():
             self._inboxes_by_prefix[prefix].receive(changes)
-        if changes_by_prefix:
+        if reply.changes_by_prefix:
             self._notify_waiters()
 
     def _notify_waiters(self) -> None:
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -152,6 +152,8 @@
         avoided_address: Relay that it recently failed to reach, or empty.
         contact_at_s: Latest store contact in the replies that it received, by
             the clock of the VM that it polls.
+        waits_for_contact: Whether it waits until the feed is fresh instead of
+            being told that it is not.
     """
 
     address: str
@@ -159,6 +161,7 @@
     link_mbps: float
     avoided_address: str = ''
     contact_at_s: float = 0.0
+    waits_for_contact: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -30,6 +30,7 @@
 # 100 kB take 2 ms, a tenth of their transfer time at 50 Mbit/s.
 COMPRESSION_LEVEL = 6
 OK = 200
+UNAVAILABLE = 503
 # The reply, its prefixes, their changes, the objects, and the parts of each.
 CHANGES_LEVELS = 5
 MAX_SERVICE_TIME_S = 3600.0
@@ -193,10 +194,11 @@
             timeout_s,
             REPORT_TIMEOUT_S,
         )
+        text = f'peer {address} answered {path} with status {answer.status}'
+        if path == CHANGES_PATH and answer.status == UNAVAILABLE:
+            raise errors.StaleFeedError(text)
         if answer.status != OK:
-            raise errors.ProtocolError(
-                f'peer {address} answered {path} with status {answer.status}'
-            )
+            raise errors.ProtocolError(text)
         return answer.body
 
     def close(self) -> None:
--- a/libs/direct/src/oriolefold_direct/relaying.py
+++ b/libs/direct/src/oriolefold_direct/relaying.py
@@ -1,8 +1,9 @@
 """Selects the relay of each region for the change feed.
 
 Traffic between regions is the most expensive part of distributing a change, so
-the leader sends each change to one VM per remote region, the relay, which
-serves the other VMs of its region.
+the leader sends each change to one VM per region, the relay, which serves the
+other VMs of its region. The region of the leader has a relay, too: when the
+leader is lost, relays watch the store instead, and nobody else has to.
 """
 
 import dataclasses
@@ -20,10 +21,9 @@
 
 
 class Relays:
-    """The current relay of each remote region."""
+    """The current relay of each region."""
 
-    def __init__(self, region_id: str):
-        self._region_id = region_id
+    def __init__(self):
         self._by_region_id: dict[str, _Relay] = {}
 
     def relay_for(self, follower: messages.Follower, now_s: float) -> str:
@@ -32,8 +32,6 @@
         The first VM of a region that polls becomes its relay at once. It is
         replaced when a VM with more bandwidth polls.
         """
-        if follower.region_id == self._region_id:
-            return ''
         relay = self._by_region_id.get(follower.region_id)
         if (
             relay is None
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -115,12 +115,13 @@
             try:
                 reply = await self._feed.changes(follower, revisions)
                 body = b'' if reply is None else peering.encode_changes(reply)
+                stale_status = 503 if self._feed.is_source else 410
             except Exception:  # pylint: disable=broad-except
                 # Without an answer the follower would wait for its time-out.
                 _LOGGER.exception('a poll of %s failed', follower.address)
                 _write(request, 500, b'')
                 return
-            _write(request, 200 if body else 503, body)
+            _write(request, 200 if body else stale_status, body)
 
         poll_task = asyncio.create_task(answer_when_changed())
         self._poll_tasks.add(poll_task)
--- a/libs/direct/src/oriolefold_direct/watching.py
+++ b/libs/direct/src/oriolefold_direct/watching.py
@@ -17,8 +17,6 @@
 PROBE_TIMEOUT_S = 0.1  # Timeout of a watch during an outage.
 PROBE_INTERVAL_S = 0.4  # Mean interval between probes in an outage.
 RETRY_INTERVAL_S = 1.0  # Minimum between retries without a pause.
-MIN_PAUSE_S = 0.1  # Shortest pause of watches that do not probe.
-FALLBACK_RETRY_S = 2.0  # Longest wait of watches that do not probe.
 # After an outage, until objects that expired in it have been written again.
 ABSENCE_GRACE_S = 2.0
 
@@ -170,9 +168,7 @@
                 if not self._may_retry_at_once():
                     await asyncio.sleep(PROBE_INTERVAL_S)
             except errors.StoreError:
-                # A watch may be cut by a store that is available.
-                if has_failed or not self._may_retry_at_once():
-                    await self._wait_after_failure()
+                await self._wait_after_failure()
                 has_failed = True
             else:
                 has_failed = False
@@ -191,6 +187,8 @@
                 short.
         """
         prefix = self._reader.prefix
+        if self._store.is_fed(self._reader.prefix):
+            return await self._store.watch(prefix, revision, WATCH_TIMEOUT_S)
         if has_failed or self._store_availability.is_unavailable:
             return await self._store.watch(prefix, revision, PROBE_TIMEOUT_S)
         watch = asyncio.ensure_future(
@@ -219,16 +217,37 @@
         return True
 
     async def _wait_after_failure(self) -> None:
-        """Waits before the next try; one watch at a time waits to probe."""
+        """Waits until the store answers again; one watch at a time probes it.
+
+        A watch may be cut by a store that is available, so the first probe
+        comes at once. Probes are cheap calls; a watch is not.
+        """
         pause_s = PROBE_INTERVAL_S * (0.75 + 0.5 * random.random())
+        if not self._may_retry_at_once():
+            await asyncio.sleep(pause_s)
         with self._store_availability.claim_probe() as is_prober:
             if is_prober:
-                await asyncio.sleep(pause_s)
+                while not (
+                    self._store.is_fed(self._reader.prefix)
+                    or await self._is_store_answering()
+                ):
+                    await asyncio.sleep(pause_s)
                 return
-        await asyncio.sleep(MIN_PAUSE_S)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FALLBACK_RETRY_S):
-                await self._store_availability.wait_until_available()
+        while self._store_availability.is_unavailable:
+            if self._store.is_fed(self._reader.prefix):
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._store_availability.wait_until_available()
+
+    async def _is_store_answering(self) -> bool:
+        try:
+            await self._store.read_stale(documents.PROBE_NAME)
+        except errors.ObjectNotFoundError:
+            return True
+        except errors.StoreError:
+            return False
+        return True
 
     def _apply(self, changes: ports.Changes) -> None:
         self._observe_era(changes.revision)
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -19,9 +19,13 @@
         script: Changes to return, or errors to raise.
         revisions: Revision argument of each watch.
         timeouts_s: Time limit of each watch.
+        is_down: Whether stale reads fail, too.
+        stale_reads: Number of stale reads.
     """
 
     def __init__(self):
+        self.is_down = False
+        self.stale_reads = 0
         self.script: asyncio.Queue = asyncio.Queue()
         self.revisions: list[int] = []
         self.timeouts_s: list[float] = []
@@ -29,6 +33,12 @@
     async def read(self, name):
         raise errors.ObjectNotFoundError(name)
 
+    async def read_stale(self, name):
+        self.stale_reads += 1
+        if self.is_down:
+            raise errors.StoreUnavailableError('down')
+        return await self.read(name)
+
     async def write(self, name, content, expected_version):
         raise errors.StoreUnavailableError('writes are not supported')
 
--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -119,6 +119,10 @@
                 revision.
         """
 
+    def is_fed(self, prefix: str) -> bool:
+        """Returns whether watches are answered without calls to the store."""
+        return False
+
     def observe_era(self, era: int) -> None:
         """Takes note of an era that the store has told another VM.
 
