A command that traces a request by its id, and lines that tell where it ran

Cause: a booking that simply succeeded left no line, so nobody could say which instance had taken it, by which key and token, or under which configuration; and the lines of a VM whose time of day jumps could not be put in order.

Change: a request that may run once only has `request.answered` with instance, key, token, sends and versions; `send.failed` and `request.failed` have the token too. Each line has `boot_s`, by the clock that leases use. `oriolefold trace ID LOG...` reads logs (also .xz, with or without a collector's prefix), prints the lines in order with the configuration in force at that VM, and a verdict: ran once, ran and may have run elsewhere, not run, may have run, unknown. Unreadable lines are counted, missing logs and omitted lines are named, and the absence of a line is never taken as proof.

--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -209,7 +209,7 @@
         self, request: pending.PendingRequest, answer: data.Answer
     ) -> None:
         view = self._view(request.service_id)
-        self._reporter.answered(request, answer.status, view)
+        self._reporter.answered(request, answer, view)
         request.dispatch.answer(answer)
 
     async def _answer_in_time(
@@ -389,6 +389,7 @@
         endpoint = instance.endpoint
         request.sends += 1
         request.tried_ids.add(endpoint.instance_id)
+        request.token = self._key_owners.token(request.service_id, request.key)
         result = concurrency.SendResult.CANCELLED
         withheld = False
         held_up_s = 0.0
--- a/libs/direct/src/oriolefold_direct/keyowners.py
+++ b/libs/direct/src/oriolefold_direct/keyowners.py
@@ -81,6 +81,14 @@
             return None, 'draining'
         return known, ''
 
+    def token(self, service_id: str, key: int | None) -> int | None:
+        """Returns the token of the range of a key, or None without one."""
+        key_map = self._maps_by_service_id.get(service_id)
+        if key_map is None or key is None:
+            return None
+        key_range = key_map.range_of(key)
+        return None if key_range is None else key_range.token
+
     def next_tokens_by_service_id(self) -> dict[str, int]:
         """Returns the first unused token of each key map."""
         return {
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -30,6 +30,7 @@
         may_have_run: Whether an instance may have begun to run it.
         error_answer: Server error from an instance, returned if no retry
             succeeds.
+        token: Fencing token of its key in the map by which it was sent last.
     """
 
     dispatch: gateway_messages.Dispatch
@@ -44,6 +45,7 @@
     sends: int = 0
     may_have_run: bool = False
     error_answer: data.Answer | None = None
+    token: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,6 +215,7 @@
             service=request.service_id,
             instance=instance.endpoint.instance_id,
             key=request.key,
+            token=request.token,
             took_ms=round((self._clock.now_s() - started_s) * 1000),
             in_flight=instance.in_flight,
             limit=round(instance.limit, 1),
@@ -220,13 +223,33 @@
         )
 
     def answered(
-        self, request: PendingRequest, status: int, view: View
+        self, request: PendingRequest, answer: data.Answer, view: View
     ) -> None:
-        """Reports a request that an instance answered."""
+        """Reports a request that an instance answered.
+
+        Which instance ran a request that may run once only has a line, so that
+        it can be found later.
+        """
+        status = answer.status
         failed = status >= MIN_FAILURE_STATUS
         self._count(request, 'failed' if failed else 'answered', str(status))
         if failed:
             self._log_end(request, status, 'answered by the instance', view)
+        elif not request.route.idempotent:
+            logs.event(
+                'request.answered',
+                request=request.call.request_id,
+                service=request.service_id,
+                route=request.route.route_id,
+                instance=answer.instance_id,
+                key=request.key,
+                token=request.token,
+                status=status,
+                took_ms=self._took_ms(request),
+                sends=request.sends,
+                policy=view.policy_version,
+                key_map=view.next_token,
+            )
 
     def failed(self, request: PendingRequest, error, view: View) -> None:
         """Reports a request that ended without an answer from an instance."""
@@ -241,6 +264,9 @@
             request.service_id, outcome, category, took_s
         )
 
+    def _took_ms(self, request: PendingRequest) -> int:
+        return round((self._clock.now_s() - request.received_at_s) * 1000)
+
     def _log_end(
         self, request: PendingRequest, status: int, reason: str, view: View
     ) -> None:
@@ -252,7 +278,8 @@
             route=request.route.route_id,
             key=request.key,
             status=status,
-            took_ms=round((now_s - request.received_at_s) * 1000),
+            token=request.token,
+            took_ms=self._took_ms(request),
             left_ms=round((request.expires_at_s - now_s) * 1000),
             sends=request.sends,
             tried=sorted(request.tried_ids),
--- a/libs/telemetry/src/oriolefold_telemetry/logs.py
+++ b/libs/telemetry/src/oriolefold_telemetry/logs.py
@@ -70,6 +70,10 @@
     def __call__(self, message: dict) -> None:
         """Writes a message, or counts it as omitted."""
         now_s = time.monotonic()
+        # The time of day may jump; this clock orders the lines of a VM.
+        message = message | {
+            'boot_s': round(time.clock_gettime(time.CLOCK_BOOTTIME), 4)
+        }
         if not self._may_write(message, now_s):
             self.omitted += 1
             return
--- a/libs/tool/src/oriolefold_tool/api.py
+++ b/libs/tool/src/oriolefold_tool/api.py
@@ -10,7 +10,9 @@
 from oriolefold_tool import (
     addresses,
     loadgenerator,
+    logfiles,
     operations,
+    tracing,
     version,
     workloads,
 )
@@ -133,6 +135,21 @@
         if not report.accounted:
             sys.exit(1)
 
+    def trace(self, request_id: str, *logs: str) -> None:
+        """Prints what logs tell about a request, and whether it has run.
+
+        Args:
+            request_id: Id of the request.
+            *logs: Log files of VMs; those that end in .xz are decompressed.
+        """
+        if not logs:
+            found = findings.Finding(
+                findings.Location('trace'), 'name at least one log file'
+            )
+            raise errors.ConfigurationError([found])
+        read = logfiles.read([str(path) for path in logs])
+        print(tracing.trace(read, str(request_id)))
+
     def experiment(
         self, scenario: str, plot: str = '', policies: str = ''
     ) -> None:
