--- a/libs/tool/src/oriolefold_tool/tracing.py
+++ b/libs/tool/src/oriolefold_tool/tracing.py
@@ -12,6 +12,7 @@
     f'{category.value}:' for category in errors.NOT_RUN_CATEGORIES
 )
 MIN_FAILURE_STATUS = 500
+MAX_NAMED_VMS = 5
 
 
 class Verdict(enum.Enum):
@@ -135,6 +136,12 @@
     if doubts:
         places = ', '.join(sorted(set(doubts)))
         return Verdict.MAY_HAVE_RUN, f'no answer after a send to {places}'
+    for line in lines:
+        if line.event == 'request.failed' and not _is_not_run(line):
+            return (
+                Verdict.MAY_HAVE_RUN,
+                f'no answer from {_tried(line)}: {line.fields.get("reason")}',
+            )
     last = lines[-1]
     if last.event == 'request.cut' and last.fields.get('stage') == 'waiting':
         return Verdict.MAY_HAVE_RUN, 'its VM stopped while it was in progress'
@@ -164,14 +171,21 @@
     status = line.fields.get('status')
     if line.event == 'request.failed' and isinstance(status, int):
         if status >= MIN_FAILURE_STATUS:
-            tried = line.fields.get('tried')
-            names = tried if isinstance(tried, list) else []
-            return ' or '.join(str(name) for name in names) or '?'
+            return _tried(line)
     return None
 
 
+def _tried(line: logfiles.LogLine) -> str:
+    tried = line.fields.get('tried')
+    names = tried if isinstance(tried, list) else []
+    return ' or '.join(str(name) for name in names) or '?'
+
+
 def _is_not_run(line: logfiles.LogLine) -> bool:
-    return str(line.fields.get('error', '')).startswith(NOT_RUN_REASONS)
+    """Whether the error of a send, or the end of a request, shows no run."""
+    fields = line.fields
+    reason = str(fields.get('error') or fields.get('reason') or '')
+    return reason.startswith(NOT_RUN_REASONS)
 
 
 def _policy_at(logs: logfiles.Logs, line: logfiles.LogLine) -> int | None:
@@ -200,7 +214,10 @@
         for vm_id, count in sorted(logs.omitted_by_vm_id.items())
         if not vm_ids or vm_id in vm_ids
     ]
-    read = ', '.join(logs.vm_ids) or 'none'
-    caveats.append(f'logs were read of these VMs, and of no others: {read}')
+    read = logs.vm_ids
+    names = ', '.join(read[:MAX_NAMED_VMS]) or 'none'
+    if len(read) > MAX_NAMED_VMS:
+        names += f' and {len(read) - MAX_NAMED_VMS} more'
+    caveats.append(f'logs were read of these VMs, and of no others: {names}')
     caveats.append('calls that an instance made for it have ids of their own')
     return tuple(caveats)
