VMs notice the loss of a leader though the feed of their relay stays fresh

Cause: since relays serve on after the loss of their leader, a follower's feed no longer ends with it, and a follower reads the leader record only every 6 s then. Until it had read it, its load reports went to the lost leader, so the next one did not know its load, and the VM did not learn its shares nor which ranges were granted.

Change: a load report without an answer ends the wait, so the record is read at once (a stale read). A request that was refused before its end gets no second, malformed answer if the rest of it cannot be parsed.

Measured: the new test failed before (no read within 3 s) and passes; CoordinatorTest 31, test_loadreports 5, test_pipelining 18 passed.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -264,7 +264,13 @@
         ):
             left_s = until_s - self._clock.now_s()
             await asyncio.sleep(min(LOAD_REPORT_INTERVAL_S, left_s))
-            await self._load_reporter.report(self._records.leader_address)
+            reported = await self._load_reporter.report(
+                self._records.leader_address
+            )
+            if not reported:
+                # A relay serves the feed of a lost leader on, so that only
+                # this shows that there may be another one.
+                break
 
     async def _try_to_lead(self) -> bool:
         try:
--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -50,7 +50,7 @@
         if reply.granted is not None:
             self._dispatcher.post(reply.granted)
 
-    async def report(self, leader_address: str) -> None:
+    async def report(self, leader_address: str) -> bool:
         """Reports the keys of recent requests to the leader.
 
         A report with few keys is merged into the next one, so that many VMs
@@ -59,6 +59,9 @@
 
         Args:
             leader_address: Address of the leader, or an empty string.
+
+        Returns:
+            Whether the leader answered, or nothing was sent.
         """
         recent = await self.collect()
         load = messages.ObservedLoad(
@@ -73,14 +76,14 @@
             load.leaving_by_id.items() <= self._reported_leaving_by_id.items()
         )
         if not leader_address or not (load.keys or has_news):
-            return
+            return True
         if (
             len(load.keys) < MIN_REPORTED_KEYS
             and not self._deferred_keys
             and not load.leaving_by_id
         ):
             self._deferred_keys = load.keys
-            return
+            return True
         self._deferred_keys = ()
         self._report_count += 1
         if self._report_count % REPORTS_PER_TIMES_UPDATE:
@@ -95,6 +98,7 @@
                 service=self._service_id,
                 error=str(error),
             )
-        else:
-            self._reported_leaving_by_id = load.leaving_by_id
-            self.apply(reply)
+            return False
+        self._reported_leaving_by_id = load.leaving_by_id
+        self.apply(reply)
+        return True
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -29,11 +29,17 @@
 
 
 class Dispatcher(basecase.RecordingTask):
-    """Dispatcher that has observed no load."""
+    """Dispatcher that has observed no load, unless a test gives keys.
+
+    Attributes:
+        keys: Keys of each reported load.
+    """
+
+    keys: tuple[int, ...] = ()
 
     async def handle(self, message):
         if isinstance(message, messages.CollectLoad):
-            message.answer(messages.ObservedLoad((), {}))
+            message.answer(messages.ObservedLoad(self.keys, {}))
         else:
             await super().handle(message)
 
@@ -381,6 +387,29 @@
         self.assertEqual(record.vm_id, '')
         self.assertGreater(record.beat, beat + 1)
 
+    async def test_lost_leader_is_noticed_though_its_relay_serves_on(self):
+        """A relay's feed stays fresh; only load reports reach the leader."""
+        self.dispatcher.keys = (1, 2, 3, 4)
+        await self.start_coordinator('one', fakes.endpoint('a'))
+        await self.wait_for(lambda: self.instances.grants)
+        with mock.patch.object(
+            following.FollowerStore,
+            'is_following',
+            new_callable=mock.PropertyMock,
+            return_value=True,
+        ):
+            other = await self.start_coordinator('two', fakes.endpoint('a'))
+            await self.wait_for(lambda: self.peers.reports)
+
+            async def fail(address, report):
+                raise errors.UnreachableError('no answer')
+
+            self.peers.report = fail
+            reads = self.store.reads
+            async with asyncio.timeout(3):
+                await self.wait_for(lambda: self.store.reads > reads + 1)
+            await other.stop()
+
     async def test_no_takeover_begins_after_a_resignation(self):
         """The leader record is read when the resignation begins."""
         self.store = _HeldStore()
--- a/libs/gateway/src/oriolefold_gateway/exchange.py
+++ b/libs/gateway/src/oriolefold_gateway/exchange.py
@@ -245,7 +245,9 @@
         self._queue.advance()
 
     def reject_malformed(self, response: bytes) -> None:
-        """Answers a request that cannot be parsed."""
+        """Answers a request that cannot be parsed, unless it was refused."""
+        if self.has_response:
+            return
         logs.event('request.unreadable', request=self._request_id)
         self._is_logged = True
         self._complete(Response(response, b'', is_raw=True), close=True)
