--- a/testbed/tests/test_late_in_a_stop.py
+++ b/testbed/tests/test_late_in_a_stop.py
@@ -11,7 +11,7 @@
 
 from oriolefold_core import results
 from oriolefold_daemon import application
-from oriolefold_gateway import connections
+from oriolefold_gateway import exchange
 from oriolefold_testbed import (
     basecase,
     histories,
@@ -255,9 +255,7 @@
             if '"request.cut"' in line
         ]
         return {
-            cut['request']
-            for cut in cuts
-            if cut['stage'] != connections.CROSSED
+            cut['request'] for cut in cuts if cut['stage'] != exchange.CROSSED
         }
 
     def violation(
