--- a/testbed/tests/test_rolling_stop.py
+++ b/testbed/tests/test_rolling_stop.py
@@ -10,7 +10,7 @@
 
 from oriolefold_core import results
 from oriolefold_daemon import application
-from oriolefold_gateway import connections
+from oriolefold_gateway import exchange
 from oriolefold_testbed import (
     basecase,
     histories,
@@ -94,7 +94,7 @@
         read_ids = run_ids | {
             cut['request']
             for cut in self.logged('request.cut')
-            if cut['stage'] != connections.CROSSED
+            if cut['stage'] != exchange.CROSSED
         }
         found = []
         for request in sent:
