--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -262,7 +262,7 @@
             self._probe = asyncio.create_task(
                 self.read_stale(documents.PROBE_NAME)
             )
-            # Nobody may be left who waits for it.
+            # All that waited for it may have been cancelled.
             self._probe.add_done_callback(
                 lambda probe: probe.cancelled() or probe.exception()
             )
--- a/libs/direct/src/oriolefold_direct/relaying.py
+++ b/libs/direct/src/oriolefold_direct/relaying.py
@@ -3,7 +3,7 @@
 Traffic between regions is the most expensive part of distributing a change, so
 the leader sends each change to one VM per region, the relay, which serves the
 other VMs of its region. The region of the leader has a relay, too: when the
-leader is lost, relays watch the store instead, and nobody else has to.
+leader is lost, relays watch the store instead, and no other VM has to.
 """
 
 import dataclasses
