--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
 LISTING_LIMIT = 500
+LISTING_BYTES = 1 << 20
 HISTORY_S = 20.0
 ZONES = {'a': 'r1', 'b': 'r1'}
 BOUNDS = [
@@ -186,7 +187,7 @@
                 return 200, await self._watch(kind, values)
             after = values.get('after', '')
             names = sorted(n for n in self.names(kind) if n > after)
-            page = names[:LISTING_LIMIT]
+            page = self._page(kind, names)
             return 200, {
                 'items': [self._objects[kind, n] for n in page],
                 'has-more': len(names) > len(page),
@@ -211,6 +212,16 @@
             return 200, self.put(kind, parts[1], document['spec'])
         return 404, None
 
+    def _page(self, kind: str, names: list[str]) -> list[str]:
+        """Returns the names of one page, of limited number and size."""
+        size = count = 0
+        for name in names[:LISTING_LIMIT]:
+            size += len(json.dumps(self._objects[kind, name]))
+            if count and size > LISTING_BYTES:
+                break
+            count += 1
+        return names[:count]
+
     def _is_forgotten(self, revision: int) -> bool:
         """Whether the next change after a revision is no longer known."""
         written_at_s = self._written_at_s.get(revision + 1)
