--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
 SILENT_S = 4.5  # How long the store turns the leader away.
 FREEZE_AFTER_S = 1.2
 FREEZE_S = 4.0
+EXIT_S = 2.5  # `drain-s` after the acknowledgement and a little longer.
 END_S = 7.0
 
 
@@ -49,17 +50,18 @@
     store = standins.Store(record)
     await store.start()
     document = standins.configuration(
-        3, stock={'service': 'plain'}, keyed={'service': 'keyed'}
+        3,
+        orders={'service': 'plain', 'type': 'unsafe'},
+        keyed={'service': 'keyed'},
     )
     document['services']['keyed'] |= {'sharded': True, 'grants': 'request'}
     store.put('config', 'main', document)
     instances = [
-        standins.Instance(record, store, f'i-{name}-{index}', name, 0.05)
+        standins.Instance(record, store, f'i-{name}-{index}', name, 0.1)
         for name in ('plain', 'keyed')
         for index in range(3)
     ]
     first, leaving = instances[0], instances[1]
-    leaving.work_s = 0.01  # So that it is not the last choice.
     for instance in instances:
         await instance.start()
         instance.register()
@@ -70,6 +72,7 @@
         name = f'vm-{index}'
         vms.append(standins.Vm(record, folder, name, link.address))
     sent_by_id: dict[str, tuple[str, float]] = {}
+    status_by_id: dict[str, int] = {}
     sending = True
 
     async def press(vm, client: int) -> None:
@@ -79,8 +82,9 @@
             request_id = f'{vms.index(vm):02x}{client:06x}{number:08x}'
             sent_by_id[request_id] = vm.name, record.now_s()
             status, _, _ = await standins.request(
-                vm.port, request_id, '/stock/x'
+                vm.port, request_id, '/orders/x', 'POST', b'one pallet'
             )
+            status_by_id[request_id] = status
             record.add(f'{vm.name}: {request_id}: answer {status}')
             await asyncio.sleep(0.02)
 
@@ -120,7 +124,10 @@
         if standins.has_trouble():
             frozen = relay
             relay.signal(signal.SIGSTOP)
-        await asyncio.sleep(SILENT_S - FREEZE_AFTER_S)
+        await asyncio.sleep(EXIT_S - FREEZE_AFTER_S)
+        await leaving.stop()
+        record.add(f'{leaving.instance_id} exits')
+        await asyncio.sleep(SILENT_S - EXIT_S)
         link.heal()
         await asyncio.sleep(FREEZE_S + FREEZE_AFTER_S - SILENT_S)
         if frozen is not None:
@@ -138,7 +145,8 @@
         for vm in vms:
             await vm.kill()
         for instance in instances:
-            await instance.stop()
+            if instance is not leaving:
+                await instance.stop()
         for link in links:
             await link.stop()
         await store.stop()
@@ -161,6 +169,11 @@
         f'the acknowledgement and {len(late)} later than {DRAIN_S + SLACK_S} s '
         'after it'
     )
+    lost = [i for _, i in late if status_by_id.get(i) != 200]
+    record.add(
+        f'{len(lost)} of the late ones had begun to run and got no success: '
+        f'{sorted({status_by_id.get(i, 0) for i in lost})}'
+    )
     if not before:
         raise RuntimeError('the instance got no requests before')
     return not late
