--- a/review/1/case.py
+++ b/review/1/case.py
@@ -153,7 +153,7 @@
     bound_s = draining_s + DRAIN_S + SLACK_S
     late = [
         (at_s - draining_s, request_id)
-        for at_s, request_id, _ in leaving.runs
+        for at_s, request_id, _ in leaving.arrivals
         if at_s > bound_s
     ]
     for late_s, request_id in late:
@@ -163,13 +163,16 @@
             f'the acknowledgement, sent by its client to {vm} '
             f'{sent_s - draining_s:.3f} s after it'
         )
-    before = sum(at_s < draining_s for at_s, _, _ in leaving.runs)
+    before = sum(at_s < draining_s for at_s, _, _ in leaving.arrivals)
     record.add(
         f'{len(sent_by_id)} requests; at {leaving.instance_id} {before} before '
         f'the acknowledgement and {len(late)} later than {DRAIN_S + SLACK_S} s '
         'after it'
     )
-    lost = [i for _, i in late if status_by_id.get(i) != 200]
+    run_ids = {request_id for _, request_id, _ in leaving.runs}
+    lost = [
+        i for _, i in late if i in run_ids and status_by_id.get(i) != 200
+    ]
     record.add(
         f'{len(lost)} of the late ones had begun to run and got no success: '
         f'{sorted({status_by_id.get(i, 0) for i in lost})}'
@@ -179,4 +182,4 @@
     return not late
 
 
-standins.run(case, __file__)
+standins.run(case, pathlib.Path(__file__).with_name('record.txt'))
