Logs and a gauge tell the age of the contact on which a VM acts

Cause: the lines of a feed that is lost name the link that failed, but not how old the view was by then, and a watch that returned to the store had no line. So the logs could not tell which link of a chain had cost how much.

Change: each feed.* line has contact_age_s; watch.source tells that a watch waits for the feed, or that the store has answered it again, and the age before that; oriolefold_contact_age_seconds is a gauge. Followers of a relay compute the contact as well. No decision depends on it yet.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -143,6 +143,11 @@
         regions = settings.locality.region_ids_by_zone_id
         region_id = regions.get(settings.locality.zone_id, '')
         feed = changefeed.ChangeFeed(time)
+        recorder.register_gauge(
+            'oriolefold_contact_age_seconds',
+            'Age of the store contact on which the known objects rest.',
+            lambda: feed.contact_age_s,
+        )
         store_availability = availability.Availability(time)
         self._store = following.FollowerStore(
             availability.MonitoredStore(store, store_availability),
--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -113,11 +113,22 @@
         """Records the era in which the store has answered this VM."""
         self._era = max(self._era, era)
 
+    @property
+    def contact_age_s(self) -> float:
+        """Age of the store contact on which this VM's objects rest."""
+        return self._clock.now_s() - self._contact_at_s
+
     def record_contact(self) -> None:
         """Records that the store has just answered this VM."""
         self._contact_at_s = self._clock.now_s()
         self._notify_waiters()
 
+    def advance_contact(self, contact_at_s: float) -> None:
+        """Records a store contact of the polled VM, by this VM's clock."""
+        if contact_at_s > self._contact_at_s:
+            self._contact_at_s = contact_at_s
+            self._notify_waiters()
+
     @property
     def is_leading(self) -> bool:
         """Whether this VM leads a service."""
@@ -141,9 +152,7 @@
                 clock of this VM.
         """
         self._relaying = True
-        if contact_at_s > self._contact_at_s:
-            self._contact_at_s = contact_at_s
-            self._notify_waiters()
+        self.advance_contact(contact_at_s)
 
     def stop_relaying(self) -> None:
         """Stops relaying changes."""
@@ -160,8 +169,7 @@
         """Whether others rely on this feed and it is about to become stale."""
         if not self.is_source:
             return False
-        age_s = self._clock.now_s() - self._contact_at_s
-        return age_s > MAX_CONTACT_AGE_S / 2
+        return self.contact_age_s > MAX_CONTACT_AGE_S / 2
 
     @property
     def is_fresh(self) -> bool:
@@ -172,7 +180,7 @@
     def _has_contact(self) -> bool:
         if not self.is_source:
             return False
-        return self._clock.now_s() - self._contact_at_s < MAX_CONTACT_AGE_S
+        return self.contact_age_s < MAX_CONTACT_AGE_S
 
     @property
     def _is_of_one_era(self) -> bool:
--- a/libs/direct/src/oriolefold_direct/feedpolling.py
+++ b/libs/direct/src/oriolefold_direct/feedpolling.py
@@ -142,7 +142,7 @@
             # The watches rely on this loop, so they have to learn of its end.
             if not isinstance(error, errors.OriolefoldError):
                 _LOGGER.exception('the poll of %s failed', self._address)
-            logs.event('feed.failed', address=self._address, error=str(error))
+            self._log('feed.failed', self._address, error=str(error))
             self._failed_at_s = self._clock.now_s()
             self._leader_failed_at_s = self._failed_at_s
             self._end()
@@ -175,7 +175,7 @@
                 raise errors.ProtocolError('redirected to this VM')
             if reply.relay_address:
                 self._feed.stop_relaying()
-                logs.event('feed.redirected', relay=reply.relay_address)
+                self._log('feed.redirected', address, relay=reply.relay_address)
                 return reply.relay_address
             contact_at_s = reply.contact_at_s
             self._feed.renew_relaying(self._accept(reply, offset))
@@ -205,7 +205,7 @@
                 contact_at_s = reply.contact_at_s
                 self._accept(reply, offset)
         except errors.OriolefoldError as error:
-            logs.event('feed.relay_failed', address=address, error=str(error))
+            self._log('feed.relay_failed', address, error=str(error))
             self._failed_at_s = self._clock.now_s()
             self._avoided_address = address
             return BYPASS_LIMIT_S if self._is_fresh else None
@@ -229,15 +229,22 @@
     ) -> float:
         """Passes a reply on; returns its store contact by this VM's clock."""
         self._on_reply(reply)
+        contact_at_s = offset.to_local_time_s(
+            reply.contact_at_s, reply.sent_at_s, self._clock.now_s()
+        )
+        self._feed.advance_contact(contact_at_s)
         was_fresh = self._is_fresh
         self._note_fresh()
         self._is_fresh = True
         if not was_fresh:
-            logs.event('feed.fresh', address=self._address)
+            self._log('feed.fresh', self._address)
             self._on_change()
-        return offset.to_local_time_s(
-            reply.contact_at_s, reply.sent_at_s, self._clock.now_s()
-        )
+        return contact_at_s
+
+    def _log(self, event: str, address: str, **fields: str) -> None:
+        """Logs an event of a feed with the age of what this VM acts on."""
+        age_s = round(self._feed.contact_age_s, 3)
+        logs.event(event, address=address, contact_age_s=age_s, **fields)
 
     def _stale_s(self) -> float:
         if self._stale_since_s is None:
@@ -266,5 +273,5 @@
         self._is_fresh = False
         if address == self._address:
             self._leader_failed_at_s = self._clock.now_s()
-        logs.event('feed.stale', address=address)
+        self._log('feed.stale', address)
         self._on_change()
--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -20,6 +20,7 @@
     ports,
 )
 from oriolefold_store import ports as store_ports
+from oriolefold_telemetry import logs
 
 # How long a VM that has just listed the objects waits for a leader to follow
 # before it watches the store.
@@ -107,6 +108,7 @@
         self._feed = feed
         self._clock = time
         self._inboxes_by_prefix: dict[str, _Inbox] = {}
+        self._sources_by_prefix: dict[str, str] = {}
         self._source_event = asyncio.Event()
         self._poller = feedpolling.FeedPoller(
             peers,
@@ -226,6 +228,7 @@
         if after_revision:
             await self._wait_for_feed()
         if after_revision and self.is_following:
+            self._note_source(prefix, 'feed')
             changes = await self._watch_feed(inbox, after_revision)
         else:
             if after_revision and self._poller.is_attached:
@@ -281,6 +284,20 @@
             await self._source_event.wait()
         return inbox.changes.popleft()
 
+    def _note_source(self, prefix: str, source: str) -> None:
+        """Logs a change of the source of a prefix.
+
+        A watch that begins to wait for a feed counts, and one that the store
+        has answered; the age is that of what was known before the answer.
+        """
+        if self._sources_by_prefix.get(prefix) == source:
+            return
+        self._sources_by_prefix[prefix] = source
+        age_s = round(self._feed.contact_age_s, 3)
+        logs.event(
+            'watch.source', prefix=prefix, source=source, contact_age_s=age_s
+        )
+
     async def _watch_store(
         self, prefix: str, revision: int, timeout_s: float
     ) -> store_ports.Changes:
@@ -297,6 +314,7 @@
             if not watch.done() and revision and self.is_following:
                 return store_ports.Changes(revision, ())
             changes = await watch
+            self._note_source(prefix, 'store')
             self._feed.record_contact()
             return changes
         finally:
--- a/libs/direct/tests/test_following.py
+++ b/libs/direct/tests/test_following.py
@@ -13,6 +13,7 @@
     messages,
 )
 from oriolefold_store import ports
+from oriolefold_telemetry import logs
 from oriolefold_testbed import basecase
 
 
@@ -438,3 +439,65 @@
         self.inner_store.script.put_nowait(ports.Changes(6, ()))
         await waiting
         self.assertTrue(self.feed.is_fresh)
+
+
+class ContactAgeLogTest(basecase.AsyncCase):
+    """Logs tell how old the contact was on which a VM acted."""
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.feed = changefeed.ChangeFeed(self.clock)
+        self.store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            self.feed,
+            self.clock,
+            fakes.follower(),
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.inner_store.script.put_nowait(
+            ports.Changes(5, (stored('a', 3),), complete=True)
+        )
+        self.logged = []
+        patch = mock.patch.object(
+            logs, 'event', lambda name, /, **f: self.logged.append((name, f))
+        )
+        self.enterContext(patch)
+        await self.store.watch('k/', 0, 1.0)
+        self.clock.advance(following.START_HOLD_S)
+
+    def last(self, name):
+        """Returns the fields of the last event of a name."""
+        return [fields for found, fields in self.logged if found == name][-1]
+
+    async def test_failed_feed_and_next_source_tell_the_age(self):
+        self.store.follow('10.0.0.1:80')
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 39.5))
+        waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.clock.advance(2.0)
+        self.assertEqual(self.feed.contact_age_s, 2.5)
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await waiting
+        self.assertEqual(self.last('feed.failed')['contact_age_s'], 2.5)
+        self.inner_store.script.put_nowait(ports.Changes(6, ()))
+        await self.store.watch('k/', 5, 1.0)
+        self.assertEqual(
+            self.last('watch.source'),
+            {'prefix': 'k/', 'source': 'store', 'contact_age_s': 2.5},
+        )
+        self.assertEqual(self.feed.contact_age_s, 0.0)
+
+    async def test_relay_that_fails_tells_the_age_of_its_contact(self):
+        self.store.follow('10.0.0.1:80')
+        relay = messages.ChangesReply({}, relay_address='10.0.0.2:80')
+        self.peers.answers.put_nowait(relay)
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 39.9))
+        await self.wait_for(lambda: len(self.peers.polls) == 3)
+        self.clock.advance(1.0)
+        self.peers.answers.put_nowait(errors.UnreachableError('gone'))
+        await self.wait_for(lambda: len(self.peers.polls) == 4)
+        fields = self.last('feed.relay_failed')
+        self.assertEqual(fields['contact_age_s'], 1.1)
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from oriolefold_telemetry import latency
 
@@ -19,9 +19,10 @@
 
 
 class Counters:
-    """Counters by metric name and labels, and latencies by service."""
+    """Counters by metric name and labels, latencies by service, and gauges."""
 
     def __init__(self):
+        self._gauges_by_name: dict[str, tuple[str, Callable[[], float]]] = {}
         self._counts: collections.Counter[tuple] = collections.Counter()
         self._latencies_by_service_id: dict[str, latency.LatencyHistogram] = {}
 
@@ -53,6 +54,12 @@
         """Counts a grant or release."""
         self._counts['oriolefold_grants', call, result] += 1
 
+    def register_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Adds a gauge whose value is read when the metrics are scraped."""
+        self._gauges_by_name[name] = description, read
+
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         import prometheus_client  # noqa: PLC0415
@@ -82,3 +89,5 @@
                 value = latencies.percentile_ms(percent)
                 latency_family.add_metric((service_id, quantile), value)
         yield latency_family
+        for name, (description, read) in self._gauges_by_name.items():
+            yield core.GaugeMetricFamily(name, description, value=read())
