A VM turns to the store at an age of its view, not at the end of each link

Callers saw: requests, unsafe ones too, reached an instance 2.1 to 2.5 s after the store had acknowledged that it drains (bound 2 s); its exit cut some, 502.

The flag of a fresh feed was true all the while. Holds (0.8 and 1.5 s) could have come on top, the former after any one failed call.

A relay does so 0.3 s earlier, which renews the feed of its followers. Holds end by the same age, but for the one after an outage, which a failed call shorter than 0.8 s is not. A feed that answers during the check of the store is used.

Two tests are replaced by stricter ones, since they let a VM rely on a feed that had not answered for 2 s: a retried feed now has to answer first. In test_vm_returns_to_the_feed_after_an_outage the outage lasts for 1.6 s, no longer 0 s.

Why it works: the age is that of the store's own answer, passed on in each reply, so it doesn't depend on how many links there are or which one is silent.

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -64,6 +64,8 @@
             feed; otherwise each VM watches them in the store.
         takeover_delay_s: Extra delay before this VM takes over leadership,
             which gives precedence to other VMs.
+        max_contact_age_s: Age of the store contact on which the known objects
+            rest from which this VM asks the store itself.
     """
 
     vm_id: str
@@ -80,6 +82,7 @@
     link_mbps: float = 0.0
     feeds_policies: bool = False
     takeover_delay_s: float = 0.0
+    max_contact_age_s: float = following.DEFAULT_MAX_CONTACT_AGE_S
 
 
 class _Limits(tasks.Task):
@@ -160,6 +163,7 @@
             frozenset(
                 () if settings.feeds_policies else (policy_reader.prefix,)
             ),
+            settings.max_contact_age_s,
         )
         generator = random.Random()
         incarnation = uuid.uuid4().hex
--- a/libs/direct/src/oriolefold_direct/feedpolling.py
+++ b/libs/direct/src/oriolefold_direct/feedpolling.py
@@ -64,7 +64,7 @@
         time: clock.Clock,
         follower: messages.Follower,
         revisions: Callable[[], dict[str, int]],
-        on_reply: Callable[[messages.ChangesReply], None],
+        on_reply: Callable[[messages.ChangesReply, float], None],
         on_change: Callable[[], None],
     ):
         """Initializes the poller; `attach` begins to poll.
@@ -75,7 +75,8 @@
             time: Clock for delays after failures.
             follower: Description of this VM for the polled one.
             revisions: Returns the latest revision of each prefix.
-            on_reply: Called with each reply that has no redirection.
+            on_reply: Called with each reply that has no redirection, and the
+                time of its store contact by this VM's clock.
             on_change: Called when the feed becomes fresh, stale or lost.
         """
         self._peers = peers
@@ -101,7 +102,7 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Whether the feed of another VM may be relied on."""
+        """Whether a feed is polled that has not said that it is stale."""
         return self._task is not None and self._is_fresh
 
     @property
@@ -228,11 +229,10 @@
         self, reply: messages.ChangesReply, offset: _ClockOffset
     ) -> float:
         """Passes a reply on; returns its store contact by this VM's clock."""
-        self._on_reply(reply)
         contact_at_s = offset.to_local_time_s(
             reply.contact_at_s, reply.sent_at_s, self._clock.now_s()
         )
-        self._feed.advance_contact(contact_at_s)
+        self._on_reply(reply, contact_at_s)
         was_fresh = self._is_fresh
         self._note_fresh()
         self._is_fresh = True
--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -27,6 +27,12 @@
 START_HOLD_S = 1.5
 # The same after an outage of the store, for a leader that it polls already.
 RETURN_HOLD_S = 0.8
+# Age of the store contact on which the known objects rest from which this VM
+# asks the store itself, whatever its feed is waiting for. Limits of the links
+# of a feed add up, so only this one bounds what a VM acts on.
+DEFAULT_MAX_CONTACT_AGE_S = 1.6
+# By how much a relay asks the store before its followers have to.
+RELAY_LEAD_S = 0.3
 # Longest wait of a watch on whose answer the freshness of the own feed depends.
 CONTACT_WATCH_S = 0.1
 _FAILURES = (
@@ -91,6 +97,7 @@
         time: clock.Clock,
         follower: messages.Follower,
         store_only_prefixes: frozenset[str] = frozenset(),
+        max_contact_age_s: float = DEFAULT_MAX_CONTACT_AGE_S,
     ):
         """Initializes the store.
 
@@ -102,8 +109,11 @@
             follower: Description of this VM for the polled one.
             store_only_prefixes: Prefixes that are always watched in the
                 underlying store.
+            max_contact_age_s: Age of the store contact on which the known
+                objects rest from which this VM asks the store itself.
         """
         self._store_only_prefixes = store_only_prefixes
+        self._max_contact_age_s = max_contact_age_s
         self._store = store
         self._feed = feed
         self._clock = time
@@ -120,13 +130,22 @@
             self._notify_waiters,
         )
         self._hold_until_s: float | None = None
-        self._has_failed = False
+        self._return_hold_until_s = float('-inf')
+        self._failing_since_s: float | None = None
         self._probe: asyncio.Task | None = None
 
     @property
     def is_following(self) -> bool:
         """Whether another VM's feed serves the watches."""
-        return self._poller.is_fresh
+        return self._poller.is_fresh and self._contact_left_s > 0
+
+    @property
+    def _contact_left_s(self) -> float:
+        """Time until the known objects rest on too old a store contact."""
+        limit_s = self._max_contact_age_s
+        if self._feed.is_source:
+            limit_s = min(limit_s - RELAY_LEAD_S, changefeed.MAX_CONTACT_AGE_S)
+        return limit_s - self._feed.contact_age_s
 
     def is_fed(self, prefix: str) -> bool:
         """Returns whether watches are answered without calls to the store."""
@@ -135,10 +154,14 @@
     @property
     def is_waiting_for_leader(self) -> bool:
         """Whether the watches wait for a leader to follow."""
-        return (
-            not self._poller.is_attached
-            and (self._hold_until_s or 0.0) > self._clock.now_s()
-        )
+        return not self._poller.is_attached and self._hold_left_s > 0
+
+    @property
+    def _hold_left_s(self) -> float:
+        """How long the watches may still wait for a leader's feed."""
+        now_s = self._clock.now_s()
+        hold_s = min((self._hold_until_s or 0.0) - now_s, self._contact_left_s)
+        return max(hold_s, self._return_hold_until_s - now_s)
 
     @property
     def is_leader_suspected(self) -> bool:
@@ -165,7 +188,7 @@
 
     def stop_following(self) -> None:
         """Serves the watches from the underlying store."""
-        self._hold_until_s = self._clock.now_s()
+        self._hold_until_s = self._return_hold_until_s = self._clock.now_s()
         self._poller.detach()
         self._notify_waiters()
 
@@ -197,7 +220,8 @@
         try:
             yield
         except _FAILURES:
-            self._has_failed = True
+            if self._failing_since_s is None:
+                self._failing_since_s = self._clock.now_s()
             raise
         except errors.StoreError:
             self._note_answer()
@@ -208,9 +232,14 @@
             self._feed.observe_era(self._store.era)
 
     def _note_answer(self) -> None:
-        if self._has_failed and self._poller.is_attached:
-            self._hold_until_s = self._clock.now_s() + RETURN_HOLD_S
-        self._has_failed = False
+        """Ends an outage; a VM that was not in one must not wait for a feed."""
+        if self._failing_since_s is None:
+            return
+        now_s = self._clock.now_s()
+        outage_s = now_s - self._failing_since_s
+        self._failing_since_s = None
+        if outage_s >= RETURN_HOLD_S and self._poller.is_attached:
+            self._return_hold_until_s = now_s + RETURN_HOLD_S
 
     async def watch(
         self, prefix: str, after_revision: int, timeout_s: float
@@ -227,12 +256,12 @@
         inbox.discard_until(after_revision)
         if after_revision:
             await self._wait_for_feed()
+            if not self.is_following and self._poller.is_attached:
+                await self._check_store()
         if after_revision and self.is_following:
             self._note_source(prefix, 'feed')
             changes = await self._watch_feed(inbox, after_revision)
         else:
-            if after_revision and self._poller.is_attached:
-                await self._check_store()
             with self._observing_era():
                 changes = await self._watch_store(
                     prefix, after_revision, timeout_s
@@ -248,12 +277,15 @@
     async def _wait_for_feed(self) -> None:
         """Waits while a leader is about to serve the watches."""
         while not self.is_following and not self._feed.is_leading:
-            left_s = (self._hold_until_s or 0.0) - self._clock.now_s()
+            left_s = self._hold_left_s
             if left_s <= 0 or self._feed.needs_contact:
                 return
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left_s):
-                    await self._source_event.wait()
+            await self._wait_for_source_change(left_s)
+
+    async def _wait_for_source_change(self, limit_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._source_event.wait()
 
     async def _check_store(self) -> None:
         """Checks by a cheap call that the store answers, once for all watches.
@@ -281,7 +313,7 @@
                 # again from the store.
                 inbox.revision = revision
                 return store_ports.Changes(revision, ())
-            await self._source_event.wait()
+            await self._wait_for_source_change(self._contact_left_s)
         return inbox.changes.popleft()
 
     def _note_source(self, prefix: str, source: str) -> None:
@@ -327,12 +359,18 @@
             for prefix, inbox in self._inboxes_by_prefix.items()
         }
 
-    def _receive(self, reply: messages.ChangesReply) -> None:
+    def _receive(
+        self, reply: messages.ChangesReply, contact_at_s: float
+    ) -> None:
         """Checks the era of a reply and delivers its changes.
 
         VMs of earlier versions tell no era, and would never see this one's
         revisions as older.
 
+        Args:
+            reply: The reply.
+            contact_at_s: Its store contact, by this VM's clock.
+
         Raises:
             ProtocolError: If the store tells eras and the reply does not.
         """
@@ -343,7 +381,9 @@
         self._store.observe_era(reply.era)
         for prefix, changes in reply.changes_by_prefix.items():
             self._inboxes_by_prefix[prefix].receive(changes)
-        if reply.changes_by_prefix:
+        was_following = self.is_following
+        self._feed.advance_contact(contact_at_s)
+        if reply.changes_by_prefix or self.is_following != was_following:
             self._notify_waiters()
 
     def _notify_waiters(self) -> None:
--- a/libs/direct/tests/test_following.py
+++ b/libs/direct/tests/test_following.py
@@ -114,7 +114,11 @@
         self.assertFalse(self.store.is_following)
         self.clock.advance(feedpolling.FEED_RETRY_S)
         self.store.follow('10.0.0.1:80')
-        self.assertTrue(self.store.is_following)
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        # What is known is too old to rely on a feed that has not answered.
+        self.assertFalse(self.store.is_following)
+        self.peers.answers.put_nowait(messages.ChangesReply({}))
+        await self.wait_for(lambda: self.store.is_following)
 
     async def test_unexpected_error_ends_following(self):
         waiting = asyncio.create_task(self.store.watch('k/', 5, 1.0))
@@ -403,6 +407,7 @@
         with self.assertRaises(errors.StoreUnavailableError):
             self.peers.answers.put_nowait(errors.StaleFeedError('no contact'))
             await self.watch()
+        self.clock.advance(2 * following.RETURN_HOLD_S)
         self.inner_store.is_down = False
         with self.assertRaises(errors.ObjectNotFoundError):
             await self.store.read_stale('k/probe')
@@ -410,7 +415,7 @@
         await asyncio.sleep(0.05)
         change = ports.Changes(6, (stored('b', 6),))
         self.peers.answers.put_nowait(
-            messages.ChangesReply({'k/': change}, 41.0, 41.0)
+            messages.ChangesReply({'k/': change}, 43.0, 43.0)
         )
         self.assertEqual(await waiting, change)
         self.assertEqual(self.inner_store.revisions, [0])
@@ -441,6 +446,80 @@
         self.assertTrue(self.feed.is_fresh)
 
 
+class ContactAgeTest(basecase.AsyncCase):
+    """A VM in touch with the store waits for no feed longer than allowed."""
+
+    MAX_AGE_S = 1.2
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.feed = changefeed.ChangeFeed(self.clock)
+        self.store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            self.feed,
+            self.clock,
+            fakes.follower(),
+            max_contact_age_s=self.MAX_AGE_S,
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.inner_store.script.put_nowait(
+            ports.Changes(5, (stored('a', 3),), complete=True)
+        )
+        await self.store.watch('k/', 0, 1.0)
+
+    def watch(self):
+        """Watches again while a change of the source ends the watch."""
+
+        async def watch_until_changed():
+            while (await self.store.watch('k/', 5, 1.0)).revision == 5:
+                pass
+
+        watch = asyncio.create_task(watch_until_changed())
+        self.addCleanup(watch.cancel)
+
+    async def follow(self):
+        """Follows a leader that has answered one poll."""
+        self.store.follow('10.0.0.1:80')
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 40.0))
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+
+    async def test_unanswered_poll_is_left_for_the_store(self):
+        await self.follow()
+        self.feed.stop_relaying()
+        self.watch()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.inner_store.revisions, [0])
+        self.clock.advance(self.MAX_AGE_S)
+        await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
+        self.assertFalse(self.store.is_following)
+
+    async def test_relay_turns_to_the_store_before_its_followers(self):
+        await self.follow()
+        self.watch()
+        self.clock.advance(self.MAX_AGE_S - following.RELAY_LEAD_S)
+        await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
+
+    async def test_vm_that_starts_waits_for_no_leader_for_longer(self):
+        self.watch()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.inner_store.revisions, [0])
+        self.clock.advance(self.MAX_AGE_S)
+        await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
+
+    async def test_one_failed_call_is_no_outage_to_return_from(self):
+        await self.follow()
+        self.clock.advance(self.MAX_AGE_S)
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.write('k/z', b'1', ports.NEW_OBJECT)
+        with self.assertRaises(errors.ObjectNotFoundError):
+            await self.store.read_stale('k/probe')
+        self.watch()
+        await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
+
+
 class ContactAgeLogTest(basecase.AsyncCase):
     """Logs tell how old the contact was on which a VM acted."""
 
