A contact with the store counts from when the store was asked

Callers would see: requests sent to an instance that drains, as by a feed that a VM takes for fresh though it is seconds old.

Cause: a contact was taken for as new as the moment at which its answer was read. A leader that was frozen reads answers from before the freeze; they made its feed fresh for 1.4 s more. Likewise the difference of two clocks was the least that had been observed, so a first reply that was late (the polled VM or this one had been frozen) made all later contacts newer by its delay.

Change: an answer counts from when its call was sent; one of a watch that ended without changes, from the end of its wait, which the store's client tells (Changes.waited_s). Replies to polls tell how long the poll was held (held_s, only to VMs that say that they read it), so a contact is placed by the time at which the poll was sent. The estimate of clock differences is gone. A source has its watches answered at a contact age of 1.0 s, since an answer with changes no longer renews the contact by itself.

test_removal_long_after_a_failed_write now tells that the poll was held for the hour that the clock is advanced by.

--- a/libs/direct/src/oriolefold_direct/changefeed.py
+++ b/libs/direct/src/oriolefold_direct/changefeed.py
@@ -118,13 +118,14 @@
         """Age of the store contact on which this VM's objects rest."""
         return self._clock.now_s() - self._contact_at_s
 
-    def record_contact(self) -> None:
-        """Records that the store has just answered this VM."""
-        self._contact_at_s = self._clock.now_s()
-        self._notify_waiters()
-
     def advance_contact(self, contact_at_s: float) -> None:
-        """Records a store contact of the polled VM, by this VM's clock."""
+        """Records a contact with the store, by this VM or by the polled one.
+
+        Args:
+            contact_at_s: Time by this VM's clock at which the store knew of
+                no change that is not known here. It is not later than when the
+                store answered, whenever the answer arrived.
+        """
         if contact_at_s > self._contact_at_s:
             self._contact_at_s = contact_at_s
             self._notify_waiters()
@@ -206,7 +207,8 @@
             Changes by prefix (empty after a timeout) or the address of a relay,
             or None if this feed is not fresh.
         """
-        ends_at_s = self._clock.now_s() + POLL_S
+        begun_at_s = self._clock.now_s()
+        ends_at_s = begun_at_s + POLL_S
         if follower.waits_for_contact:
             await self._wait_for_contact(ends_at_s)
         while self._has_contact:
@@ -229,7 +231,11 @@
             )
             if changes_by_prefix or is_newer or now_s >= ends_at_s:
                 return messages.ChangesReply(
-                    changes_by_prefix, now_s, self._contact_at_s, era=self._era
+                    changes_by_prefix,
+                    now_s,
+                    self._contact_at_s,
+                    era=self._era,
+                    held_s=now_s - begun_at_s if follower.reads_hold else 0.0,
                 )
             await self._wait_for_update()
         return None
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -319,7 +319,7 @@
         if self._map_document.body:
             key_map = documents.decode_key_map(self._map_document.body, name)
         self._store.stop_following()
-        self._feed.record_contact()
+        self._feed.advance_contact(now_s)
         self._feed.start_leading(self._service_id)
         self._extend_authority(now_s)
         self._term_version = self._records.version
@@ -484,7 +484,7 @@
         except errors.StoreError as error:
             self._log('leadership.renewal_failed', error=str(error))
         else:
-            self._feed.record_contact()
+            self._feed.advance_contact(sent_at_s)
             self._extend_authority(sent_at_s)
 
     async def _write_heartbeat(self) -> None:
--- a/libs/direct/src/oriolefold_direct/feedpolling.py
+++ b/libs/direct/src/oriolefold_direct/feedpolling.py
@@ -23,30 +23,18 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class _ClockOffset:
-    """Estimate of how far this VM's clock is ahead of another VM's clock.
+def _local_contact_s(reply: messages.ChangesReply, polled_at_s: float) -> float:
+    """Returns a lower bound of a reply's store contact, by this VM's clock.
 
-    Transit time only adds to the observed difference, so the smallest
-    observed difference is the best estimate.
-    """
-
-    def __init__(self):
-        self._min_difference_s = float('inf')
+    The poll arrived no earlier than it was sent, and the reply was made when
+    it had been held. So neither a slow connection nor a freeze of either VM
+    makes the contact later than it was.
 
-    def to_local_time_s(
-        self, remote_time_s: float, sent_at_s: float, received_at_s: float
-    ) -> float:
-        """Converts a time of the other VM to the clock of this VM.
-
-        Args:
-            remote_time_s: Time to convert, by the other VM's clock.
-            sent_at_s: When the reply was sent, by the other VM's clock.
-            received_at_s: When it was received, by this VM's clock.
-        """
-        self._min_difference_s = min(
-            self._min_difference_s, received_at_s - sent_at_s
-        )
-        return remote_time_s + self._min_difference_s
+    Args:
+        reply: The reply.
+        polled_at_s: When the poll was sent, by this VM's clock.
+    """
+    return polled_at_s + reply.held_s - (reply.sent_at_s - reply.contact_at_s)
 
 
 class FeedPoller:
@@ -158,9 +146,9 @@
         Raises:
             OriolefoldError: If the leader fails.
         """
-        offset = _ClockOffset()
         contact_at_s = 0.0
         while True:
+            polled_at_s = self._clock.now_s()
             try:
                 async with asyncio.timeout(limit_s):
                     reply = await self._request(address, contact_at_s)
@@ -179,7 +167,7 @@
                 self._log('feed.redirected', address, relay=reply.relay_address)
                 return reply.relay_address
             contact_at_s = reply.contact_at_s
-            self._feed.renew_relaying(self._accept(reply, offset))
+            self._feed.renew_relaying(self._accept(reply, polled_at_s))
 
     async def _poll_relay(self, address: str) -> float | None:
         """Polls a relay until it fails; then the leader is polled again.
@@ -187,10 +175,10 @@
         Returns:
             Time limit of the leader's next reply, or None.
         """
-        offset = _ClockOffset()
         contact_at_s = 0.0
         try:
             while True:
+                polled_at_s = self._clock.now_s()
                 try:
                     reply = await self._request(address, contact_at_s)
                 except errors.StaleFeedError:
@@ -204,7 +192,7 @@
                     await asyncio.sleep(REDIRECT_PAUSE_S)
                     return None
                 contact_at_s = reply.contact_at_s
-                self._accept(reply, offset)
+                self._accept(reply, polled_at_s)
         except errors.OriolefoldError as error:
             self._log('feed.relay_failed', address, error=str(error))
             self._failed_at_s = self._clock.now_s()
@@ -222,16 +210,15 @@
             avoided_address=self._avoided_address,
             contact_at_s=contact_at_s,
             waits_for_contact=self._stale_since_s is not None,
+            reads_hold=True,
         )
         return await self._peers.changes(address, follower, self._revisions())
 
     def _accept(
-        self, reply: messages.ChangesReply, offset: _ClockOffset
+        self, reply: messages.ChangesReply, polled_at_s: float
     ) -> float:
         """Passes a reply on; returns its store contact by this VM's clock."""
-        contact_at_s = offset.to_local_time_s(
-            reply.contact_at_s, reply.sent_at_s, self._clock.now_s()
-        )
+        contact_at_s = _local_contact_s(reply, polled_at_s)
         self._on_reply(reply, contact_at_s)
         was_fresh = self._is_fresh
         self._note_fresh()
--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -33,8 +33,10 @@
 DEFAULT_MAX_CONTACT_AGE_S = 1.6
 # By how much a relay asks the store before its followers have to.
 RELAY_LEAD_S = 0.3
-# Longest wait of a watch on whose answer the freshness of the own feed depends.
+# Shortest wait of a watch on which the freshness of the own feed depends.
 CONTACT_WATCH_S = 0.1
+# Age of the contact at which a source has the store answer its watches.
+CONTACT_RENEWAL_S = 1.0
 _FAILURES = (
     errors.StoreUnavailableError,
     errors.StoreAnswerLostError,
@@ -333,8 +335,10 @@
     async def _watch_store(
         self, prefix: str, revision: int, timeout_s: float
     ) -> store_ports.Changes:
-        if self._feed.needs_contact:
-            timeout_s = min(timeout_s, CONTACT_WATCH_S)
+        if self._feed.is_source:
+            left_s = CONTACT_RENEWAL_S - self._feed.contact_age_s
+            timeout_s = min(timeout_s, max(CONTACT_WATCH_S, left_s))
+        sent_at_s = self._clock.now_s()
         watch = asyncio.ensure_future(
             self._store.watch(prefix, revision, timeout_s)
         )
@@ -347,7 +351,7 @@
                 return store_ports.Changes(revision, ())
             changes = await watch
             self._note_source(prefix, 'store')
-            self._feed.record_contact()
+            self._feed.advance_contact(sent_at_s + changes.waited_s)
             return changes
         finally:
             source_change.cancel()
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -154,6 +154,8 @@
             the clock of the VM that it polls.
         waits_for_contact: Whether it waits until the feed is fresh instead of
             being told that it is not.
+        reads_hold: Whether it reads how long a poll was held. VMs of earlier
+            versions reject a reply that tells it.
     """
 
     address: str
@@ -162,6 +164,7 @@
     avoided_address: str = ''
     contact_at_s: float = 0.0
     waits_for_contact: bool = False
+    reads_hold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,6 +177,7 @@
         contact_at_s: Its last contact with the store, by the same clock.
         relay_address: VM to poll instead, or empty.
         era: Era of the store in which the replying VM is up to date.
+        held_s: How long the poll was held before the reply; 0 if not told.
     """
 
     changes_by_prefix: dict[str, store_ports.Changes]
@@ -181,6 +185,7 @@
     contact_at_s: float = 0.0
     relay_address: str = ''
     era: int = 0
+    held_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -96,6 +96,7 @@
     # Unknown to VMs of earlier versions, which then watch the store. They would
     # compare revisions without eras.
     era: int = 0
+    held_s: float | None = None  # Unknown to them, too; see `Follower`.
 
 
 class HttpPeers(ports.Peers):
@@ -170,6 +171,7 @@
             reply.contact_at_s,
             reply.relay_address,
             reply.era,
+            reply.held_s or 0.0,
         )
 
     async def _call(
@@ -299,6 +301,7 @@
             reply.contact_at_s,
             reply.relay_address,
             reply.era,
+            reply.held_s or None,
         )
     )
     if len(text) < MIN_COMPRESSED_BYTES:
--- a/libs/direct/tests/feedgraph.py
+++ b/libs/direct/tests/feedgraph.py
@@ -132,7 +132,9 @@
             async with asyncio.timeout(wait_s):
                 while not self._newer(prefix, after_revision):
                     await self._changed.wait()
-        return ports.Changes(self.revision, self._newer(prefix, after_revision))
+        found = self._newer(prefix, after_revision)
+        waited_s = 0.0 if found else wait_s
+        return ports.Changes(self.revision, found, waited_s=waited_s)
 
     def _newer(self, prefix, after) -> tuple[ports.StoredObject, ...]:
         return tuple(
@@ -314,7 +316,7 @@
         while True:
             with contextlib.suppress(errors.StoreError):
                 version = await self.store.write('l/svc', b'{}', version)
-                self.feed.record_contact()
+                self.feed.advance_contact(self.clock.now_s())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _follow(self) -> None:
--- a/libs/direct/tests/test_changefeed.py
+++ b/libs/direct/tests/test_changefeed.py
@@ -102,14 +102,14 @@
         self.assertIsNone(await self.ask(0))
         self.feed.start_leading('svc')
         self.assertIsNone(await self.ask(0))
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         self.assertIn('k/', (await self.ask(0)).changes_by_prefix)
         self.clock.advance(changefeed.MAX_CONTACT_AGE_S)
         self.assertIsNone(await self.ask(0))
 
     async def test_pending_poll_returns_new_changes(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         waiting = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0.01)
         self.feed.append('k/', ports.Changes(6, (stored('b', 6),)))
@@ -118,7 +118,7 @@
 
     async def test_pending_poll_ends_when_contact_is_lost(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         waiting = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0.01)
         self.clock.advance(changefeed.MAX_CONTACT_AGE_S)
@@ -126,18 +126,32 @@
 
     async def test_later_contact_is_sent_without_changes(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         waiting = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0.01)
         self.clock.advance(changefeed.MIN_CONTACT_ADVANCE_S + 0.1)
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         reply = await waiting
         self.assertEqual(reply.changes_by_prefix, {})
         self.assertEqual(reply.contact_at_s, self.clock.now_s())
 
+    async def test_hold_of_a_poll_is_told_to_who_reads_it(self):
+        self.feed.start_leading('svc')
+        self.feed.advance_contact(self.clock.now_s())
+        for revision, reads_hold, told_s in ((6, True, 0.7), (7, False, 0.0)):
+            waiting = asyncio.create_task(
+                self.ask(revision - 1, reads_hold=reads_hold)
+            )
+            await asyncio.sleep(0.01)
+            self.clock.advance(0.7)
+            self.feed.advance_contact(self.clock.now_s())
+            changes = ports.Changes(revision, (stored('b', revision),))
+            self.feed.append('k/', changes)
+            self.assertAlmostEqual((await waiting).held_s, told_s)
+
     async def test_other_regions_are_redirected_to_their_relay(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         far = {'region': 'r2'}
         self.assertEqual((await self.ask(0, **far)).relay_address, '')
         reply = await self.ask(0, name='10.0.0.8:80', **far)
@@ -159,9 +173,9 @@
     ):
         self.feed.append('l/', ports.Changes(5, (), complete=True))
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         self.feed.observe_era(1)
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         self.assertFalse(self.feed.is_fresh)
         waiting = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0.01)
@@ -177,7 +191,7 @@
 
     async def test_poll_ends_if_the_restored_store_is_not_listed(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         waiting = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0.01)
         self.feed.observe_era(1)
@@ -210,6 +224,12 @@
         body = peering.encode_changes(messages.ChangesReply({}, 4.0, era=2))
         self.assertIn(b'"era":2', body)
 
+    def test_only_who_reads_it_is_told_how_long_a_poll_was_held(self):
+        body = peering.encode_changes(messages.ChangesReply({}, 4.0, 3.0))
+        self.assertNotIn(b'held', body)
+        body = peering.encode_changes(messages.ChangesReply({}, held_s=0.5))
+        self.assertIn(b'"held_s":0.5', body)
+
     def test_large_configuration_is_compressed(self):
         routes = [
             f'"route-{i}":{{"hostname":"h{i % 7}.example","timeout":1.5}}'
--- a/libs/direct/tests/test_following.py
+++ b/libs/direct/tests/test_following.py
@@ -285,7 +285,7 @@
 
     async def test_calls_tell_the_feed_the_era(self):
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         self.assertTrue(self.feed.is_fresh)
         self.inner_store.era = 1
         with self.assertRaises(errors.StoreError):
@@ -362,7 +362,7 @@
         self.watch()
         await asyncio.sleep(0)
         self.store.stop_following()
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         self.feed.start_leading('svc')
         await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
 
@@ -520,6 +520,74 @@
         await self.wait_for(lambda: self.inner_store.revisions == [0, 5])
 
 
+class ContactTimeTest(basecase.AsyncCase):
+    """An answer proves nothing about the time since it was asked for.
+
+    Answers that were read late, as after a freeze, once made a feed fresh that
+    was seconds old.
+    """
+
+    async def asyncSetUp(self):
+        self.inner_store = fakes.ScriptedStore()
+        self.peers = QueuedPeers()
+        self.clock = clock.ManualClock(100.0)
+        self.feed = changefeed.ChangeFeed(self.clock)
+        self.store = following.FollowerStore(
+            self.inner_store,
+            self.peers,
+            self.feed,
+            self.clock,
+            fakes.follower(),
+        )
+        self.addAsyncCleanup(self.store.close)
+        self.inner_store.script.put_nowait(
+            ports.Changes(5, (stored('a', 3),), complete=True)
+        )
+        await self.store.watch('k/', 0, 1.0)
+
+    async def answer_after(self, seconds, changes):
+        """Has a leader's watch answered late."""
+        self.store.stop_following()
+        self.feed.start_leading('svc')
+        watch = asyncio.create_task(self.store.watch('k/', 5, 1.0))
+        await self.wait_for(lambda: len(self.inner_store.revisions) == 2)
+        self.clock.advance(seconds)
+        self.inner_store.script.put_nowait(changes)
+        await watch
+
+    async def test_answer_that_a_frozen_leader_reads_late_is_old(self):
+        late = ports.Changes(6, (stored('b', 6),))
+        await self.answer_after(4.0, late)
+        self.assertEqual(self.feed.contact_age_s, 4.0)
+        self.assertFalse(self.feed.is_fresh)
+
+    async def test_answer_without_changes_counts_from_the_end_of_its_wait(self):
+        await self.answer_after(1.2, ports.Changes(5, (), waited_s=1.0))
+        self.assertAlmostEqual(self.feed.contact_age_s, 0.2)
+
+    async def test_first_reply_that_is_late_is_not_taken_for_a_new_one(self):
+        self.clock.advance(1.0)
+        self.store.follow('10.0.0.1:80')
+        await self.wait_for(lambda: self.peers.polls)
+        self.assertTrue(self.peers.poll_targets[-1][1].reads_hold)
+        # The polled VM was frozen before it sent the reply.
+        self.clock.advance(4.0)
+        self.peers.answers.put_nowait(messages.ChangesReply({}, 40.0, 39.9))
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertAlmostEqual(self.feed.contact_age_s, 4.1)
+        self.assertFalse(self.store.is_following)
+
+    async def test_poll_that_was_held_is_as_old_as_its_reply(self):
+        self.clock.advance(1.0)
+        self.store.follow('10.0.0.1:80')
+        await self.wait_for(lambda: self.peers.polls)
+        self.clock.advance(0.9)
+        reply = messages.ChangesReply({}, 40.0, 39.9, held_s=0.8)
+        self.peers.answers.put_nowait(reply)
+        await self.wait_for(lambda: len(self.peers.polls) == 2)
+        self.assertAlmostEqual(self.feed.contact_age_s, 0.2)
+
+
 class ContactAgeLogTest(basecase.AsyncCase):
     """Logs tell how old the contact was on which a VM acted."""
 
--- a/libs/direct/tests/test_outdatedfeeds.py
+++ b/libs/direct/tests/test_outdatedfeeds.py
@@ -217,7 +217,7 @@
             ports.Changes(test_following.in_era(2, 9), (newest,))
         )
         self.feed.start_leading('svc')
-        self.feed.record_contact()
+        self.feed.advance_contact(self.clock.now_s())
         for revision in (
             test_following.in_era(2, 5),
             test_following.in_era(2, 4),
@@ -270,7 +270,9 @@
         await asyncio.sleep(0.1)
         self.clock.advance(3600.0)
         removal = ports.Changes(6, (), ('k/a',))
-        self.peers.answers.put_nowait({'k/': removal})
+        self.peers.answers.put_nowait(
+            messages.ChangesReply({'k/': removal}, held_s=3600.0)
+        )
         async with asyncio.timeout(1):
             await self.wait_for(lambda: len(self.subscriber.messages) == 2)
         self.assertEqual(set(self.subscriber.messages[-1]), {'k/b'})
--- a/libs/store/src/oriolefold_store/ports.py
+++ b/libs/store/src/oriolefold_store/ports.py
@@ -51,12 +51,15 @@
         removed_names: Names of removed objects.
         complete: Whether `objects` holds every object with the prefix, so that
             any other object was removed.
+        waited_s: How long after the call the store answered at the earliest;
+            0 unless it has waited without any change.
     """
 
     revision: int
     objects: tuple[StoredObject, ...]
     removed_names: tuple[str, ...] = ()
     complete: bool = False
+    waited_s: float = 0.0
 
 
 class Store(abc.ABC):
