Test: heartbeats of a leader hide no watch that is not answered

Cause: a feed is fresh by any answer of the store, so a leader whose watches alone are silent might keep its followers from the store.

The histories of any order now include such silence.

--- a/libs/direct/tests/feedgraph.py
+++ b/libs/direct/tests/feedgraph.py
@@ -92,8 +92,9 @@
     Attributes:
         at_s: When, relative to `SETTLED_S`.
         address: The VM.
-        kind: `store` (the store is silent to it), `refused` (the store turns
-            it away), `cut` (no connection of it works) or `frozen`.
+        kind: `store` (the store is silent to it), `watches` (the same, for
+            watches only), `refused` (the store turns it away), `cut` (no
+            connection of it works) or `frozen`.
         for_s: How long.
     """
 
@@ -164,8 +165,12 @@
         return expected_version + 1
 
     async def watch(self, prefix, after_revision, timeout_s):
-        watching_store = self._store.watch(prefix, after_revision, timeout_s)
-        return await self._call(timeout_s + WATCH_MARGIN_S, watching_store)
+        async def answer():
+            if self._vm.has('watches'):
+                await asyncio.Event().wait()
+            return await self._store.watch(prefix, after_revision, timeout_s)
+
+        return await self._call(timeout_s + WATCH_MARGIN_S, answer())
 
     async def _call(self, limit_s, answering: Coroutine):
         self.calls += 1
--- a/libs/direct/tests/test_contactage.py
+++ b/libs/direct/tests/test_contactage.py
@@ -47,6 +47,24 @@
         self.assertLess(worst[0], BOUND_S, worst[1])
 
 
+class UnansweredWatchTest(basecase.BaseCase):
+    """Answered heartbeats of a leader hide no watch that is not answered."""
+
+    def test_followers_of_a_leader_whose_watches_are_silent_know_in_time(self):
+        worst = (0.0, '')
+        for phase_s in (0.0, 0.3, 0.6, 0.9):
+            silent = feedgraph.Fault(phase_s, feedgraph.LEADER, 'watches', 6.0)
+            for later_s in (0.1, 0.5, 0.9, 1.3, 1.7, 2.1, 2.5):
+                change_at_s = phase_s + later_s
+                graph = feedgraph.run(
+                    feedgraph.play((silent,), (change_at_s,), change_at_s + 6.0)
+                )
+                (delay_s,) = graph.delays_s(feedgraph.FIRST).values()
+                text = f'silent from {phase_s} s, change {later_s} s later'
+                worst = max(worst, (delay_s, text))
+        self.assertLess(worst[0], BOUND_S, worst[1])
+
+
 class AnyOrderTest(basecase.BaseCase):
     """No order of losses lets an undisturbed VM act on what is too old."""
 
@@ -57,7 +75,9 @@
         address=strategies.sampled_from(
             (feedgraph.LEADER, feedgraph.RELAY, feedgraph.SECOND)
         ),
-        kind=strategies.sampled_from(('store', 'refused', 'cut', 'frozen')),
+        kind=strategies.sampled_from(
+            ('store', 'watches', 'refused', 'cut', 'frozen')
+        ),
         for_s=strategies.integers(3, 50).map(lambda tenths: tenths / 10),
     )
 
