Watches of a leader wait as long as before; only a relay's are shortened

Change: only a relay that serves on without its leader has its watches answered early, at a contact age of 1.2 s.

--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -35,8 +35,9 @@
 RELAY_LEAD_S = 0.3
 # Shortest wait of a watch on which the freshness of the own feed depends.
 CONTACT_WATCH_S = 0.1
-# Age of the contact at which a source has the store answer its watches.
-CONTACT_RENEWAL_S = 1.0
+# Age of the contact at which a relay has the store answer its watches. It is
+# less than the age from which other VMs do not rely on its feed.
+CONTACT_RENEWAL_S = 1.2
 _FAILURES = (
     errors.StoreUnavailableError,
     errors.StoreAnswerLostError,
@@ -335,7 +336,8 @@
     async def _watch_store(
         self, prefix: str, revision: int, timeout_s: float
     ) -> store_ports.Changes:
-        if self._feed.is_source:
+        if self._feed.is_source and not self._feed.is_leading:
+            # A relay whose leader is lost has no heartbeats to be answered.
             left_s = CONTACT_RENEWAL_S - self._feed.contact_age_s
             timeout_s = min(timeout_s, max(CONTACT_WATCH_S, left_s))
         sent_at_s = self._clock.now_s()
