Two comments on the age of a contact: relays, and the hold after an outage

Cause: both rules differ from that of other VMs without a reason beside them.

Measured: no logic changed; test_contacts, test_following and test_contactage pass.

--- a/libs/direct/src/oriolefold_direct/following.py
+++ b/libs/direct/src/oriolefold_direct/following.py
@@ -147,6 +147,7 @@
         """Time until the known objects rest on too old a store contact."""
         limit_s = self._max_contact_age_s
         if self._feed.is_source:
+            # Others rely on this VM, so it renews its contact before they do.
             limit_s = min(limit_s - RELAY_LEAD_S, changefeed.MAX_CONTACT_AGE_S)
         return limit_s - self._feed.contact_age_s
 
@@ -164,6 +165,8 @@
         """How long the watches may still wait for a leader's feed."""
         now_s = self._clock.now_s()
         hold_s = min((self._hold_until_s or 0.0) - now_s, self._contact_left_s)
+        # After an outage the objects are too old anyway, and calls of all VMs
+        # at once would delay the store.
         return max(hold_s, self._return_hold_until_s - now_s)
 
     @property
