Choice of instances, waiting for capacity and key candidates in modules of their own

Change: routing.instancetable and routing.selection (an abstract class with the former choice as NearestCheapest), direct.acquisition, direct.candidates.

--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -0,0 +1,279 @@
+"""Finds an instance with capacity for each request, and queues what waits.
+
+The object belongs to the dispatcher, in whose task all of it runs.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from oriolefold_core import clock, errors
+from oriolefold_direct import keyowners, pending
+from oriolefold_routing import (
+    concurrency,
+    instancetable,
+    selection,
+    waitqueue,
+)
+
+WAKE_INTERVAL_S = 0.05  # Interval of capacity checks while requests wait.
+
+
+class Acquisition:
+    """Queues of the services, and the choice of instances for requests."""
+
+    def __init__(
+        self,
+        instance_table: instancetable.InstanceTable,
+        key_owners: keyowners.KeyOwners,
+        time: clock.Clock,
+        reporter: pending.Reporter,
+        generator: random.Random,
+        check_may_send: Callable[[pending.PendingRequest], None],
+        schedule_wake: Callable[[float, str], None],
+    ):
+        """Initializes it without queued requests.
+
+        Args:
+            instance_table: The known instances.
+            key_owners: The known owners of keys.
+            time: Clock for deadlines.
+            reporter: Logs of decisions.
+            generator: Source of random numbers.
+            check_may_send: Raises `StoppingError` if a request cannot end
+                before this VM stops.
+            schedule_wake: Arranges a call of `wake` for a service after some
+                seconds.
+        """
+        self._instance_table = instance_table
+        self._key_owners = key_owners
+        self._clock = time
+        self._reporter = reporter
+        self._random = generator
+        self._check_may_send = check_may_send
+        self._post_wake = schedule_wake
+        self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
+        self._wake_scheduled_ids: set[str] = set()
+
+    async def acquire(
+        self, request: pending.PendingRequest
+    ) -> concurrency.InstanceState:
+        """Selects an instance with capacity and counts the request there.
+
+        Waits in the queue if no instance has capacity.
+
+        Raises:
+            OverloadedError: If no instance has capacity in time.
+            StoppingError: If it cannot end before this VM stops.
+        """
+        queue = self._queue(request.service_id)
+        now_s = self._clock.now_s()
+        self._check_may_send(request)
+        # Requests for one busy owner must not delay those for other owners,
+        # so keyed requests skip the check for queued requests.
+        if request.key is not None or not queue.count_ahead(request.route.rank):
+            selected = self._choose(request, now_s)
+            if selected is not None:
+                selected.record_send(now_s)
+                return selected
+        max_wait_s = waitqueue.max_wait_s(
+            request.route.objective_s, self._expected_time_s(request)
+        )
+        give_up_at_s = request.received_at_s + max_wait_s
+        self._check_pushback(request, give_up_at_s)
+        assignment = asyncio.get_running_loop().create_future()
+        waiter = waitqueue.Waiter(
+            (request, assignment), request.route.rank, give_up_at_s
+        )
+        queue.add(waiter)
+        self._schedule_wake(request.service_id)
+        try:
+            async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
+                return await assignment
+        except TimeoutError as error:
+            self._release_instance(assignment)
+            if request.key is not None:
+                self._log_unavailable_owner(request)
+            text = f'no instance of {request.service_id} has capacity'
+            raise self.overloaded_error(request, text) from error
+        except asyncio.CancelledError:
+            self._release_instance(assignment)
+            raise
+        finally:
+            queue.discard(waiter)
+
+    def waiting(self, service_id: str) -> int:
+        """Returns the number of queued requests of a service."""
+        return len(self._queue(service_id))
+
+    def _check_pushback(
+        self, request: pending.PendingRequest, give_up_at_s: float
+    ) -> None:
+        """Checks that an instance wants requests before a wait would end.
+
+        Raises:
+            OverloadedError: If none does.
+        """
+        now_s = self._clock.now_s()
+        if request.key is None:
+            busy_until_s = self._instance_table.busy_until_s(
+                self._demand(request, now_s), now_s
+            )
+        else:
+            owner = self._owner(request)
+            if owner is None:
+                return
+            busy_until_s = owner.belief.busy_until_s
+        if busy_until_s <= give_up_at_s:
+            return
+        error = self.overloaded_error(
+            request, f'no instance of {request.service_id} wants requests yet'
+        )
+        error.retry_after_s = max(
+            error.retry_after_s, round(busy_until_s - now_s, 3)
+        )
+        raise error
+
+    def _expected_time_s(self, request: pending.PendingRequest) -> float:
+        """Returns the expected time from sending to the answer."""
+        owner = self._owner(request) if request.key is not None else None
+        if owner is not None and owner.service_time_s:
+            return owner.service_time_s
+        return self._instance_table.typical_time_s(request.service_id)
+
+    def _release_instance(self, assignment: asyncio.Future) -> None:
+        """Undoes the assignment of an instance to an abandoned request."""
+        if not assignment.done() or assignment.cancelled():
+            return
+        if assignment.exception() is None:
+            assignment.result().in_flight -= 1
+
+    def _choose(
+        self, request: pending.PendingRequest, now_s: float
+    ) -> concurrency.InstanceState | None:
+        if request.key is None:
+            return self._instance_table.choose(
+                self._demand(request, now_s), now_s
+            )
+        owner = self._owner(request)
+        if owner is None or not owner.has_capacity(now_s):
+            return None
+        return owner
+
+    def _demand(
+        self, request: pending.PendingRequest, now_s: float
+    ) -> selection.Demand:
+        route = request.route
+        return selection.Demand(
+            request.service_id,
+            request.tried_ids,
+            body_bytes=len(request.call.body),
+            left_s=request.received_at_s + route.objective_s - now_s,
+        )
+
+    def _owner(
+        self, request: pending.PendingRequest
+    ) -> concurrency.InstanceState | None:
+        """Returns the owner of the key, or None if it cannot be sent to now."""
+        return self._key_owners.find(request.service_id, request.key)[0]
+
+    def _log_unavailable_owner(self, request: pending.PendingRequest) -> None:
+        """Logs why the owner of a key got no request."""
+        owner, obstacle = self._key_owners.find(request.service_id, request.key)
+        self._reporter.owner_unavailable(request, owner, obstacle)
+
+    def refuse_pushed_back(self, service_id: str) -> None:
+        """Refuses the queued requests that no instance wants in their time."""
+        queue = self._queue(service_id)
+        if not queue or not self._instance_table.any_pushes_back(
+            service_id, self._clock.now_s()
+        ):
+            return
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            try:
+                self._check_pushback(request, waiter.give_up_at_s)
+            except errors.OverloadedError as error:
+                assignment.set_exception(error)
+                queue.discard(waiter)
+
+    def refuse_all_unfinishable(self) -> None:
+        """Refuses the queued requests that may no longer be sent."""
+        for queue in self._queues_by_service_id.values():
+            self._refuse_unfinishable(queue)
+
+    def refuse_all_pushed_back(self) -> None:
+        """Refuses the queued requests that no instance wants in their time."""
+        for service_id in self._queues_by_service_id:
+            self.refuse_pushed_back(service_id)
+
+    def wake_all(self) -> None:
+        """Assigns instances to the queued requests of all services."""
+        for service_id in self._queues_by_service_id:
+            self.wake(service_id)
+
+    def wake_on_schedule(self, service_id: str) -> None:
+        """Assigns instances when the time that was arranged has come."""
+        self._wake_scheduled_ids.discard(service_id)
+        self.wake(service_id)
+
+    def wake(self, service_id: str) -> None:
+        """Assigns instances to queued requests, most urgent first."""
+        queue = self._queues_by_service_id.get(service_id)
+        if not queue:
+            return
+        now_s = self._clock.now_s()
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            selected = self._choose(request, now_s)
+            if selected is not None:
+                selected.record_send(now_s)
+                assignment.set_result(selected)
+                queue.discard(waiter)
+            elif request.key is None and not request.tried_ids:
+                break
+        if queue:
+            self._schedule_wake(service_id)
+
+    def _refuse_unfinishable(self, queue: waitqueue.WaitQueue) -> None:
+        """Refuses the queued requests that may no longer be sent."""
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            try:
+                self._check_may_send(request)
+            except errors.StoppingError as error:
+                assignment.set_exception(error)
+                queue.discard(waiter)
+
+    def _schedule_wake(self, service_id: str) -> None:
+        if service_id not in self._wake_scheduled_ids:
+            self._wake_scheduled_ids.add(service_id)
+            self._post_wake(WAKE_INTERVAL_S, service_id)
+
+    def overloaded_error(
+        self, request: pending.PendingRequest, text: str
+    ) -> errors.OverloadedError:
+        """Returns an overload error with the time to retry after."""
+        error = errors.OverloadedError(text)
+        now_s = self._clock.now_s()
+        left_s = request.caller_left_s - (now_s - request.received_at_s)
+        error.retry_after_s = waitqueue.retry_after_s(
+            max(0.0, left_s),
+            self._instance_table.typical_time_s(request.service_id),
+            self._random.random(),
+        )
+        return error
+
+    def _queue(self, service_id: str) -> waitqueue.WaitQueue:
+        queue = self._queues_by_service_id.get(service_id)
+        if queue is None:
+            queue = self._queues_by_service_id[service_id] = (
+                waitqueue.WaitQueue()
+            )
+        return queue
--- /dev/null
+++ b/libs/direct/src/oriolefold_direct/candidates.py
@@ -0,0 +1,67 @@
+"""The instances of one service that may own keys."""
+
+from collections.abc import Callable, Mapping
+
+from oriolefold_coordination import assignment, ranges
+from oriolefold_routing import announcements, topology
+
+
+class Candidates:
+    """Registered instances, and what they announced to any VM.
+
+    Attributes:
+        endpoints: Instances of the service.
+        announcements: What instances announced.
+        has_changed: Whether the last update changed instances of the service.
+    """
+
+    def __init__(self, service_id: str):
+        self._service_id = service_id
+        self._all_endpoints: tuple[topology.Endpoint, ...] = ()
+        self.endpoints: tuple[topology.Endpoint, ...] = ()
+        self.announcements = announcements.Announcements()
+        self.has_changed = False
+
+    def update(self, endpoints_by_id: Mapping[str, topology.Endpoint]) -> bool:
+        """Replaces the registered instances; returns whether any changed.
+
+        Also an instance of another service ends the one whose address it has.
+        """
+        all_endpoints = tuple(endpoints_by_id.values())
+        if all_endpoints == self._all_endpoints:
+            return False
+        self._all_endpoints = all_endpoints
+        endpoints = tuple(
+            e for e in all_endpoints if e.service_id == self._service_id
+        )
+        self.has_changed = endpoints != self.endpoints
+        self.endpoints = endpoints
+        return True
+
+    def available(
+        self, capacity: Callable[[topology.Endpoint], float], now_s: float
+    ) -> list[assignment.Candidate]:
+        """Returns the instances that may be given keys.
+
+        Args:
+            capacity: Returns the requests per second that an instance can run.
+            now_s: Current time.
+        """
+        return [
+            assignment.Candidate(_holder(e), capacity(e))
+            for e in self.endpoints
+            if not e.draining
+            and not self.announcements.belief(
+                e.instance_id, e.born_ms
+            ).is_leaving(now_s)
+        ]
+
+    def registered(self) -> list[ranges.Holder]:
+        """Returns the registered instances of all services."""
+        return [_holder(e) for e in self._all_endpoints]
+
+
+def _holder(endpoint: topology.Endpoint) -> ranges.Holder:
+    return ranges.Holder(
+        endpoint.instance_id, endpoint.born_ms, str(endpoint.address)
+    )
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 from oriolefold_coordination import (
-    assignment,
     leaderelection,
     rangeleases,
     ranges,
 )
 from oriolefold_core import clock, errors, tasks
 from oriolefold_direct import (
+    candidates,
     changefeed,
     documents,
     following,
@@ -27,7 +27,7 @@
     messages,
     ports,
 )
-from oriolefold_routing import announcements, topology
+from oriolefold_routing import announcements
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
 from oriolefold_telemetry import counters, logs
@@ -150,9 +150,7 @@
         self._former_leader: leaderelection.LeaderRecord | None = None
         self._map_document: updates.Document | None = None
         self._map_era = 0  # Era of the store in which the map was read.
-        self._endpoints: tuple[topology.Endpoint, ...] = ()
-        self._all_endpoints: tuple[topology.Endpoint, ...] = ()
-        self._announcements = announcements.Announcements()
+        self._candidates = candidates.Candidates(service_id)
         self._load_tracker = loadtracker.LoadTracker(time.now_s())
         self._load_updated_at_s = 0.0
         self._load_reporter = loadreports.LoadReporter(
@@ -212,16 +210,9 @@
                 self._step()
 
     def _update_endpoints(self, update: messages.EndpointsUpdated) -> None:
-        all_endpoints = tuple(update.endpoints_by_id.values())
-        if all_endpoints == self._all_endpoints:
+        if not self._candidates.update(update.endpoints_by_id):
             return
-        # Also an instance of another service ends the one whose address it has.
-        self._all_endpoints = all_endpoints
-        endpoints = tuple(
-            e for e in all_endpoints if e.service_id == self._service_id
-        )
-        if endpoints != self._endpoints:
-            self._endpoints = endpoints
+        if self._candidates.has_changed:
             self._registry_changed_at_s = self._clock.now_s()
         self._update_candidates()
         self._step()
@@ -568,16 +559,12 @@
     def _update_candidates(self) -> None:
         if self._lease_manager is None:
             return
-        candidates = [
-            assignment.Candidate(_holder(e), self._load_tracker.capacity(e))
-            for e in self._endpoints
-            if not e.draining
-            and not self._announcements.belief(
-                e.instance_id, e.born_ms
-            ).is_leaving(self._clock.now_s())
-        ]
-        registered = [_holder(e) for e in self._all_endpoints]
-        self._lease_manager.update(candidates, registered)
+        self._lease_manager.update(
+            self._candidates.available(
+                self._load_tracker.capacity, self._clock.now_s()
+            ),
+            self._candidates.registered(),
+        )
 
     async def _update_own_load(self) -> None:
         now_s = self._clock.now_s()
@@ -599,7 +586,7 @@
             vm_id,
             load,
             self._lease_manager.key_map,
-            self._endpoints,
+            self._candidates.endpoints,
             self._clock.now_s(),
         )
         return messages.LoadReply(shares_by_id, self._granted_ranges())
@@ -616,7 +603,7 @@
         """
         begins = False
         for instance_id, born_ms in leaving_by_id.items():
-            news = self._announcements.record(
+            news = self._candidates.announcements.record(
                 instance_id,
                 born_ms,
                 announcements.Announcement(leaving=True),
@@ -849,9 +836,3 @@
 
     def _log(self, name: str, **fields) -> None:
         logs.event(name, service=self._service_id, **fields)
-
-
-def _holder(endpoint: topology.Endpoint) -> ranges.Holder:
-    return ranges.Holder(
-        endpoint.instance_id, endpoint.born_ms, str(endpoint.address)
-    )
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -11,6 +11,7 @@
 
 from oriolefold_core import clock, data, errors, tasks
 from oriolefold_direct import (
+    acquisition,
     admission,
     keyowners,
     messages,
@@ -24,15 +25,14 @@
     attempts,
     concurrency,
     draining,
+    instancetable,
     topology,
-    waitqueue,
 )
 from oriolefold_sending import messages as sending_messages
 from oriolefold_telemetry import counters
 
 MISDIRECTED_RETRY_DELAY_S = 0.1  # Before a retry after a misdirected send.
 MAX_REPORTED_KEYS = 4096  # Latest keys kept for the next load report.
-WAKE_INTERVAL_S = 0.05  # Interval of capacity checks while requests wait.
 
 _RESULTS_BY_CATEGORY = {
     errors.Category.OVERLOADED: concurrency.SendResult.REFUSED,
@@ -70,13 +70,21 @@
         self._clock = time
         self._retries = retries.Retries(time, budget_limits)
         self._reporter = pending.Reporter(time, recorder)
-        self._random = generator
         self._admission = admission.Admission(key_header)
-        self._instance_table = concurrency.InstanceTable(locality)
+        self._instance_table = instancetable.InstanceTable(locality)
         self._key_owners = keyowners.KeyOwners(self._instance_table)
-        self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
+        self._acquisition = acquisition.Acquisition(
+            self._instance_table,
+            self._key_owners,
+            time,
+            self._reporter,
+            generator,
+            self._check_may_send,
+            lambda delay_s, service_id: self.post_later(
+                delay_s, messages.Wake(service_id)
+            ),
+        )
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
-        self._wake_scheduled_ids: set[str] = set()
         self._stops_at_s = math.inf
         self._children_by_request: dict[
             pending.PendingRequest, asyncio.Task
@@ -96,8 +104,7 @@
             case messages.GrantedRanges():
                 self._apply_granted(message)
             case messages.Wake():
-                self._wake_scheduled_ids.discard(message.service_id)
-                self._wake(message.service_id)
+                self._acquisition.wake_on_schedule(message.service_id)
             case messages.SharesUpdated():
                 now_s = self._clock.now_s()
                 for instance_id, share in message.shares_by_id.items():
@@ -106,8 +113,7 @@
                         known.set_quota(share, now_s)
             case sending_messages.Drain():
                 self._stops_at_s = message.stops_at_s
-                for queue in self._queues_by_service_id.values():
-                    self._refuse_unfinishable(queue)
+                self._acquisition.refuse_all_unfinishable()
             case gateway_messages.EndRequests():
                 self._end_requests()
                 message.answer(None)
@@ -124,17 +130,16 @@
             known = self._instance_table.states_by_id.get(instance_id)
             self._reporter.listed(endpoint, known, now_s)
         self._instance_table.update(endpoints_by_id, now_s)
-        for service_id in self._queues_by_service_id:
-            self._refuse_pushed_back(service_id)
-        self._wake_all()
+        self._acquisition.refuse_all_pushed_back()
+        self._acquisition.wake_all()
 
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
         if self._key_owners.update(update):
-            self._wake(update.key_map.service_id)
+            self._acquisition.wake(update.key_map.service_id)
 
     def _apply_granted(self, granted: messages.GrantedRanges) -> None:
         if self._key_owners.apply_granted(granted):
-            self._wake(granted.service_id)
+            self._acquisition.wake(granted.service_id)
 
     def _accept(self, dispatch: gateway_messages.Dispatch) -> None:
         now_s = self._clock.now_s()
@@ -224,7 +229,7 @@
                 raise errors.OutcomeUnknownError(
                     'no answer before the deadline'
                 ) from error
-            raise self._overloaded_error(
+            raise self._acquisition.overloaded_error(
                 request, 'no instance had capacity before the deadline'
             ) from error
 
@@ -232,7 +237,7 @@
         self, request: pending.PendingRequest
     ) -> data.Answer:
         while True:
-            instance = await self._acquire_instance(request)
+            instance = await self._acquisition.acquire(request)
             try:
                 answer = await self._send(request, instance)
             except errors.OriolefoldError as error:
@@ -255,7 +260,7 @@
     ) -> errors.OriolefoldError:
         """Returns the error for the caller when a request is not retried."""
         if isinstance(error, errors.NotRunError):
-            return self._overloaded_error(request, error.message)
+            return self._acquisition.overloaded_error(request, error.message)
         return error
 
     def _replace_not_run_error(
@@ -270,118 +275,6 @@
             return errors.OutcomeUnknownError(error.message)
         return error
 
-    async def _acquire_instance(
-        self, request: pending.PendingRequest
-    ) -> concurrency.InstanceState:
-        """Selects an instance with capacity and counts the request there.
-
-        Waits in the queue if no instance has capacity.
-
-        Raises:
-            OverloadedError: If no instance has capacity in time.
-            StoppingError: If it cannot end before this VM stops.
-        """
-        queue = self._queue(request.service_id)
-        now_s = self._clock.now_s()
-        self._check_may_send(request)
-        # Requests for one busy owner must not delay those for other owners,
-        # so keyed requests skip the check for queued requests.
-        if request.key is not None or not queue.count_ahead(request.route.rank):
-            selected = self._choose(request, now_s)
-            if selected is not None:
-                selected.record_send(now_s)
-                return selected
-        max_wait_s = waitqueue.max_wait_s(
-            request.route.objective_s, self._expected_time_s(request)
-        )
-        give_up_at_s = request.received_at_s + max_wait_s
-        self._check_pushback(request, give_up_at_s)
-        assignment = asyncio.get_running_loop().create_future()
-        waiter = waitqueue.Waiter(
-            (request, assignment), request.route.rank, give_up_at_s
-        )
-        queue.add(waiter)
-        self._schedule_wake(request.service_id)
-        try:
-            async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
-                return await assignment
-        except TimeoutError as error:
-            self._release_instance(assignment)
-            if request.key is not None:
-                self._log_unavailable_owner(request)
-            text = f'no instance of {request.service_id} has capacity'
-            raise self._overloaded_error(request, text) from error
-        except asyncio.CancelledError:
-            self._release_instance(assignment)
-            raise
-        finally:
-            queue.discard(waiter)
-
-    def _check_pushback(
-        self, request: pending.PendingRequest, give_up_at_s: float
-    ) -> None:
-        """Checks that an instance wants requests before a wait would end.
-
-        Raises:
-            OverloadedError: If none does.
-        """
-        now_s = self._clock.now_s()
-        if request.key is None:
-            busy_until_s = self._instance_table.busy_until_s(
-                request.service_id, request.tried_ids, now_s
-            )
-        else:
-            owner = self._owner(request)
-            if owner is None:
-                return
-            busy_until_s = owner.belief.busy_until_s
-        if busy_until_s <= give_up_at_s:
-            return
-        error = self._overloaded_error(
-            request, f'no instance of {request.service_id} wants requests yet'
-        )
-        error.retry_after_s = max(
-            error.retry_after_s, round(busy_until_s - now_s, 3)
-        )
-        raise error
-
-    def _expected_time_s(self, request: pending.PendingRequest) -> float:
-        """Returns the expected time from sending to the answer."""
-        owner = self._owner(request) if request.key is not None else None
-        if owner is not None and owner.service_time_s:
-            return owner.service_time_s
-        return self._instance_table.typical_time_s(request.service_id)
-
-    def _release_instance(self, assignment: asyncio.Future) -> None:
-        """Undoes the assignment of an instance to an abandoned request."""
-        if not assignment.done() or assignment.cancelled():
-            return
-        if assignment.exception() is None:
-            assignment.result().in_flight -= 1
-
-    def _choose(
-        self, request: pending.PendingRequest, now_s: float
-    ) -> concurrency.InstanceState | None:
-        if request.key is None:
-            return self._instance_table.choose(
-                request.service_id, request.tried_ids, now_s
-            )
-        owner = self._owner(request)
-        if owner is None or not owner.has_capacity(now_s):
-            return None
-        return owner
-
-    def _owner(
-        self, request: pending.PendingRequest
-    ) -> concurrency.InstanceState | None:
-        """Returns the owner of the key, or None if it cannot be sent to now."""
-        return self._key_owners.find(request.service_id, request.key)[0]
-
-    def _log_unavailable_owner(self, request: pending.PendingRequest) -> None:
-        """Logs why the owner of a key got no request."""
-        owner, obstacle = self._key_owners.find(request.service_id, request.key)
-        self._reporter.owner_unavailable(request, owner, obstacle)
-
     async def _send(
         self, request: pending.PendingRequest, instance
     ) -> data.Answer:
@@ -442,7 +335,7 @@
             took_s = now_s - started_s - held_up_s
             instance.record(result, took_s, now_s)
             self._reporter.sent(instance, result)
-            self._wake(request.service_id)
+            self._acquisition.wake(request.service_id)
         return answer
 
     def _heed(
@@ -462,79 +355,7 @@
         held_up_s = said.held_up_s if isinstance(said, data.Answer) else 0.0
         self._reporter.announced(endpoint, news, held_up_s)
         if news.leaving or said.pushback_s:
-            self._refuse_pushed_back(endpoint.service_id)
-
-    def _refuse_pushed_back(self, service_id: str) -> None:
-        """Refuses the queued requests that no instance wants in their time."""
-        queue = self._queue(service_id)
-        if not queue or not self._instance_table.any_pushes_back(
-            service_id, self._clock.now_s()
-        ):
-            return
-        for waiter in queue.by_priority():
-            request, assignment = waiter.payload
-            if assignment.done():
-                continue
-            try:
-                self._check_pushback(request, waiter.give_up_at_s)
-            except errors.OverloadedError as error:
-                assignment.set_exception(error)
-                queue.discard(waiter)
-
-    def _wake_all(self) -> None:
-        for service_id in self._queues_by_service_id:
-            self._wake(service_id)
-
-    def _wake(self, service_id: str) -> None:
-        """Assigns instances to queued requests, most urgent first."""
-        queue = self._queues_by_service_id.get(service_id)
-        if not queue:
-            return
-        now_s = self._clock.now_s()
-        for waiter in queue.by_priority():
-            request, assignment = waiter.payload
-            if assignment.done():
-                continue
-            selected = self._choose(request, now_s)
-            if selected is not None:
-                selected.record_send(now_s)
-                assignment.set_result(selected)
-                queue.discard(waiter)
-            elif request.key is None and not request.tried_ids:
-                break
-        if queue:
-            self._schedule_wake(service_id)
-
-    def _refuse_unfinishable(self, queue: waitqueue.WaitQueue) -> None:
-        """Refuses the queued requests that may no longer be sent."""
-        for waiter in queue.by_priority():
-            request, assignment = waiter.payload
-            if assignment.done():
-                continue
-            try:
-                self._check_may_send(request)
-            except errors.StoppingError as error:
-                assignment.set_exception(error)
-                queue.discard(waiter)
-
-    def _schedule_wake(self, service_id: str) -> None:
-        if service_id not in self._wake_scheduled_ids:
-            self._wake_scheduled_ids.add(service_id)
-            self.post_later(WAKE_INTERVAL_S, messages.Wake(service_id))
-
-    def _overloaded_error(
-        self, request: pending.PendingRequest, text: str
-    ) -> errors.OverloadedError:
-        """Returns an overload error with the time to retry after."""
-        error = errors.OverloadedError(text)
-        now_s = self._clock.now_s()
-        left_s = request.caller_left_s - (now_s - request.received_at_s)
-        error.retry_after_s = waitqueue.retry_after_s(
-            max(0.0, left_s),
-            self._instance_table.typical_time_s(request.service_id),
-            self._random.random(),
-        )
-        return error
+            self._acquisition.refuse_pushed_back(endpoint.service_id)
 
     def _view(self, service_id: str | None = None) -> pending.View:
         version = self._admission.policy_version
@@ -543,17 +364,9 @@
         return pending.View(
             version,
             self._key_owners.next_token(service_id),
-            len(self._queue(service_id)),
+            self._acquisition.waiting(service_id),
         )
 
-    def _queue(self, service_id: str) -> waitqueue.WaitQueue:
-        queue = self._queues_by_service_id.get(service_id)
-        if queue is None:
-            queue = self._queues_by_service_id[service_id] = (
-                waitqueue.WaitQueue()
-            )
-        return queue
-
     def _recent_keys(self, service_id: str) -> collections.deque[int]:
         keys = self._keys_by_service_id.get(service_id)
         if keys is None:
--- a/libs/direct/src/oriolefold_direct/keyowners.py
+++ b/libs/direct/src/oriolefold_direct/keyowners.py
@@ -4,13 +4,13 @@
 
 from oriolefold_coordination import ranges
 from oriolefold_direct import messages
-from oriolefold_routing import concurrency
+from oriolefold_routing import concurrency, instancetable
 
 
 class KeyOwners:
     """The newest key map of each service, and the instances that it names."""
 
-    def __init__(self, instance_table: concurrency.InstanceTable):
+    def __init__(self, instance_table: instancetable.InstanceTable):
         """Initializes it without any key map.
 
         Args:
--- a/libs/experiment/src/oriolefold_experiment/policies.py
+++ b/libs/experiment/src/oriolefold_experiment/policies.py
@@ -7,9 +7,16 @@
 
 from oriolefold_core import data
 from oriolefold_experiment import scenarios
-from oriolefold_routing import concurrency, topology, waitqueue
+from oriolefold_routing import (
+    concurrency,
+    instancetable,
+    selection,
+    topology,
+    waitqueue,
+)
 
 SERVICE_ID = 'service'
+DEMAND = selection.Demand(SERVICE_ID)
 ZONE_ID = 'zone'
 UNUSED_ADDRESS = data.Address('0.0.0.0', 0)
 
@@ -57,7 +64,7 @@
 
     def __init__(self, scenario, generator):
         super().__init__(scenario, generator)
-        self._instance_table = concurrency.InstanceTable(
+        self._instance_table = instancetable.InstanceTable(
             topology.Locality(ZONE_ID, {ZONE_ID: 'r'})
         )
         # Each VM has its own order of instances, which breaks ties in `choose`.
@@ -80,7 +87,7 @@
 
     def choose(self, now_s):
         """Returns the instance with room and the least expected latency."""
-        chosen = self._instance_table.choose(SERVICE_ID, (), now_s)
+        chosen = self._instance_table.choose(DEMAND, now_s)
         return int(chosen.endpoint.instance_id) if chosen else None
 
     def max_wait_s(self, kind):
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
 
 from oriolefold_routing import announcements, topology
 
@@ -18,7 +17,6 @@
 REFUSAL_DECREASE_FACTOR = 0.7  # Limit after a refusal over the limit before.
 REFUSAL_BACKOFF_S = 0.08  # Time without new requests after a refusal.
 FAILURE_BACKOFF_S = 1.0  # Time without new requests after a failed connection.
-FAILURE_RATE_THRESHOLD = 0.35  # Above it, other instances are preferred.
 MAX_QUEUED_PER_SLOT = 0.5  # Requests that one VM may queue, per slot.
 QUEUEING_RATIO = 1.5  # Service time over baseline that indicates a queue.
 MIN_DECREASE_FACTOR = 0.7  # Lower bound of the decrease when there is a queue.
@@ -30,7 +28,6 @@
 SMALL_QUOTA_MARGIN = 3.0  # The same for quotas below one request.
 MIN_QUOTA = 0.1  # Average requests in flight that every VM may have.
 QUOTA_TTL_S = 1.5  # Validity of a quota; it is renewed twice a second.
-CROSS_ZONE_PENALTY = 1.15  # Cost relative to an instance in this zone.
 
 
 class SendResult(enum.Enum):
@@ -233,161 +230,3 @@
 
     def _clip(self, took_s: float) -> float:
         return min(took_s, OUTLIER_FACTOR * self.baseline_time_s)
-
-
-class InstanceTable:
-    """Load state of all registered instances, grouped by service."""
-
-    def __init__(self, locality: topology.Locality):
-        self._locality = locality
-        self.states_by_id: dict[str, InstanceState] = {}
-        self._by_service_id: dict[str, list[InstanceState]] = {}
-        self._announcements = announcements.Announcements()
-
-    def update(
-        self, endpoints_by_id: dict[str, topology.Endpoint], now_s: float
-    ) -> None:
-        """Replaces the set of registered instances.
-
-        The state of an instance is kept until a new incarnation registers.
-        """
-        states: dict[str, InstanceState] = {}
-        grouped: dict[str, list[InstanceState]] = {}
-        for instance_id, endpoint in endpoints_by_id.items():
-            known = self.states_by_id.get(instance_id)
-            if known is None or _is_new_incarnation(known.endpoint, endpoint):
-                known = InstanceState(
-                    endpoint,
-                    self._locality.distance_to(endpoint.zone_id),
-                    max(1.0, endpoint.slots),
-                    warm_up_until_s=now_s + endpoint.warm_up_s,
-                )
-            known.endpoint = endpoint
-            known.belief = self._announcements.belief(
-                instance_id, endpoint.born_ms
-            )
-            states[instance_id] = known
-            grouped.setdefault(endpoint.service_id, []).append(known)
-        self.states_by_id = states
-        self._by_service_id = grouped
-
-    def record_announcement(
-        self,
-        endpoint: topology.Endpoint,
-        announcement: announcements.Announcement,
-        now_s: float,
-    ) -> announcements.Announcement:
-        """Records what an instance has announced; returns what is new in it."""
-        news = self._announcements.record(
-            endpoint.instance_id, endpoint.born_ms, announcement, now_s
-        )
-        known = self.states_by_id.get(endpoint.instance_id)
-        if known is not None:
-            known.belief = self._announcements.belief(
-                endpoint.instance_id, known.endpoint.born_ms
-            )
-        return news
-
-    def leaving(self, service_id: str, now_s: float) -> list[InstanceState]:
-        """Returns the instances of a service that announced that they leave."""
-        return [
-            state
-            for state in self.of_service(service_id)
-            if state.belief.is_leaving(now_s)
-        ]
-
-    def any_pushes_back(self, service_id: str, now_s: float) -> bool:
-        """Whether an instance of a service wants no requests now."""
-        return any(
-            now_s < state.belief.busy_until_s
-            for state in self.of_service(service_id)
-        )
-
-    def busy_until_s(
-        self, service_id: str, excluded_ids: Iterable[str], now_s: float
-    ) -> float:
-        """Returns until when all instances for a request want no requests.
-
-        The result is in the past if one of them may take it now, or if there
-        are none. If all are excluded, they count nevertheless.
-        """
-        staying = [
-            state
-            for state in self.of_service(service_id)
-            if not _leaves(state, now_s)
-        ]
-        others = [
-            state
-            for state in staying
-            if state.endpoint.instance_id not in excluded_ids
-        ]
-        return min(
-            (state.belief.busy_until_s for state in others or staying),
-            default=float('-inf'),
-        )
-
-    def of_service(self, service_id: str) -> list[InstanceState]:
-        """Returns the instances of a service."""
-        return self._by_service_id.get(service_id, [])
-
-    def typical_time_s(self, service_id: str) -> float:
-        """Returns the average time to an answer of a service, in seconds."""
-        times = [
-            state.service_time_s
-            for state in self.of_service(service_id)
-            if state.service_time_s
-        ]
-        return sum(times) / len(times) if times else INITIAL_SERVICE_TIME_S
-
-    def choose(
-        self, service_id: str, excluded_ids: Iterable[str], now_s: float
-    ) -> InstanceState | None:
-        """Chooses the instance for a request to a service without keys.
-
-        Failing instances come last. Among the others, another region is used
-        only when no instance in this VM's region has capacity.
-
-        Returns:
-            The instance, or None if none has capacity.
-        """
-        typical_s = self.typical_time_s(service_id)
-        best = None
-        best_cost = ()
-        for state in self.of_service(service_id):
-            if (
-                _leaves(state, now_s)
-                or state.endpoint.instance_id in excluded_ids
-                or not state.has_capacity(now_s)
-            ):
-                continue
-            cost = _cost(state, typical_s)
-            if best is None or cost < best_cost:
-                best, best_cost = state, cost
-        return best
-
-
-def _leaves(state: InstanceState, now_s: float) -> bool:
-    return state.endpoint.draining or state.belief.is_leaving(now_s)
-
-
-def _is_new_incarnation(
-    known: topology.Endpoint, endpoint: topology.Endpoint
-) -> bool:
-    return (known.born_ms, known.address) != (
-        endpoint.born_ms,
-        endpoint.address,
-    )
-
-
-def _cost(state: InstanceState, typical_s: float) -> tuple:
-    time_s = state.service_time_s or typical_s
-    # A VM sees only its own requests; they estimate the queue at the instance.
-    cost = time_s * (state.in_flight + 1) / state.endpoint.slots
-    if state.distance != topology.SAME_ZONE:
-        cost *= CROSS_ZONE_PENALTY
-    in_other_region = state.distance == topology.OTHER_REGION
-    return (
-        state.failure_rate > FAILURE_RATE_THRESHOLD,
-        in_other_region,
-        cost,
-    )
--- a/libs/routing/tests/test_announcements.py
+++ b/libs/routing/tests/test_announcements.py
@@ -3,7 +3,13 @@
 import unittest
 
 from oriolefold_core import data
-from oriolefold_routing import announcements, concurrency, topology
+from oriolefold_routing import (
+    announcements,
+    concurrency,
+    instancetable,
+    selection,
+    topology,
+)
 
 LOCALITY = topology.Locality('z1', {'z1': 'r1'})
 LEAVES = announcements.Announcement(leaving=True)
@@ -88,16 +94,20 @@
     """Instances that leave or push back are not chosen."""
 
     def setUp(self):
-        self.table = concurrency.InstanceTable(LOCALITY)
+        self.table = instancetable.InstanceTable(LOCALITY)
         self.update(endpoint('a'))
 
     def update(self, *endpoints):
         self.table.update({e.instance_id: e for e in endpoints}, 0.0)
 
     def chosen(self, now_s):
-        found = self.table.choose('s', (), now_s)
+        found = self.table.choose(selection.Demand('s', ()), now_s)
         return found and found.endpoint.instance_id
 
+    def busy_until_s(self, now_s, excluded=(), service_id='s'):
+        demand = selection.Demand(service_id, excluded)
+        return self.table.busy_until_s(demand, now_s)
+
     def test_an_older_listing_does_not_bring_back_what_leaves(self):
         self.table.record_announcement(endpoint('a'), LEAVES, 1.0)
         self.assertIsNone(self.chosen(1.0))
@@ -123,7 +133,7 @@
     def test_pushback_ends_at_its_time_or_with_a_newer_incarnation(self):
         self.table.record_announcement(endpoint('a'), busy(3.0), 1.0)
         self.assertIsNone(self.chosen(3.9))
-        self.assertEqual(self.table.busy_until_s('s', (), 3.9), 4.0)
+        self.assertEqual(self.busy_until_s(3.9), 4.0)
         self.assertEqual(self.chosen(4.0), 'a')
         self.table.record_announcement(endpoint('a'), busy(3.0), 4.0)
         self.update(endpoint('a', born_ms=6))
@@ -132,13 +142,13 @@
     def test_time_of_capacity_is_that_of_the_first_that_may_be_used(self):
         self.update(endpoint('a'), endpoint('b'), endpoint('c'))
         self.table.record_announcement(endpoint('a'), busy(3.0), 1.0)
-        self.assertLess(self.table.busy_until_s('s', (), 2.0), 2.0)
+        self.assertLess(self.busy_until_s(2.0), 2.0)
         self.table.record_announcement(endpoint('b'), busy(2.0), 1.0)
         self.table.record_announcement(endpoint('c'), LEAVES, 1.0)
-        self.assertEqual(self.table.busy_until_s('s', (), 2.0), 3.0)
-        self.assertEqual(self.table.busy_until_s('s', ('b',), 2.0), 4.0)
-        self.assertEqual(self.table.busy_until_s('s', ('a', 'b'), 2.0), 3.0)
-        self.assertLess(self.table.busy_until_s('none', (), 2.0), 2.0)
+        self.assertEqual(self.busy_until_s(2.0), 3.0)
+        self.assertEqual(self.busy_until_s(2.0, ('b',)), 4.0)
+        self.assertEqual(self.busy_until_s(2.0, ('a', 'b')), 3.0)
+        self.assertLess(self.busy_until_s(2.0, service_id='none'), 2.0)
 
     def test_keyed_requests_go_on_for_a_grace_time(self):
         self.table.record_announcement(endpoint('a'), LEAVES, 1.0)
--- a/libs/routing/tests/test_concurrency.py
+++ b/libs/routing/tests/test_concurrency.py
@@ -3,7 +3,14 @@
 import unittest
 
 from oriolefold_core import data
-from oriolefold_routing import attempts, concurrency, topology, waitqueue
+from oriolefold_routing import (
+    attempts,
+    concurrency,
+    instancetable,
+    selection,
+    topology,
+    waitqueue,
+)
 
 LOCALITY = topology.Locality('z1', {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'})
 
@@ -24,12 +31,12 @@
     """Choice of the instance for a request."""
 
     def table(self, *endpoints):
-        table = concurrency.InstanceTable(LOCALITY)
+        table = instancetable.InstanceTable(LOCALITY)
         table.update({e.instance_id: e for e in endpoints}, 0.0)
         return table
 
     def chosen(self, table, excluded=()):
-        found = table.choose('s', excluded, 10.0)
+        found = table.choose(selection.Demand('s', excluded), 10.0)
         return found and found.endpoint.instance_id
 
     def test_another_region_is_used_only_when_the_own_is_full(self):
