--- a/libs/routing/src/oriolefold_routing/policy.py
+++ b/libs/routing/src/oriolefold_routing/policy.py
@@ -31,6 +31,8 @@
         objective_s: Latency objective, in seconds.
         max_instances: Largest number of instances that one request is sent to.
         rank: Priority; 0 is the most urgent.
+        allowed_regions: Regions in which a request may be served and its body
+            held; empty if there is no such limit.
     """
 
     route_id: str
@@ -42,6 +44,7 @@
     objective_s: float
     max_instances: int
     rank: int
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,11 +55,18 @@
         service_id: Name of the service.
         keyed: Whether each key has one owning instance.
         connections: Connections that an instance accepts from all VMs together.
+        warm_up_rate_per_s: Requests per second that a cold instance tolerates;
+            0 if its instances have no such limit.
+        warm_up_s: How long an instance is cold after its start, in seconds.
+        health_path: Path of the health check of its instances.
     """
 
     service_id: str
     keyed: bool
     connections: int
+    warm_up_rate_per_s: float = 0.0
+    warm_up_s: float = 0.0
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/oriolefold_routing/topology.py
+++ b/libs/routing/src/oriolefold_routing/topology.py
@@ -23,6 +23,12 @@
         slots: Requests that it can run concurrently.
         draining: Whether it accepts no new work before it stops.
         warm_up_s: Time after its start during which it is slow, in seconds.
+        evacuated: Whether its zone is being evacuated, so that it is sent
+            nothing.
+        cold_until_s: Until when it is cold, by the clock of this VM; 0 if it is
+            not, or if its service has no warm-up rate.
+        unverified: Whether it may have restarted since it registered, so that
+            it is sent nothing until a health check has succeeded.
     """
 
     instance_id: str
@@ -33,6 +39,9 @@
     slots: int
     draining: bool = False
     warm_up_s: float = 0.0
+    evacuated: bool = False
+    cold_until_s: float = 0.0
+    unverified: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
