Responses with a status outside 100 to 599 prove nothing and are no answers

Cause: both clients took any status that their parsers let through, so 000 or 777 with the right ID and signature reached callers as an answer, and a grant answered so counted as refused though nothing was proved. An unsolicited 101 counts alike.

--- a/libs/http/src/oriolefold_http/client.py
+++ b/libs/http/src/oriolefold_http/client.py
@@ -17,6 +17,7 @@
 from tornado import curl_httpclient, httpclient, httputil
 
 from oriolefold_core import bytebudget, errors, results
+from oriolefold_http import exchanges
 
 DEFAULT_BUDGET_BYTES = 100_000_000
 _NOTHING_SENT_CODES = frozenset(
@@ -61,9 +62,13 @@
             self._head_has_ended = not self._is_interim
 
     def on_response(self, curl: pycurl.Curl) -> None:
-        """Closes the connection of a response that does not return the ID."""
+        """Closes the connection of a response that is not one to this call."""
         self._is_first = curl.getinfo(pycurl.NUM_CONNECTS) > 0
-        if curl.info['headers'].get(results.CALL_ID_HEADER) != self._call_id:
+        returned_id = curl.info['headers'].get(results.CALL_ID_HEADER)
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        if returned_id != self._call_id or not exchanges.is_valid_status(
+            status
+        ):
             # The true response may still follow on this connection.
             _shut_down(curl)
 
@@ -71,13 +76,17 @@
         """Checks a response.
 
         Raises:
-            OutcomeUnknownError: If it may belong to another call, or if its
-                head was cut.
+            OutcomeUnknownError: If it may belong to another call, if its head
+                was cut, or if its status is invalid.
         """
         if not self._head_has_ended:
             raise errors.OutcomeUnknownError(
                 'the connection ended within the head of the response'
             )
+        if not exchanges.is_valid_status(response.code):
+            raise errors.OutcomeUnknownError(
+                f'the server responded with status {response.code} (invalid)'
+            )
         returned_id = response.headers.get(results.CALL_ID_HEADER)
         if returned_id == self._call_id:
             return
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -36,11 +36,7 @@
 logging.getLogger('tornado.general').setLevel(logging.ERROR)
 
 
-def _ignore(
-    address: data.Address,
-    outgoing: exchanges.OutgoingRequest,
-    incoming: exchanges.IncomingResponse,
-) -> None:
+def _ignore(*report: object) -> None:
     """Reports nothing."""
 
 
@@ -96,6 +92,7 @@
             ],
             None,
         ] = _ignore,
+        report_invalid_status: Callable[[data.Address, int], None] = _ignore,
     ):
         """Initializes an empty pool.
 
@@ -108,7 +105,10 @@
                 the budget is exhausted.
             report_unrelated: Called for each response that is skipped since it
                 does not answer the request.
+            report_invalid_status: Called with the status of each response that
+                is dropped since no response may have this status.
         """
+        self._report_invalid_status = report_invalid_status
         self._report_unrelated = report_unrelated
         self._budget = budget or bytebudget.ByteBudget(
             DEFAULT_BUDGET_RESPONSES * max_body_bytes
@@ -378,7 +378,7 @@
         if outgoing.method == 'HEAD':
             max_body_bytes = 0  # Its length is that of no body.
         collector = exchanges.ResponseCollector(
-            stream.hold, max_body_bytes, ends_at_s
+            stream.hold, max_body_bytes, ends_at_s, stream.close
         )
         try:
             writing = http.write_headers(start, headers, outgoing.body or None)
@@ -388,6 +388,8 @@
                 await http.read_response(collector)
                 if collector.cancelled:
                     raise asyncio.CancelledError
+                if collector.invalid_status is not None:
+                    raise self._invalid_status(address, collector)
                 incoming = exchanges.complete_response(collector, stream)
                 incoming.is_first = not connection.responses
                 incoming.connection_number = connection.number
@@ -416,6 +418,15 @@
             'only responses to other requests were received'
         )
 
+    def _invalid_status(
+        self, address, collector: exchanges.ResponseCollector
+    ) -> errors.OutcomeUnknownError:
+        status = collector.invalid_status
+        self._report_invalid_status(address, status)
+        return errors.OutcomeUnknownError(
+            f'{address} responded with status {status} (invalid)'
+        )
+
     def _is_endless(self, stream, outgoing) -> bool:
         """Whether an incomplete response is over the limit of one response."""
         max_body_bytes = self._max_body_bytes(outgoing)
--- a/libs/http/src/oriolefold_http/exchanges.py
+++ b/libs/http/src/oriolefold_http/exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from tornado import httputil
 
@@ -11,6 +12,13 @@
 # Part of the time left that a sender is kept waiting for room in the budget.
 ROOM_WAIT_FRACTION = 0.5
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+MIN_STATUS, MAX_STATUS = 100, 599
+SWITCHING_PROTOCOLS = 101  # Never asked for, so what follows is not HTTP.
+
+
+def is_valid_status(status: int) -> bool:
+    """Whether a response with a status can answer a request of ours."""
+    return MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,15 +82,30 @@
     Attributes:
         cancelled: Whether its wait for room was cancelled, which it cannot
             raise through Tornado.
+        invalid_status: Status that no response may have, if it had one.
     """
 
     def __init__(
-        self, hold: bytebudget.Hold, max_body_bytes: int, ends_at_s: float
+        self,
+        hold: bytebudget.Hold,
+        max_body_bytes: int,
+        ends_at_s: float,
+        abort: Callable[[], None],
     ):
+        """Initializes the collector.
+
+        Args:
+            hold: Memory of the response.
+            max_body_bytes: Largest accepted body.
+            ends_at_s: When the call ends.
+            abort: Closes the connection.
+        """
         self._hold = hold
         self._max_body_bytes = max_body_bytes
         self._ends_at_s = ends_at_s
+        self._abort = abort
         self.cancelled = False
+        self.invalid_status: int | None = None
         self.reset()
 
     def reset(self) -> None:
@@ -98,6 +121,10 @@
         """Stores status and headers; the body is read once it has room."""
         self.status = start_line.code
         self.headers = headers
+        if not is_valid_status(self.status):
+            self.invalid_status = self.status
+            self._abort()
+            return None
         length = headers.get('Content-Length', '')
         if (
             not length.isdecimal()
