Requests reach only instances in the allowed regions of their route

Change: Demand carries the regions by the admitting and the newest configuration (direct.regionlimits); the table of instances filters by them. A request without a usable instance in them, or whose key has its owner outside, is refused at once, also when queued; the check is repeated right before the write. The coordinators tell each coordinator in which zones keys may be placed.

--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -4,14 +4,16 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
 from oriolefold_core import clock, errors
-from oriolefold_direct import keyowners, pending
+from oriolefold_direct import keyowners, pending, regionlimits
 from oriolefold_routing import (
     concurrency,
     instancetable,
+    policy,
     selection,
     waitqueue,
 )
@@ -52,6 +54,7 @@
         self._random = generator
         self._check_may_send = check_may_send
         self._post_wake = schedule_wake
+        self._regions = regionlimits.RegionLimits(instance_table.locality)
         self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
         self._wake_scheduled_ids: set[str] = set()
 
@@ -63,7 +66,8 @@
         Waits in the queue if no instance has capacity.
 
         Raises:
-            OverloadedError: If no instance has capacity in time.
+            OverloadedError: If no instance has capacity in time, or none is in
+                its allowed regions.
             StoppingError: If it cannot end before this VM stops.
         """
         queue = self._queue(request.service_id)
@@ -80,12 +84,16 @@
             request.route.objective_s, self._expected_time_s(request)
         )
         give_up_at_s = request.received_at_s + max_wait_s
+        self._check_regions(request, give_up_at_s)
         self._check_pushback(request, give_up_at_s)
         assignment = asyncio.get_running_loop().create_future()
         waiter = waitqueue.Waiter(
             (request, assignment), request.route.rank, give_up_at_s
         )
         queue.add(waiter)
+        if self._regions.in_use:
+            # Requests ahead may wait for regions that this one does not need.
+            self.wake(request.service_id)
         self._schedule_wake(request.service_id)
         try:
             async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
@@ -106,6 +114,83 @@
         """Returns the number of queued requests of a service."""
         return len(self._queue(service_id))
 
+    def update_policy(self, newest: policy.Policy) -> None:
+        """Binds the queued requests by a newer configuration, too."""
+        self._regions.update(newest, self._clock.now_s())
+        self.wake_all()
+
+    def may_send_to(
+        self,
+        request: pending.PendingRequest,
+        instance: concurrency.InstanceState,
+    ) -> bool:
+        """Whether the regions of a request still allow its instance."""
+        if self._is_within_regions(request, instance):
+            return True
+        self._report_regions(request, 'instance-outside')
+        return False
+
+    def _is_within_regions(
+        self,
+        request: pending.PendingRequest,
+        instance: concurrency.InstanceState,
+    ) -> bool:
+        return self._instance_table.locality.is_within(
+            instance.endpoint.zone_id, self._regions.allowed_region_ids(request)
+        )
+
+    def _check_regions(
+        self, request: pending.PendingRequest, give_up_at_s: float
+    ) -> None:
+        """Checks that a request may wait for an instance in its regions.
+
+        Raises:
+            OverloadedError: If none of them can take it in time.
+        """
+        now_s = self._clock.now_s()
+        demand = self._demand(request, now_s)
+        if not demand.allowed_region_ids:
+            return
+        owner = self._owner(request) if request.key is not None else None
+        if owner is None:
+            usable_from_s = self._instance_table.usable_from_s(demand, now_s)
+            reason = 'no-instance'
+        elif self._is_within_regions(request, owner):
+            usable_from_s, reason = owner.usable_from_s, ''
+        else:
+            usable_from_s, reason = math.inf, 'owner-outside'
+        if usable_from_s <= give_up_at_s:
+            return
+        is_usable_later = math.isfinite(usable_from_s)
+        if is_usable_later:
+            reason = 'none-in-time'
+        self._report_regions(request, reason)
+        error = self.overloaded_error(
+            request,
+            f'no instance of {request.service_id} can be sent it in its allowed'
+            f' regions: {reason}',
+        )
+        if is_usable_later:
+            error.retry_after_s = max(
+                error.retry_after_s, round(usable_from_s - now_s, 3)
+            )
+        raise error
+
+    def _report_regions(
+        self, request: pending.PendingRequest, reason: str
+    ) -> None:
+        now_s = self._clock.now_s()
+        table = self._instance_table
+        self._reporter.region_refused(
+            request,
+            reason,
+            self._regions.allowed_region_ids(request),
+            policy=self._regions.policy_version,
+            policy_age_ms=_age_ms(now_s, self._regions.changed_at_s),
+            instances=len(table.of_service(request.service_id)),
+            instances_age_ms=_age_ms(now_s, table.updated_at_s),
+        )
+
     def _check_pushback(
         self, request: pending.PendingRequest, give_up_at_s: float
     ) -> None:
@@ -156,7 +241,11 @@
                 self._demand(request, now_s), now_s
             )
         owner = self._owner(request)
-        if owner is None or not owner.has_capacity(now_s):
+        if (
+            owner is None
+            or not owner.has_capacity(now_s)
+            or not self._is_within_regions(request, owner)
+        ):
             return None
         return owner
 
@@ -166,7 +255,9 @@
         route = request.route
         return selection.Demand(
             request.service_id,
-            request.tried_ids,
+            # The owner of a key may be sent a request again.
+            () if request.key is not None else request.tried_ids,
+            self._regions.allowed_region_ids(request),
             body_bytes=len(request.call.body),
             left_s=request.received_at_s + route.objective_s - now_s,
         )
@@ -225,20 +316,41 @@
         if not queue:
             return
         now_s = self._clock.now_s()
+        full_region_ids: set[frozenset[str]] = set()
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
                 continue
-            selected = self._choose(request, now_s)
+            region_ids = self._regions.allowed_region_ids(request)
+            is_first_send = request.key is None and not request.tried_ids
+            selected = None
+            if not (is_first_send and region_ids in full_region_ids):
+                selected = self._choose(request, now_s)
             if selected is not None:
                 selected.record_send(now_s)
                 assignment.set_result(selected)
                 queue.discard(waiter)
-            elif request.key is None and not request.tried_ids:
-                break
+                continue
+            if is_first_send:
+                if not self._regions.in_use:
+                    break
+                full_region_ids.add(region_ids)
+            if region_ids:
+                self._refuse_outside_regions(queue, waiter)
         if queue:
             self._schedule_wake(service_id)
 
+    def _refuse_outside_regions(
+        self, queue: waitqueue.WaitQueue, waiter: waitqueue.Waiter
+    ) -> None:
+        """Refuses a request that no instance in its regions can take."""
+        request, assignment = waiter.payload
+        try:
+            self._check_regions(request, waiter.give_up_at_s)
+        except errors.OverloadedError as error:
+            assignment.set_exception(error)
+            queue.discard(waiter)
+
     def _refuse_unfinishable(self, queue: waitqueue.WaitQueue) -> None:
         """Refuses the queued requests that may no longer be sent."""
         for waiter in queue.by_priority():
@@ -277,3 +389,8 @@
                 waitqueue.WaitQueue()
             )
         return queue
+
+
+def _age_ms(now_s: float, since_s: float) -> int | None:
+    age_s = now_s - since_s
+    return round(age_s * 1000) if math.isfinite(age_s) else None
--- a/libs/direct/src/oriolefold_direct/admission.py
+++ b/libs/direct/src/oriolefold_direct/admission.py
@@ -72,6 +72,7 @@
             arrived_at_s,
             arrived_at_s + min(caller_left_s, route.timeout_s),
             caller_left_s,
+            policy_version=self.policy.version,
         )
 
     def _key(self, dispatch: gateway_messages.Dispatch) -> int:
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -202,7 +202,7 @@
             )
 
         self._coordinators = coordinators.Coordinators(
-            make_coordinator, settings.vm_id, incarnation
+            make_coordinator, settings.vm_id, incarnation, settings.locality
         )
         limits = _Limits(self._frontend)
         key_map_reader = watching.KeyMapReader()
--- a/libs/direct/src/oriolefold_direct/candidates.py
+++ b/libs/direct/src/oriolefold_direct/candidates.py
@@ -4,6 +4,7 @@
 
 from oriolefold_coordination import assignment, ranges
 from oriolefold_routing import announcements, topology
+from oriolefold_telemetry import logs
 
 
 class Candidates:
@@ -19,17 +20,33 @@
         self._service_id = service_id
         self._all_endpoints: tuple[topology.Endpoint, ...] = ()
         self.endpoints: tuple[topology.Endpoint, ...] = ()
+        self._key_zone_ids: frozenset[str] | None = None
         self.announcements = announcements.Announcements()
         self.has_changed = False
 
-    def update(self, endpoints_by_id: Mapping[str, topology.Endpoint]) -> bool:
-        """Replaces the registered instances; returns whether any changed.
+    def update(
+        self,
+        endpoints_by_id: Mapping[str, topology.Endpoint],
+        key_zone_ids: frozenset[str] | None = None,
+    ) -> bool:
+        """Replaces the registered instances and the zones for keys.
 
         Also an instance of another service ends the one whose address it has.
+
+        Args:
+            endpoints_by_id: Registered instances of all services.
+            key_zone_ids: Zones in which keys may be placed, or None for all.
+
+        Returns:
+            Whether anything changed.
         """
         all_endpoints = tuple(endpoints_by_id.values())
-        if all_endpoints == self._all_endpoints:
+        if (
+            all_endpoints == self._all_endpoints
+            and key_zone_ids == self._key_zone_ids
+        ):
             return False
+        self._update_zones(key_zone_ids)
         self._all_endpoints = all_endpoints
         endpoints = tuple(
             e for e in all_endpoints if e.service_id == self._service_id
@@ -51,11 +68,22 @@
             assignment.Candidate(_holder(e), capacity(e))
             for e in self.endpoints
             if not e.draining
+            and (self._key_zone_ids is None or e.zone_id in self._key_zone_ids)
             and not self.announcements.belief(
                 e.instance_id, e.born_ms
             ).is_leaving(now_s)
         ]
 
+    def _update_zones(self, key_zone_ids: frozenset[str] | None) -> None:
+        if key_zone_ids == self._key_zone_ids:
+            return
+        self._key_zone_ids = key_zone_ids
+        logs.event(
+            'regions.key_zones',
+            service=self._service_id,
+            zones='all' if key_zone_ids is None else sorted(key_zone_ids),
+        )
+
     def registered(self) -> list[ranges.Holder]:
         """Returns the registered instances of all services."""
         return [_holder(e) for e in self._all_endpoints]
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -210,7 +210,9 @@
                 self._step()
 
     def _update_endpoints(self, update: messages.EndpointsUpdated) -> None:
-        if not self._candidates.update(update.endpoints_by_id):
+        if not self._candidates.update(
+            update.endpoints_by_id, update.key_zone_ids
+        ):
             return
         if self._candidates.has_changed:
             self._registry_changed_at_s = self._clock.now_s()
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -7,7 +7,8 @@
 
 from oriolefold_coordination import leaderelection
 from oriolefold_core import tasks
-from oriolefold_direct import coordinator, messages
+from oriolefold_direct import coordinator, messages, regionlimits
+from oriolefold_routing import policy, topology
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -20,6 +21,7 @@
         make_coordinator: Callable[[str], coordinator.Coordinator],
         vm_id: str,
         incarnation: str,
+        locality: topology.Locality | None = None,
     ):
         """Initializes the task.
 
@@ -27,11 +29,14 @@
             make_coordinator: Factory for the coordinator of a service.
             vm_id: This VM.
             incarnation: Random identifier of this process.
+            locality: Regions of the zones; without it keys are placed anywhere.
         """
         super().__init__('coordinators')
         self._vm_id = vm_id
         self._incarnation = incarnation
         self._make_coordinator = make_coordinator
+        self._locality = locality
+        self._policy: policy.Policy | None = None
         self._by_service_id: dict[str, coordinator.Coordinator] = {}
         self._endpoints: messages.EndpointsUpdated | None = None
         self._service_ids: frozenset[str] = frozenset()
@@ -60,6 +65,7 @@
             else:
                 running.post(message)
         elif isinstance(message, messages.PolicyUpdated):
+            self._policy = message.policy
             self._service_ids = frozenset(message.policy.services_by_id)
             self._post_endpoints()
             for profile in message.policy.services_by_id.values():
@@ -72,15 +78,15 @@
         running = self._make_coordinator(service_id)
         self._by_service_id[service_id] = running
         if self._endpoints is not None:
-            running.post(self._known_endpoints())
+            running.post(self._known_endpoints(service_id))
         await running.start()
 
     def _post_endpoints(self) -> None:
         if self._endpoints is not None:
-            for running in self._by_service_id.values():
-                running.post(self._known_endpoints())
+            for service_id, running in self._by_service_id.items():
+                running.post(self._known_endpoints(service_id))
 
-    def _known_endpoints(self) -> messages.EndpointsUpdated:
+    def _known_endpoints(self, service_id: str) -> messages.EndpointsUpdated:
         """Returns the instances of configured services.
 
         An entry of another service may be of any writer, and must not prove
@@ -93,7 +99,16 @@
                     self._endpoints.endpoints_by_id.items()
                 )
                 if endpoint.service_id in self._service_ids
-            }
+            },
+            self._key_zone_ids(service_id),
+        )
+
+    def _key_zone_ids(self, service_id: str) -> frozenset[str] | None:
+        """Returns where the routes to a service let its keys be placed."""
+        if self._policy is None or self._locality is None:
+            return None
+        return regionlimits.key_zone_ids(
+            self._policy, service_id, self._locality
         )
 
     async def resign(self) -> None:
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -97,6 +97,7 @@
                 self._accept(message)
             case messages.PolicyUpdated():
                 self._admission.policy = message.policy
+                self._acquisition.update_policy(message.policy)
             case messages.EndpointsUpdated():
                 self._update_endpoints(message.endpoints_by_id)
             case messages.KeyMapUpdated():
@@ -291,8 +292,9 @@
 
         def may_send() -> bool:
             nonlocal withheld
-            withheld = not instance.wants(
-                request.key is not None, self._clock.now_s()
+            withheld = not (
+                instance.wants(request.key is not None, self._clock.now_s())
+                and self._acquisition.may_send_to(request, instance)
             )
             return not withheld
 
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -17,9 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointsUpdated:
-    """The set of registered instances has changed."""
+    """The set of registered instances has changed.
+
+    Attributes:
+        endpoints_by_id: All of them.
+        key_zone_ids: For the coordinator of a service: zones in which its keys
+            may be placed, or None for all.
+    """
 
     endpoints_by_id: dict[str, topology.Endpoint]
+    key_zone_ids: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -31,6 +31,7 @@
         error_answer: Server error from an instance, returned if no retry
             succeeds.
         token: Fencing token of its key in the map by which it was sent last.
+        policy_version: Version of the configuration that admitted it.
     """
 
     dispatch: gateway_messages.Dispatch
@@ -46,6 +47,7 @@
     may_have_run: bool = False
     error_answer: data.Answer | None = None
     token: int | None = None
+    policy_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +140,35 @@
             **fields,
         )
 
+    def region_refused(
+        self,
+        request: PendingRequest,
+        reason: str,
+        allowed_region_ids: frozenset[str],
+        **inputs,
+    ) -> None:
+        """Counts and logs a request that its regions keep from instances.
+
+        Args:
+            request: The request.
+            reason: Why no instance may be sent it, or not the chosen one.
+            allowed_region_ids: Regions in which it may be served.
+            **inputs: What else the decision rests on, and its age.
+        """
+        self._metrics.count_region_refusal(request.service_id, reason)
+        logs.event(
+            'regions.refused',
+            request=request.call.request_id,
+            service=request.service_id,
+            route=request.route.route_id,
+            key=request.key,
+            reason=reason,
+            allowed=sorted(allowed_region_ids),
+            admitted_by=request.policy_version,
+            tried=sorted(request.tried_ids),
+            **inputs,
+        )
+
     def announced(
         self,
         endpoint: topology.Endpoint,
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -222,6 +222,27 @@
 
         await self.wait_for(settled)
 
+    async def test_owner_outside_the_zones_for_keys_hands_them_over(self):
+        endpoints = fakes.endpoint('a'), fakes.endpoint('bb', 'z3')
+        started = await self.start_coordinator('one', endpoints[0])
+        await self.wait_for(lambda: self.instances.grants)
+        started.post(
+            dataclasses.replace(
+                fakes.endpoints_updated(*endpoints),
+                key_zone_ids=frozenset({'z3'}),
+            )
+        )
+
+        async def settled():
+            key_map = await self.key_map()
+            return all(
+                r.owner.instance_id == 'bb' and not r.priors
+                for r in key_map.ranges
+            )
+
+        await self.wait_for(settled)
+        self.assertTrue(self.instances.releases)
+
     async def test_owner_that_told_a_vm_that_it_leaves_hands_its_keys_over(
         self,
     ):
--- a/libs/direct/tests/test_coordinators.py
+++ b/libs/direct/tests/test_coordinators.py
@@ -5,6 +5,7 @@
 from oriolefold_coordination import leaderelection
 from oriolefold_core import tasks
 from oriolefold_direct import coordinators, messages
+from oriolefold_routing import topology
 from oriolefold_testbed import basecase
 
 
@@ -32,7 +33,12 @@
 
     async def asyncSetUp(self):
         self.made = []
-        self.supervisor = coordinators.Coordinators(self.make, 'vm', 'process')
+        self.supervisor = coordinators.Coordinators(
+            self.make,
+            'vm',
+            'process',
+            topology.Locality('z1', {'z1': 'r1', 'z3': 'r2'}),
+        )
         await self.start(self.supervisor)
 
     def make(self, service_id):
@@ -59,6 +65,16 @@
         for message in self.made[0].messages:
             self.assertEqual(message.endpoints_by_id, {'i1': known})
 
+    async def test_coordinator_is_told_where_the_routes_let_keys_be(self):
+        # Without it, keys stay with owners that get no requests.
+        self.supervisor.post(fakes.endpoints_updated(fakes.endpoint('i1')))
+        for limits in ((), ('r1',)):
+            route = fakes.route(allowed_regions=frozenset(limits))
+            self.supervisor.post(fakes.policy_updated(route, keyed=True))
+        await self.settle(self.supervisor, 'unknown')
+        told = [message.key_zone_ids for message in self.made[0].messages]
+        self.assertEqual(told, [None, frozenset({'z1'})])
+
     async def test_no_coordinator_starts_after_the_resignation(self):
         await self.supervisor.resign()
         self.supervisor.post(fakes.policy_updated(keyed=True))
@@ -70,6 +86,6 @@
         expected = leaderelection.TermsEnded('vm', 'process', 7)
         self.assertEqual(statement, expected)
 
-    async def settle(self, task):
+    async def settle(self, task, service_id='svc'):
         """Waits until a task has handled what was posted before."""
-        await task.ask(fakes.load_report())
+        await task.ask(fakes.load_report(service_id))
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -101,6 +101,11 @@
         """Upper bound of the limit."""
         return self.endpoint.slots * (1 + MAX_QUEUED_PER_SLOT)
 
+    @property
+    def usable_from_s(self) -> float:
+        """When its announced pushback and the back-off have ended."""
+        return max(self.belief.busy_until_s, self.backoff_until_s)
+
     def has_capacity(self, now_s: float) -> bool:
         """Whether one more request may be sent now."""
         return self.obstacle(now_s) is None
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -9,10 +9,17 @@
 
 
 class InstanceTable:
-    """Load state of all registered instances, grouped by service."""
+    """Load state of all registered instances, grouped by service.
+
+    Attributes:
+        locality: Location of this VM.
+        states_by_id: State of each instance.
+        updated_at_s: When the set of registered instances last changed.
+    """
 
     def __init__(self, locality: topology.Locality):
-        self._locality = locality
+        self.locality = locality
+        self.updated_at_s = float('-inf')
         self._selection: selection.Selection = selection.NearestCheapest()
         self.states_by_id: dict[str, concurrency.InstanceState] = {}
         self._by_service_id: dict[str, list[concurrency.InstanceState]] = {}
@@ -32,7 +39,7 @@
             if known is None or _is_new_incarnation(known.endpoint, endpoint):
                 known = concurrency.InstanceState(
                     endpoint,
-                    self._locality.distance_to(endpoint.zone_id),
+                    self.locality.distance_to(endpoint.zone_id),
                     max(1.0, endpoint.slots),
                     warm_up_until_s=now_s + endpoint.warm_up_s,
                 )
@@ -43,6 +50,7 @@
             states[instance_id] = known
             grouped.setdefault(endpoint.service_id, []).append(known)
         self.states_by_id = states
+        self.updated_at_s = now_s
         self._by_service_id = grouped
 
     def record_announcement(
@@ -87,7 +95,7 @@
         """
         staying = [
             state
-            for state in self.of_service(demand.service_id)
+            for state in self._within_regions(demand)
             if not _leaves(state, now_s)
         ]
         others = [
@@ -100,6 +108,37 @@
             default=float('-inf'),
         )
 
+    def usable_from_s(self, demand: selection.Demand, now_s: float) -> float:
+        """Returns from when an instance may take a request if it has room.
+
+        Unlike `busy_until_s`, it heeds back-offs and is infinite if there are
+        no instances or all of them are excluded.
+        """
+        return min(
+            (
+                state.usable_from_s
+                for state in self._within_regions(demand)
+                if not _leaves(state, now_s)
+                and state.endpoint.instance_id not in demand.excluded_ids
+            ),
+            default=float('inf'),
+        )
+
+    def _within_regions(
+        self, demand: selection.Demand
+    ) -> list[concurrency.InstanceState]:
+        """Returns the instances of a service in the allowed regions."""
+        of_service = self.of_service(demand.service_id)
+        if not demand.allowed_region_ids:
+            return of_service
+        return [
+            state
+            for state in of_service
+            if self.locality.is_within(
+                state.endpoint.zone_id, demand.allowed_region_ids
+            )
+        ]
+
     def of_service(self, service_id: str) -> list[concurrency.InstanceState]:
         """Returns the instances of a service."""
         return self._by_service_id.get(service_id, [])
@@ -127,7 +166,7 @@
         """
         eligible = [
             state
-            for state in self.of_service(demand.service_id)
+            for state in self._within_regions(demand)
             if not _leaves(state, now_s)
             and state.endpoint.instance_id not in demand.excluded_ids
             and state.has_capacity(now_s)
--- a/libs/routing/src/oriolefold_routing/policy.py
+++ b/libs/routing/src/oriolefold_routing/policy.py
@@ -3,6 +3,9 @@
 import dataclasses
 from collections.abc import Sequence
 
+# Limit that no zone satisfies: regions have names.
+NO_REGION = frozenset({''})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
@@ -31,8 +34,8 @@
         objective_s: Latency objective, in seconds.
         max_instances: Largest number of instances that one request is sent to.
         rank: Priority; 0 is the most urgent.
-        allowed_regions: Regions in which a request may be served and its body
-            held; empty if there is no such limit.
+        allowed_regions: Regions whose instances may be sent a request; empty
+            if there is no such limit.
     """
 
     route_id: str
@@ -116,6 +119,18 @@
         return None
 
 
+def intersect_regions(*limits: frozenset[str]) -> frozenset[str]:
+    """Returns the regions that all limits allow; an empty one is no limit.
+
+    Limits without a common region result in `NO_REGION`, since an empty result
+    would allow all regions.
+    """
+    binding = [limit for limit in limits if limit]
+    if not binding:
+        return frozenset()
+    return frozenset.intersection(*binding) or NO_REGION
+
+
 def normalize_host(host: str) -> str:
     """Returns the host of a Host header in lower case, without the port."""
     name, colon, port = host.strip().lower().rpartition(':')
--- a/libs/routing/src/oriolefold_routing/topology.py
+++ b/libs/routing/src/oriolefold_routing/topology.py
@@ -56,6 +56,14 @@
     zone_id: str
     region_ids_by_zone_id: dict[str, str]
 
+    def region_of(self, zone_id: str) -> str | None:
+        """Returns the region of a zone, or None if the zone is unknown."""
+        return self.region_ids_by_zone_id.get(zone_id) or None
+
+    def is_within(self, zone_id: str, region_ids: frozenset[str]) -> bool:
+        """Whether a zone is in one of some regions; none means everywhere."""
+        return not region_ids or self.region_of(zone_id) in region_ids
+
     def distance_to(self, zone_id: str) -> int:
         """Returns 0 for the same zone, 1 for the same region, 2 otherwise."""
         if zone_id == self.zone_id:
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -14,6 +14,7 @@
     'oriolefold_sends': ('distance', 'result'),
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
+    'oriolefold_region_refusals': ('service', 'reason'),
     'oriolefold_log_lines': ('result',),
 }
 
@@ -54,6 +55,10 @@
         """Counts a grant or release."""
         self._counts['oriolefold_grants', call, result] += 1
 
+    def count_region_refusal(self, service_id: str, reason: str) -> None:
+        """Counts a request kept from instances by its allowed regions."""
+        self._counts['oriolefold_region_refusals', service_id, reason] += 1
+
     def register_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
