State of instances: evacuated zones, cold and unverified instances

An instance that restarts behind an old registration looked warm to every VM.

Change: the task InstanceView combines registrations, evacuations, warm-up rates, failed connections and health checks into the endpoints that the dispatcher and the coordinators get. A request for a service with a warm-up rate goes only over a connection to a process whose state a health check has shown (a proof), or over a new one while such a connection is open. Services without a rate keep the former path; the message of the watcher is passed on as it is.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -150,6 +150,13 @@
     category = Category.UNREACHABLE
 
 
+class UnverifiedError(UnreachableError):
+    """The server may have restarted since it was last known; nothing was sent.
+
+    It does not show that the server cannot be reached.
+    """
+
+
 class StaleTokenError(NotRunError):
     """A server refused a fencing token below the highest that it has seen."""
 
@@ -175,6 +182,10 @@
     category = Category.OUTCOME_UNKNOWN
 
 
+class ConnectionLostError(OutcomeUnknownError):
+    """The connection ended before a complete response was received."""
+
+
 class ResponseDroppedError(OutcomeUnknownError):
     """A response was given up for lack of memory; its sender did not fail."""
 
--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -15,15 +15,18 @@
     coordinators,
     dispatcher,
     following,
+    healthchecks,
+    instanceview,
     messages,
     peering,
     ports,
     status,
+    verifying,
     watching,
 )
 from oriolefold_gateway import frontend, stopsteps
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import attempts, policy, topology
+from oriolefold_routing import attempts, policy, topology, warmup
 from oriolefold_sending import messages as sending_messages
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters, logs
@@ -66,6 +69,8 @@
             which gives precedence to other VMs.
         max_contact_age_s: Age of the store contact on which the known objects
             rest from which this VM asks the store itself.
+        reads_evacuations: Whether zones can be evacuated.
+        warm_up_limits: Bound on the requests of a cold instance.
     """
 
     vm_id: str
@@ -83,6 +88,10 @@
     feeds_policies: bool = False
     takeover_delay_s: float = 0.0
     max_contact_age_s: float = following.DEFAULT_MAX_CONTACT_AGE_S
+    reads_evacuations: bool = False
+    warm_up_limits: warmup.WarmUpLimits = dataclasses.field(
+        default_factory=warmup.WarmUpLimits
+    )
 
 
 class _Limits(tasks.Task):
@@ -121,6 +130,7 @@
         recorder: counters.Counters,
         budget: bytebudget.ByteBudget | None = None,
         bodies: bytebudget.BodyBudget | None = None,
+        evacuation_reader: watching.Reader | None = None,
     ):
         """Initializes the application.
 
@@ -135,6 +145,8 @@
                 responses of peers have their own.
             bodies: Budget of the bodies of all requests; by default the front
                 end has its own.
+            evacuation_reader: Decodes evacuations of zones; None if none are
+                read.
         """
         self._settings = settings
         self._instances = instances
@@ -167,10 +179,16 @@
         )
         generator = random.Random()
         incarnation = uuid.uuid4().hex
+        health_checker = healthchecks.HealthChecker(
+            instances, time, recorder, generator
+        )
+        view = instanceview.InstanceView(
+            time, health_checker, recorder, evacuation_reader is not None
+        )
         self._dispatcher = dispatcher.Dispatcher(
             settings.locality,
             settings.key_header,
-            instances,
+            verifying.VerifyingInstances(instances, view, health_checker),
             time,
             settings.retry_budget,
             recorder,
@@ -204,6 +222,8 @@
         self._coordinators = coordinators.Coordinators(
             make_coordinator, settings.vm_id, incarnation
         )
+        view.subscribe(self._dispatcher, self._coordinators)
+        health_checker.subscribe(view)
         limits = _Limits(self._frontend)
         key_map_reader = watching.KeyMapReader()
         self._watchers: Sequence[watching.Watcher] = [
@@ -213,16 +233,20 @@
             for reader, subscribers in (
                 (
                     policy_reader,
-                    [self._dispatcher, self._coordinators, limits],
+                    [view, self._dispatcher, self._coordinators, limits],
                 ),
-                (endpoint_reader, [self._dispatcher, self._coordinators]),
+                (endpoint_reader, [view]),
                 (key_map_reader, [self._dispatcher]),
+                (evacuation_reader, [view]),
             )
+            if reader is not None
         ]
         self._tasks: Sequence[tasks.Task] = [
             self._dispatcher,
             self._coordinators,
             limits,
+            health_checker,
+            view,
             *self._watchers,
         ]
         self._status = status.StatusServer(
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -314,7 +314,7 @@
         except errors.NotRunError as error:
             request.may_have_run = may_have_run_before
             result = _RESULTS_BY_CATEGORY.get(error.category, result)
-            if withheld:
+            if withheld or isinstance(error, errors.UnverifiedError):
                 result = concurrency.SendResult.WITHHELD
             if isinstance(error, errors.AnnouncingError):
                 self._heed(endpoint, error)
--- a/libs/direct/src/oriolefold_direct/keyowners.py
+++ b/libs/direct/src/oriolefold_direct/keyowners.py
@@ -77,6 +77,8 @@
             return None, 'not registered'
         if known.endpoint.born_ms != holder.born_ms:
             return None, 'other incarnation'
+        if known.endpoint.evacuated:
+            return None, 'evacuated'
         if known.endpoint.draining:
             return None, 'draining'
         return known, ''
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -22,6 +22,53 @@
     endpoints_by_id: dict[str, topology.Endpoint]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsUpdated:
+    """The set of evacuated availability zones has changed."""
+
+    zone_ids: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionFailed:
+    """A connection to an instance could not be opened, or was reset."""
+
+    endpoint: topology.Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnverifiedInstances:
+    """The instances whose health is to be checked until it is known."""
+
+    endpoints_by_id: dict[str, topology.Endpoint]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class CheckHealth(tasks.Ask):
+    """Checks an instance once, or waits for the check in progress.
+
+    The reply is whether it is healthy and warm.
+    """
+
+    endpoint: topology.Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthChecked:
+    """A health check has ended.
+
+    Attributes:
+        endpoint: The instance.
+        started_at_s: When the check began.
+        warm_up_left_s: For how long the instance is still cold, or None if the
+            check failed.
+    """
+
+    endpoint: topology.Endpoint
+    started_at_s: float
+    warm_up_left_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyMapUpdated:
     """A newer key map of a service is known.
--- a/libs/direct/src/oriolefold_direct/ports.py
+++ b/libs/direct/src/oriolefold_direct/ports.py
@@ -90,6 +90,17 @@
     evidence: str = dataclasses.field(default='', compare=False)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthReport:
+    """Response of an instance to a health check.
+
+    Attributes:
+        warm_up_left_s: For how long it is still cold, in seconds.
+    """
+
+    warm_up_left_s: float = 0.0
+
+
 class Peers(abc.ABC):
     """Client for the other entry VMs."""
 
@@ -162,6 +173,9 @@
             MisdirectedError: If another instance has the address, or the
                 instance does not hold the key; the request was not run.
             UnreachableError: If nothing was sent.
+            UnverifiedError: If nothing was sent, since the endpoint has a
+                health path and no open connection shows that the instance has
+                not restarted since its last health check.
             OutcomeUnknownError: If the request was sent and no complete
                 answer came back.
         """
@@ -194,5 +208,21 @@
     ) -> ReleaseResult:
         """Asks a former holder to release a range and waits for its answer."""
 
+    @abc.abstractmethod
+    async def check_health(
+        self, endpoint: topology.Endpoint, path: str, timeout_s: float
+    ) -> HealthReport:
+        """Asks an instance over a new connection how cold it is.
+
+        Args:
+            endpoint: The instance.
+            path: Path of the health check.
+            timeout_s: Timeout of the whole call, in seconds.
+
+        Raises:
+            OriolefoldError: If the instance did not respond as healthy, or
+                another instance has the address.
+        """
+
     async def close(self) -> None:
         """Closes the connections."""
--- a/libs/direct/tests/fakes.py
+++ b/libs/direct/tests/fakes.py
@@ -77,6 +77,9 @@
         rejected_grants: Key ranges whose grants another instance rejected.
         connections_lost: Whether connections are closed after each call.
         leaving_ids: Instances that announce their leaving beside grants.
+        health_checks: Instances whose health was checked.
+        health_outcomes: Outcomes of the next checks by instance: seconds for
+            which it is still cold, or errors; by default it is warm.
         grant_error: Raised by grants after they were recorded.
         may_answer: Set while grants, which take effect at once, are answered.
     """
@@ -94,6 +97,8 @@
         self.rejected_grants: list[ranges.KeyRange] = []
         self.connections_lost = False
         self.grant_error: Exception | None = None
+        self.health_checks: list[str] = []
+        self.health_outcomes: dict[str, list] = {}
         self.may_answer = asyncio.Event()
         self.may_answer.set()
 
@@ -139,6 +144,15 @@
             leaving=key_range.owner.instance_id in self.leaving_ids,
         )
 
+    async def check_health(self, endpoint, path, timeout_s):
+        self.health_checks.append(endpoint.instance_id)
+        outcomes = self.health_outcomes.get(endpoint.instance_id, [])
+        outcome = outcomes.pop(0) if outcomes else 0.0
+        await self.may_answer.wait()
+        if isinstance(outcome, Exception):
+            raise outcome
+        return ports.HealthReport(outcome)
+
     async def release(self, key_range, holder):
         if holder.instance_id in self.silent_ids | self.replaced_ids:
             return ports.ReleaseResult(False)
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -29,6 +29,7 @@
 DEFAULT_BUDGET_RESPONSES = 4
 MAX_UNRELATED_RESPONSES = 3  # Skipped before the connection is closed.
 DEFAULT_IDLE_S = 4.0  # Longest idle time of a connection that is reused.
+PROOF_S = 0.1  # Less than a process takes to restart.
 IDLE_TIMEOUT_FRACTION = 0.6  # Fraction of the announced keep-alive timeout.
 
 # Tornado logs each malformed response. The caller of `exchange` logs it, too,
@@ -54,6 +55,7 @@
         idle_since_s: When it was last returned to the pool.
         uses: Number of requests written so far.
         responses: Number of responses read so far.
+        proven: Whether it leads to a process whose state the caller knows.
     """
 
     def __init__(self, stream: pooledstream.PooledStream, number: int):
@@ -63,6 +65,7 @@
         self.idle_since_s = 0.0
         self.uses = 0
         self.responses = 0
+        self.proven = False
 
     @property
     def usable(self) -> bool:
@@ -126,6 +129,7 @@
             data.Address, collections.deque[_Connection]
         ] = {}
         self._busy_by_address: dict[data.Address, set[_Connection]] = {}
+        self._proven_at_s_by_address: dict[data.Address, float] = {}
         self.opened = 0
 
     async def exchange(
@@ -154,12 +158,16 @@
 
         Raises:
             UnreachableError: If nothing was sent.
+            UnverifiedError: If nothing was sent, since the request needs a
+                proof of the state of the server.
             ResponseDroppedError: If the response was given up because the
                 budget of buffered bytes is exhausted.
             OutcomeUnknownError: If no complete response was received.
         """
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + timeout_s
+        if outgoing.needs_proof:
+            self._check_proof(address)
         if newest_number is not None:
             connection = self._take_older(address, newest_number)
         elif outgoing.on_new_connection:
@@ -202,6 +210,13 @@
         if may_send is not None and not may_send():
             self._return_to_pool(address, connection, None)
             raise errors.UnreachableError('the permission to send has expired')
+        if outgoing.needs_proof:
+            try:
+                self._check_proof(address)
+            except errors.UnverifiedError:
+                self._return_to_pool(address, connection, None)
+                raise
+            connection.proven = True
         started_s = loop.time()
         stream = connection.stream
         stream.received_bytes = 0
@@ -224,7 +239,7 @@
             if not idle_text:
                 raise
             text = error.message + idle_text
-            raise errors.OutcomeUnknownError(text) from error
+            raise type(error)(text) from error
         except TimeoutError as error:
             connection.stream.close()
             waited_s = loop.time() - started_s
@@ -237,10 +252,46 @@
             stream.hold = None
             if incoming is None:
                 hold.release()
+        if outgoing.is_proof:
+            connection.proven = True
+            self._proven_at_s_by_address[address] = loop.time()
         hold.settle(min(hold.size, len(incoming.body) + MAX_HEADER_BYTES))
         self._return_to_pool(address, connection, incoming.headers)
         return incoming
 
+    def _check_proof(self, address: data.Address) -> None:
+        """Checks that the process at an address is known.
+
+        A new connection leads to it if an older proven one is still open, since
+        that one ends with the process, or soon after a proof, since no process
+        restarts so quickly.
+
+        Raises:
+            UnverifiedError: If it is not known.
+        """
+        proven_at_s = self._proven_at_s_by_address.get(address)
+        if proven_at_s is not None:
+            if asyncio.get_running_loop().time() < proven_at_s + PROOF_S:
+                return
+            for connection in (
+                *self._busy_by_address.get(address, ()),
+                *self._idle_by_address.get(address, ()),
+            ):
+                if connection.proven and not connection.stream.closed():
+                    return
+        raise errors.UnverifiedError(
+            f'no connection shows whether {address} has restarted'
+        )
+
+    def revoke_proof(self, address: data.Address) -> None:
+        """Treats the connections to an address as unproven."""
+        self._proven_at_s_by_address.pop(address, None)
+        for connection in (
+            *self._busy_by_address.get(address, ()),
+            *self._idle_by_address.get(address, ()),
+        ):
+            connection.proven = False
+
     def is_busy(self, address: data.Address, newest_number: int) -> bool:
         """Whether a connection up to a number is open and in use."""
         return any(
@@ -408,7 +459,7 @@
             text = f'the connection failed: {stream.error or error!r}'
             if stream.aborted and not self._is_endless(stream, outgoing):
                 raise errors.ResponseDroppedError(text) from error
-            raise errors.OutcomeUnknownError(text) from error
+            raise errors.ConnectionLostError(text) from error
         finally:
             # The traceback of an error refers to the collector.
             collector.reset()
--- a/libs/http/src/oriolefold_http/exchanges.py
+++ b/libs/http/src/oriolefold_http/exchanges.py
@@ -33,6 +33,9 @@
         carriers: Numbers of the connections that have carried it, to which the
             pool adds. It is not sent over any of them again, since a late
             response to the earlier sending has the same ID.
+        needs_proof: Whether it may go only over a connection to a process whose
+            state an earlier request with `is_proof` has shown.
+        is_proof: Whether its response shows the state of the process.
     """
 
     method: str
@@ -44,6 +47,8 @@
     matcher: matching.Matcher = matching.ANY_RESPONSE
     on_new_connection: bool = False
     carriers: set[int] = dataclasses.field(default_factory=set)
+    needs_proof: bool = False
+    is_proof: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 
 from oriolefold_routing import announcements, topology
 
@@ -45,11 +46,14 @@
     """Why an instance may not be sent one more request."""
 
     BACKOFF = 'backoff'
+    COLD = 'cold'
+    EVACUATED = 'evacuated'
     LEAVING = 'leaving'
     LIMIT = 'limit'
     PACING = 'pacing'
     PUSHBACK = 'pushback'
     QUOTA = 'quota'
+    UNVERIFIED = 'unverified'
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +79,8 @@
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
+        may_send_cold: Whether one request may be sent at a time although the
+            instance is cold; None if it never may.
     """
 
     endpoint: topology.Endpoint
@@ -95,6 +101,7 @@
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
     )
+    may_send_cold: Callable[[float], bool] | None = None
 
     @property
     def max_limit(self) -> float:
@@ -107,8 +114,16 @@
 
     def obstacle(self, now_s: float) -> Obstacle | None:
         """Returns what forbids to send one more request now, if anything."""
+        if self.endpoint.evacuated:
+            return Obstacle.EVACUATED
         if not self.belief.may_get_keyed(now_s):
             return Obstacle.LEAVING
+        if self._is_restarting(now_s):
+            return (
+                Obstacle.UNVERIFIED
+                if self.endpoint.unverified
+                else (Obstacle.COLD)
+            )
         if now_s < self.belief.busy_until_s:
             return Obstacle.PUSHBACK
         if now_s < self.backoff_until_s:
@@ -129,12 +144,26 @@
             keyed: Whether the request is for a key that it owns.
             now_s: Current time.
         """
+        if self.endpoint.evacuated or self._is_restarting(now_s):
+            return False
         if now_s < self.belief.busy_until_s:
             return False
         if keyed:
             return self.belief.may_get_keyed(now_s)
         return not self.belief.is_leaving(now_s)
 
+    def cold_until_s(self, now_s: float) -> float:
+        """Returns until when it gets nothing since it is cold, else 0."""
+        if now_s >= self.endpoint.cold_until_s or (
+            self.may_send_cold is not None and self.may_send_cold(now_s)
+        ):
+            return 0.0
+        return self.endpoint.cold_until_s
+
+    def _is_restarting(self, now_s: float) -> bool:
+        """Whether it gets nothing since it has, or may have, restarted."""
+        return self.endpoint.unverified or self.cold_until_s(now_s) > 0
+
     def set_quota(self, share: float, now_s: float) -> None:
         """Sets the quota to this VM's share of the slots of a busy instance.
 
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -96,7 +96,12 @@
             if state.endpoint.instance_id not in demand.excluded_ids
         ]
         return min(
-            (state.belief.busy_until_s for state in others or staying),
+            (
+                max(state.belief.busy_until_s, cold_until_s)
+                if (cold_until_s := state.cold_until_s(now_s))
+                else state.belief.busy_until_s
+                for state in others or staying
+            ),
             default=float('-inf'),
         )
 
@@ -139,7 +144,12 @@
 
 
 def _leaves(state: concurrency.InstanceState, now_s: float) -> bool:
-    return state.endpoint.draining or state.belief.is_leaving(now_s)
+    endpoint = state.endpoint
+    return (
+        endpoint.evacuated
+        or endpoint.draining
+        or state.belief.is_leaving(now_s)
+    )
 
 
 def _is_new_incarnation(
--- a/libs/routing/src/oriolefold_routing/topology.py
+++ b/libs/routing/src/oriolefold_routing/topology.py
@@ -29,6 +29,8 @@
             not, or if its service has no warm-up rate.
         unverified: Whether it may have restarted since it registered, so that
             it is sent nothing until a health check has succeeded.
+        health_path: Path of its health check, which has to prove each first
+            connection; empty if its service has no warm-up rate.
     """
 
     instance_id: str
@@ -42,6 +44,7 @@
     evacuated: bool = False
     cold_until_s: float = 0.0
     unverified: bool = False
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -14,6 +14,7 @@
     'oriolefold_sends': ('distance', 'result'),
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
+    'oriolefold_health_checks': ('service', 'result'),
     'oriolefold_log_lines': ('result',),
 }
 
@@ -54,6 +55,10 @@
         """Counts a grant or release."""
         self._counts['oriolefold_grants', call, result] += 1
 
+    def count_health_check(self, service_id: str, result: str) -> None:
+        """Counts a health check of an instance."""
+        self._counts['oriolefold_health_checks', service_id, result] += 1
+
     def register_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
