--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -188,7 +188,7 @@
         self._dispatcher = dispatcher.Dispatcher(
             settings.locality,
             settings.key_header,
-            verifying.VerifyingInstances(instances, view, health_checker),
+            verifying.VerifyingInstances(instances, view, health_checker, time),
             time,
             settings.retry_budget,
             recorder,
--- a/libs/direct/src/oriolefold_direct/verifying.py
+++ b/libs/direct/src/oriolefold_direct/verifying.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from oriolefold_coordination import ranges
-from oriolefold_core import data, errors, tasks
+from oriolefold_core import clock, data, errors, tasks
 from oriolefold_direct import messages, ports
 from oriolefold_routing import topology
 
@@ -24,6 +25,7 @@
         instances: ports.Instances,
         view: tasks.Task,
         health_checker: tasks.Task,
+        time: clock.Clock,
     ):
         """Initializes the client.
 
@@ -31,10 +33,12 @@
             instances: Client that sends.
             view: Receives `ConnectionFailed`.
             health_checker: Receives `CheckHealth`.
+            time: Clock of cold periods.
         """
         self._instances = instances
         self._view = view
         self._health_checker = health_checker
+        self._clock = time
 
     async def send(
         self,
@@ -69,6 +73,13 @@
     async def _send_verified(
         self, endpoint, call, remaining_s: float, may_write
     ) -> data.Answer:
+        if self._clock.now_s() < endpoint.cold_until_s:
+            # Its state is known, and `may_write` lets no request pass that has
+            # no permission for a cold instance.
+            known = dataclasses.replace(endpoint, health_path='')
+            return await self._instances.send(
+                known, call, remaining_s, may_write
+            )
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + remaining_s
         try:
--- a/libs/direct/tests/test_instanceview.py
+++ b/libs/direct/tests/test_instanceview.py
@@ -66,7 +66,7 @@
         self.view.subscribe(self.subscriber)
         self.checker.subscribe(self.view)
         self.sender = verifying.VerifyingInstances(
-            self.instances, self.view, self.checker
+            self.instances, self.view, self.checker, self.clock
         )
         await self.start(self.subscriber, self.view, self.checker)
 
--- a/libs/http/src/oriolefold_http/connections.py
+++ b/libs/http/src/oriolefold_http/connections.py
@@ -55,7 +55,7 @@
         idle_since_s: When it was last returned to the pool.
         uses: Number of requests written so far.
         responses: Number of responses read so far.
-        proven: Whether it leads to a process whose state the caller knows.
+        proven: Whether it leads to the process that a proof has shown.
     """
 
     def __init__(self, stream: pooledstream.PooledStream, number: int):
--- a/libs/http/src/oriolefold_http/exchanges.py
+++ b/libs/http/src/oriolefold_http/exchanges.py
@@ -33,9 +33,10 @@
         carriers: Numbers of the connections that have carried it, to which the
             pool adds. It is not sent over any of them again, since a late
             response to the earlier sending has the same ID.
-        needs_proof: Whether it may go only over a connection to a process whose
-            state an earlier request with `is_proof` has shown.
-        is_proof: Whether its response shows the state of the process.
+        needs_proof: Whether it may go only over a connection to the process
+            that a request with `is_proof` has reached.
+        is_proof: Whether its response shows the state of the process; the
+            caller revokes the proof if the process may get no requests.
     """
 
     method: str
--- a/libs/routing/tests/test_concurrency.py
+++ b/libs/routing/tests/test_concurrency.py
@@ -211,6 +211,40 @@
         self.assertLess(early, waitqueue.retry_after_s(9.0, 0.4, 1.0))
 
 
+class StateTest(unittest.TestCase):
+    """What gets nothing is neither chosen nor sent what was chosen before."""
+
+    def test_evacuated_unverified_and_cold_instances_get_nothing(self):
+        for changes, obstacle in (
+            ({'evacuated': True, 'unverified': True}, 'evacuated'),
+            ({'unverified': True, 'cold_until_s': 11.0}, 'unverified'),
+            ({'cold_until_s': 11.0}, 'cold'),
+        ):
+            with self.subTest(changes):
+                found = endpoint('one', **changes)
+                state = concurrency.InstanceState(found, 0, 6.0)
+                self.assertEqual(state.obstacle(10.0).value, obstacle)
+                self.assertFalse(state.wants(True, 10.0))
+                self.assertFalse(state.wants(False, 10.0))
+
+    def test_a_cold_instance_is_open_afterwards_or_by_permission(self):
+        found = endpoint('one', cold_until_s=11.0)
+        state = concurrency.InstanceState(found, 0, 6.0)
+        self.assertTrue(state.has_capacity(11.0))
+        state.may_send_cold = lambda now_s: now_s == 10.0
+        self.assertTrue(state.has_capacity(10.0))
+        self.assertTrue(state.wants(False, 10.0))
+        self.assertFalse(state.has_capacity(10.1))
+
+    def test_callers_learn_when_the_first_instance_is_warm(self):
+        table = instancetable.InstanceTable(LOCALITY)
+        demand = selection.Demand('s')
+        table.update({'one': endpoint('one', cold_until_s=12.0)}, 0.0)
+        self.assertEqual(table.busy_until_s(demand, 10.0), 12.0)
+        table.update({'one': endpoint('one', evacuated=True)}, 0.0)
+        self.assertIsNone(table.choose(demand, 13.0))
+
+
 class AttemptBudgetTest(unittest.TestCase):
     """Resends of all VMs together stay below the bound."""
 
