--- a/libs/direct/src/oriolefold_direct/instanceview.py
+++ b/libs/direct/src/oriolefold_direct/instanceview.py
@@ -85,7 +85,8 @@
             case messages.EvacuationsUpdated():
                 self._update_evacuations(message.zone_ids)
             case messages.ConnectionFailed():
-                self._record_failure(message.endpoint, 'connection')
+                if not self._record_failure(message.endpoint, 'connection'):
+                    return
             case messages.HealthChecked():
                 self._record_health(message)
         self._publish()
@@ -145,19 +146,22 @@
                 state.record_evacuation_end(warm_up_s, now_s)
                 self._log_cold(endpoint, 'evacuation')
 
-    def _record_failure(self, endpoint: topology.Endpoint, source: str) -> None:
+    def _record_failure(self, endpoint: topology.Endpoint, source: str) -> bool:
+        """Records a failure; returns whether it shows anything new."""
         state = self._state(endpoint)
         if state is None:
-            return
+            return False
         now_s = self._clock.now_s()
         profile = self._profiles_by_id[endpoint.service_id]
         if not profile.health_path:
             state.record_restart(profile.warm_up_s, now_s)
             self._log_cold(endpoint, source)
-            return
-        if state.unverified_since_s is None:
+            return True
+        is_new = state.unverified_since_s is None
+        if is_new:
             logs.event('instance.unverified', source=source, **_names(endpoint))
         state.record_failure(now_s)
+        return is_new
 
     def _record_health(self, checked: messages.HealthChecked) -> None:
         endpoint = checked.endpoint
