Warm-up: a registration ends only the cold period that it told of

Cause: an instance that had started shortly before its zone's evacuation ended could end the time after the evacuation by the last registration of its start, and a registration with little time left shortened it. A cold period that ended by a registration also skipped the spread return of instances to the candidates for keys.

Change: a registration raises the end of a cold period, and one with 0 ends a period only if an earlier one gave about the same end. It ends now, not at 0, so that the return stays spread.

--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -119,11 +119,9 @@
         if not self.belief.may_get_keyed(now_s):
             return Obstacle.LEAVING
         if self._is_restarting(now_s):
-            return (
-                Obstacle.UNVERIFIED
-                if self.endpoint.unverified
-                else (Obstacle.COLD)
-            )
+            if self.endpoint.unverified:
+                return Obstacle.UNVERIFIED
+            return Obstacle.COLD
         if now_s < self.belief.busy_until_s:
             return Obstacle.PUSHBACK
         if now_s < self.backoff_until_s:
--- a/libs/routing/src/oriolefold_routing/warmup.py
+++ b/libs/routing/src/oriolefold_routing/warmup.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# Difference between the ends of one cold period that two registrations give,
+# as they are read with different delays.
+READ_DELAY_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WarmUpLimits:
@@ -41,8 +45,8 @@
     def register(self, left_s: float, now_s: float) -> None:
         """Records a registration that is newer than what is known.
 
-        Only a registration that follows one with time left ends a cold period:
-        one written before the period began has 0, too.
+        A registration with 0 ends a cold period only if an earlier one told of
+        that period: one written before the period began has 0, too.
 
         Args:
             left_s: For how long the instance is still cold, in seconds. It
@@ -51,10 +55,13 @@
         """
         self.unverified_since_s = None
         if left_s > 0:
-            self.cold_until_s = now_s + left_s
+            until_s = now_s + left_s
+            if until_s >= self.cold_until_s - READ_DELAY_S:
+                self._announced_cold = True
+            self.cold_until_s = max(self.cold_until_s, until_s)
         elif self._announced_cold:
-            self.cold_until_s = 0.0
-        self._announced_cold = left_s > 0
+            self.cold_until_s = min(self.cold_until_s, now_s)
+            self._announced_cold = False
 
     def record_evacuation_end(self, warm_up_s: float, now_s: float) -> None:
         """Treats the instance as if it had started now."""
