--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -15,6 +15,7 @@
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
     'oriolefold_region_refusals': ('service', 'reason'),
+    'oriolefold_health_checks': ('service', 'result'),
     'oriolefold_log_lines': ('result',),
 }
 
@@ -59,6 +60,10 @@
         """Counts a request kept from instances by its allowed regions."""
         self._counts['oriolefold_region_refusals', service_id, reason] += 1
 
+    def count_health_check(self, service_id: str, result: str) -> None:
+        """Counts a health check of an instance."""
+        self._counts['oriolefold_health_checks', service_id, result] += 1
+
     def register_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
