Permits for single requests to cold instances of keyed services

Change: the leader of a keyed service grants permits in its replies to load reports, each for one request. Without one, nothing is sent to a cold instance. The bound holds by construction of the window that is counted; reports and replies have new fields only where instances are cold.

Result: 300 random histories of loss, delays, repeats, restarts and leaders in turn keep the bound in every second (test_warmupallotment).

--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -23,7 +23,7 @@
 )
 from oriolefold_gateway import frontend, stopsteps
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import attempts, policy, topology
+from oriolefold_routing import attempts, policy, topology, warmup
 from oriolefold_sending import messages as sending_messages
 from oriolefold_store import ports as store_ports
 from oriolefold_telemetry import counters, logs
@@ -66,6 +66,7 @@
             which gives precedence to other VMs.
         max_contact_age_s: Age of the store contact on which the known objects
             rest from which this VM asks the store itself.
+        warm_up_limits: Bound on the requests to a cold instance.
     """
 
     vm_id: str
@@ -83,6 +84,9 @@
     feeds_policies: bool = False
     takeover_delay_s: float = 0.0
     max_contact_age_s: float = following.DEFAULT_MAX_CONTACT_AGE_S
+    warm_up_limits: warmup.WarmUpLimits = dataclasses.field(
+        default_factory=warmup.WarmUpLimits
+    )
 
 
 class _Limits(tasks.Task):
@@ -199,6 +203,7 @@
                 time,
                 recorder,
                 generator,
+                settings.warm_up_limits,
             )
 
         self._coordinators = coordinators.Coordinators(
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -26,8 +26,9 @@
     loadtracker,
     messages,
     ports,
+    warmupgrants,
 )
-from oriolefold_routing import announcements
+from oriolefold_routing import announcements, warmup
 from oriolefold_store import ports as store_ports
 from oriolefold_store import updates
 from oriolefold_telemetry import counters, logs
@@ -42,6 +43,7 @@
 SETTLE_LIMIT_S = 4.0  # Longest wait for the registrations to settle.
 # Between requests to a silent former leader, whose process may be restarted.
 END_TERMS_RETRY_S = 2.0
+DEFAULT_WARM_UP_LIMITS = warmup.WarmUpLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +103,7 @@
         time: clock.Clock,
         recorder: counters.Counters,
         generator: random.Random,
+        warm_up_limits: warmup.WarmUpLimits = DEFAULT_WARM_UP_LIMITS,
     ):
         """Initializes the task.
 
@@ -120,6 +123,7 @@
             time: Clock.
             recorder: Metrics of grants and releases.
             generator: Source of random numbers.
+            warm_up_limits: Bound on the requests to a cold instance.
         """
         super().__init__(f'coordinator {service_id}')
         self._service_id = service_id
@@ -156,6 +160,9 @@
         self._load_reporter = loadreports.LoadReporter(
             service_id, vm_id, peers, dispatcher
         )
+        self._warm_up_grants = warmupgrants.WarmUpGrants(
+            service_id, warm_up_limits, recorder
+        )
         self._registry_changed_at_s = 0.0
         self._settle_deadline_s = 0.0
         self._resigning = False
@@ -189,6 +196,8 @@
     async def handle(self, message: Any) -> None:
         """Handles one message."""
         match message:
+            case messages.WarmUpRateUpdated():
+                self._warm_up_grants.set_rate(message.rate_per_s)
             case messages.EndpointsUpdated():
                 self._update_endpoints(message)
             case _CallEnded() if not self._is_term_of(message.lease_manager):
@@ -316,6 +325,7 @@
         self._term_version = self._records.version
         self._map_era = self._records.era
         self._lease_manager = self._make_lease_manager(key_map, vacancy)
+        self._warm_up_grants.start_term(self._clock.now_s())
         self._former_leader = previous
         self._update_candidates()
         self._log(
@@ -572,7 +582,7 @@
             return
         self._load_updated_at_s = now_s
         load = await self._load_reporter.collect()
-        self._load_reporter.apply(self._record_load(self._vm_id, load))
+        self._load_reporter.apply(self._record_load(self._vm_id, load), load)
         self._update_candidates()
 
     def _record_load(
@@ -589,7 +599,16 @@
             self._candidates.endpoints,
             self._clock.now_s(),
         )
-        return messages.LoadReply(shares_by_id, self._granted_ranges())
+        permits_by_id = self._warm_up_grants.grant(
+            vm_id,
+            load,
+            self._candidates.endpoints,
+            self._is_sole_leader(),
+            self._clock.now_s(),
+        )
+        return messages.LoadReply(
+            shares_by_id, self._granted_ranges(), permits_by_id
+        )
 
     def _record_leaving(
         self, source: str, vm_id: str, leaving_by_id: dict[str, int]
--- a/libs/direct/src/oriolefold_direct/coordinators.py
+++ b/libs/direct/src/oriolefold_direct/coordinators.py
@@ -8,6 +8,7 @@
 from oriolefold_coordination import leaderelection
 from oriolefold_core import tasks
 from oriolefold_direct import coordinator, messages
+from oriolefold_routing import policy
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -35,6 +36,7 @@
         self._by_service_id: dict[str, coordinator.Coordinator] = {}
         self._endpoints: messages.EndpointsUpdated | None = None
         self._service_ids: frozenset[str] = frozenset()
+        self._warm_up_rates_by_id: dict[str, float] = {}
         self._resigning = False
 
     async def handle(self, message: Any) -> None:
@@ -65,6 +67,7 @@
             for profile in message.policy.services_by_id.values():
                 if profile.keyed:
                     await self._ensure_running(profile.service_id)
+            self._post_warm_up_rates(message.policy)
 
     async def _ensure_running(self, service_id: str) -> None:
         if self._resigning or service_id in self._by_service_id:
@@ -75,6 +78,15 @@
             running.post(self._known_endpoints())
         await running.start()
 
+    def _post_warm_up_rates(self, known: policy.Policy) -> None:
+        """Tells the coordinators of warm-up rates that have changed."""
+        for service_id, running in self._by_service_id.items():
+            profile = known.services_by_id.get(service_id)
+            rate_per_s = 0.0 if profile is None else profile.warm_up_rate_per_s
+            if rate_per_s != self._warm_up_rates_by_id.get(service_id, 0.0):
+                self._warm_up_rates_by_id[service_id] = rate_per_s
+                running.post(messages.WarmUpRateUpdated(rate_per_s))
+
     def _post_endpoints(self) -> None:
         if self._endpoints is not None:
             for running in self._by_service_id.values():
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -111,6 +111,11 @@
                     known = self._instance_table.states_by_id.get(instance_id)
                     if known is not None:
                         known.set_quota(share, now_s)
+            case messages.PermitsGranted():
+                self._reporter.permits_granted(message)
+                permits = self._instance_table.permits
+                permits.add(message.permits_by_id, message.sent_at_s)
+                self._acquisition.wake_all()
             case sending_messages.Drain():
                 self._stops_at_s = message.stops_at_s
                 self._acquisition.refuse_all_unfinishable()
@@ -291,8 +296,10 @@
 
         def may_send() -> bool:
             nonlocal withheld
-            withheld = not instance.wants(
-                request.key is not None, self._clock.now_s()
+            now_s = self._clock.now_s()
+            withheld = not (
+                instance.wants(request.key is not None, now_s)
+                and instance.take_permit(now_s)
             )
             return not withheld
 
@@ -389,7 +396,14 @@
                 service_id, self._clock.now_s()
             )
         }
-        return messages.ObservedLoad(recent_keys, times_by_id, leaving_by_id)
+        now_s = self._clock.now_s()
+        waiting = self._acquisition.waiting(service_id)
+        cold_ids = self._key_owners.wanted_cold_ids(
+            service_id, recent_keys, waiting, now_s
+        )
+        return messages.ObservedLoad(
+            recent_keys, times_by_id, leaving_by_id, cold_ids, now_s
+        )
 
     def _describe(self) -> dict:
         return {
--- a/libs/direct/src/oriolefold_direct/keyowners.py
+++ b/libs/direct/src/oriolefold_direct/keyowners.py
@@ -1,6 +1,7 @@
 """Owners of keys, by the key map of each service and the known instances."""
 
 import dataclasses
+from collections.abc import Collection
 
 from oriolefold_coordination import ranges
 from oriolefold_direct import messages
@@ -81,6 +82,33 @@
             return None, 'draining'
         return known, ''
 
+    def wanted_cold_ids(
+        self, service_id: str, keys: Collection[int], waiting: int, now_s: float
+    ) -> tuple[str, ...]:
+        """Returns the cold instances that this VM would send requests to.
+
+        Those that own keys of recent requests come first. Without any requests
+        there are none, since permits that are not used are lost to others.
+
+        Args:
+            service_id: The service.
+            keys: Keys of recent requests.
+            waiting: Number of queued requests.
+            now_s: Current time.
+        """
+        if not (keys or waiting) or not self._instance_table.any_cold(
+            service_id, now_s
+        ):
+            return ()
+        owner_ids: set[str] = set()
+        key_map = self._maps_by_service_id.get(service_id)
+        if key_map is not None:
+            found = (key_map.range_of(key) for key in set(keys))
+            owner_ids = {r.owner.instance_id for r in found if r is not None}
+        return self._instance_table.wanted_cold_ids(
+            service_id, owner_ids, now_s
+        )
+
     def token(self, service_id: str, key: int | None) -> int | None:
         """Returns the token of the range of a key, or None without one."""
         key_map = self._maps_by_service_id.get(service_id)
--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -8,6 +8,9 @@
 
 MIN_REPORTED_KEYS = 4  # Fewer requests wait for the next report.
 REPORTS_PER_TIMES_UPDATE = 4  # Every n-th report has service times.
+# Reports without cold instances after the leader has not understood one, since
+# leaders of earlier versions reject those with any. 15 s at two a second.
+PAUSED_COLD_REPORTS = 30
 
 
 class LoadReporter:
@@ -36,6 +39,7 @@
         self._report_count = 0
         self._deferred_keys: tuple[int, ...] = ()
         self._leader_address = ''
+        self._paused_cold_reports = 0
         self._reported_leaving_by_id: dict[str, int] = {}
 
     async def collect(self) -> messages.ObservedLoad:
@@ -44,18 +48,24 @@
             messages.CollectLoad(self._service_id)
         )
 
-    def apply(self, reply: messages.LoadReply) -> None:
-        """Passes the leader's reply on to the dispatcher."""
+    def apply(
+        self, reply: messages.LoadReply, load: messages.ObservedLoad
+    ) -> None:
+        """Passes the leader's reply to a reported load on to the dispatcher."""
         self._dispatcher.post(messages.SharesUpdated(reply.shares_by_id))
         if reply.granted is not None:
             self._dispatcher.post(reply.granted)
+        if reply.permits_by_id:
+            self._dispatcher.post(
+                messages.PermitsGranted(reply.permits_by_id, load.read_at_s)
+            )
 
     async def report(self, leader_address: str) -> bool:
         """Reports the keys of recent requests to the leader.
 
         A report with few keys is merged into the next one, so that many VMs
         with little load do not keep the leader busy. An instance that leaves is
-        reported at once, also without keys.
+        reported at once, also without keys, and so are cold instances.
 
         Args:
             leader_address: Address of the leader, or an empty string.
@@ -64,15 +74,17 @@
             Whether the leader answered, or nothing was sent.
         """
         recent = await self.collect()
-        load = messages.ObservedLoad(
-            self._deferred_keys + recent.keys,
-            recent.times_by_id,
-            recent.leaving_by_id,
+        load = dataclasses.replace(
+            recent, keys=self._deferred_keys + recent.keys
         )
         if leader_address != self._leader_address:
             self._leader_address = leader_address
+            self._paused_cold_reports = 0
             self._reported_leaving_by_id = {}
-        has_news = not (
+        if self._paused_cold_reports and load.cold_ids:
+            self._paused_cold_reports -= 1
+            load = dataclasses.replace(load, cold_ids=())
+        has_news = bool(load.cold_ids) or not (
             load.leaving_by_id.items() <= self._reported_leaving_by_id.items()
         )
         if not leader_address or not (load.keys or has_news):
@@ -81,6 +93,7 @@
             len(load.keys) < MIN_REPORTED_KEYS
             and not self._deferred_keys
             and not load.leaving_by_id
+            and not load.cold_ids
         ):
             self._deferred_keys = load.keys
             return True
@@ -92,6 +105,8 @@
         try:
             reply = await self._peers.report(leader_address, report)
         except errors.OriolefoldError as error:
+            if load.cold_ids and isinstance(error, errors.ProtocolError):
+                self._paused_cold_reports = PAUSED_COLD_REPORTS
             # Not sent again: the leader uses the reports of the other VMs.
             logs.event(
                 'load.report_failed',
@@ -100,5 +115,5 @@
             )
             return False
         self._reported_leaving_by_id = load.leaving_by_id
-        self.apply(reply)
+        self.apply(reply, load)
         return True
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -57,11 +57,15 @@
             queueing; instances that have not answered are left out.
         leaving_by_id: Start time of each instance that announced in an answer
             that it leaves, in Unix milliseconds.
+        cold_ids: Cold instances that the VM would send requests to.
+        read_at_s: When it was read, by the clock of the VM.
     """
 
     keys: tuple[int, ...]
     times_by_id: dict[str, float]
     leaving_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_ids: tuple[str, ...] = ()
+    read_at_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -108,10 +112,12 @@
     Attributes:
         shares_by_id: The VM's shares of the slots of busy owners, by instance.
         granted: Moving ranges that may be sent to, or None.
+        permits_by_id: Requests that may be sent to each cold instance.
     """
 
     shares_by_id: dict[str, float]
     granted: GrantedRanges | None = None
+    permits_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -141,6 +147,31 @@
     shares_by_id: dict[str, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WarmUpRateUpdated:
+    """The warm-up rate of a service has changed.
+
+    Attributes:
+        rate_per_s: Requests per second that a cold instance tolerates, or 0.
+    """
+
+    rate_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitsGranted:
+    """This VM may send requests to cold instances.
+
+    Attributes:
+        permits_by_id: Number of requests by instance.
+        sent_at_s: A time at or before the one at which the report that asked
+            for them was sent, by the clock of this VM.
+    """
+
+    permits_by_id: dict[str, int]
+    sent_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Follower:
     """A VM that polls another VM for changes in the store.
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -34,27 +34,35 @@
 # The reply, its prefixes, their changes, the objects, and the parts of each.
 CHANGES_LEVELS = 5
 MAX_SERVICE_TIME_S = 3600.0
+MAX_COLD_IDS = 64  # Several times what a VM of this version sends.
+MAX_PERMITS = 1000  # For one instance in one reply.
 _ADDRESS = re.compile(r'(.+):([0-9]{1,5})')
 _Model = TypeVar('_Model')
 _ServiceTime = Annotated[float, msgspec.Meta(gt=0, le=MAX_SERVICE_TIME_S)]
+_Permits = Annotated[int, msgspec.Meta(ge=0, le=MAX_PERMITS)]
 # Sums of shares are rounded.
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1.001)]
 
 
-# Leaders of earlier versions reject a report with leaving instances, so their
-# field is left out of the others.
+# Leaders of earlier versions reject a report with leaving or cold instances, so
+# their fields are left out of the others.
 class _Report(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     vm_id: str
     service_id: str
     keys: list[documents.Key]
     times_by_id: dict[str, _ServiceTime] = {}
     leaving_by_id: dict[str, documents.Counter] = {}
+    cold_ids: Annotated[list[str], msgspec.Meta(max_length=MAX_COLD_IDS)] = []
 
 
-class _LoadReply(msgspec.Struct, forbid_unknown_fields=True):
+# VMs of earlier versions reject a reply with permits. They do not ask for any.
+class _LoadReply(
+    msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True
+):
     shares_by_id: dict[str, _Share]
     map_version: documents.Counter = 0
     granted: list[tuple[documents.Key, documents.Key, documents.Counter]] = []
+    permits_by_id: dict[str, _Permits] = {}
 
 
 class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
@@ -124,6 +132,7 @@
                 list(report.load.keys),
                 report.load.times_by_id,
                 report.load.leaving_by_id,
+                list(report.load.cold_ids),
             )
         )
         answer = await self._call(
@@ -216,7 +225,10 @@
     """
     decoded = _decode(body, _Report)
     load = messages.ObservedLoad(
-        tuple(decoded.keys), decoded.times_by_id, decoded.leaving_by_id
+        tuple(decoded.keys),
+        decoded.times_by_id,
+        decoded.leaving_by_id,
+        tuple(decoded.cold_ids),
     )
     return messages.LoadReport(decoded.vm_id, decoded.service_id, load)
 
@@ -228,15 +240,13 @@
 
 def encode_load_reply(reply: messages.LoadReply) -> bytes:
     """Encodes the reply to a load report."""
-    if reply.granted is None:
+    if reply.granted is None and not reply.permits_by_id:
         return encode_shares(reply)
-    return msgspec.json.encode(
-        _LoadReply(
-            reply.shares_by_id,
-            reply.granted.map_version,
-            sorted(reply.granted.bounds),
-        )
-    )
+    encoded = _LoadReply(reply.shares_by_id, permits_by_id=reply.permits_by_id)
+    if reply.granted is not None:
+        encoded.map_version = reply.granted.map_version
+        encoded.granted = sorted(reply.granted.bounds)
+    return msgspec.json.encode(encoded)
 
 
 def _decode_load_reply(service_id: str, body: bytes) -> messages.LoadReply:
@@ -245,10 +255,14 @@
     except (msgspec.MsgspecError, RecursionError):
         # Without granted ranges the reply has only shares.
         return messages.LoadReply(_decode(body, dict[str, _Share]))
-    granted = messages.GrantedRanges(
-        service_id, decoded.map_version, frozenset(decoded.granted)
+    granted = None
+    if decoded.granted:
+        granted = messages.GrantedRanges(
+            service_id, decoded.map_version, frozenset(decoded.granted)
+        )
+    return messages.LoadReply(
+        decoded.shares_by_id, granted, decoded.permits_by_id
     )
-    return messages.LoadReply(decoded.shares_by_id, granted)
 
 
 def decode_end_terms(body: bytes) -> messages.EndTerms:
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from oriolefold_core import clock, data
-from oriolefold_direct import ports
+from oriolefold_direct import messages, ports
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import announcements, concurrency, policy, topology
 from oriolefold_telemetry import counters, logs
@@ -193,6 +193,18 @@
                 **fields,
             )
 
+    def permits_granted(self, granted: messages.PermitsGranted) -> None:
+        """Counts and logs permits for requests to cold instances."""
+        age_s = self._clock.now_s() - granted.sent_at_s
+        self._metrics.count_warm_up(
+            'received', sum(granted.permits_by_id.values())
+        )
+        logs.event(
+            'warmup.received',
+            permits=granted.permits_by_id,
+            age_ms=round(age_s * 1000),
+        )
+
     def sent(
         self,
         instance: concurrency.InstanceState,
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from oriolefold_routing import announcements, topology
+from oriolefold_routing import announcements, topology, warmuppermits
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -45,6 +45,7 @@
     """Why an instance may not be sent one more request."""
 
     BACKOFF = 'backoff'
+    COLD = 'cold'
     LEAVING = 'leaving'
     LIMIT = 'limit'
     PACING = 'pacing'
@@ -75,6 +76,7 @@
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
+        permits: Permits of this VM for requests to cold instances.
     """
 
     endpoint: topology.Endpoint
@@ -95,6 +97,9 @@
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
     )
+    permits: warmuppermits.WarmUpPermits = dataclasses.field(
+        default_factory=warmuppermits.WarmUpPermits
+    )
 
     @property
     def max_limit(self) -> float:
@@ -113,6 +118,10 @@
             return Obstacle.PUSHBACK
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
+        if self.is_cold(now_s) and not self.permits.may_use(
+            self.endpoint.instance_id, now_s
+        ):
+            return Obstacle.COLD
         limit, obstacle = self.limit, Obstacle.LIMIT
         if now_s < self.quota_until_s:
             if self.quota < 1 and now_s < self.next_send_at_s:
@@ -122,6 +131,19 @@
             limit = max(1.0, limit / 2)
         return None if self.in_flight < limit else obstacle
 
+    def is_cold(self, now_s: float) -> bool:
+        """Whether it may be sent a request with a permit only."""
+        return now_s < self.endpoint.cold_until_s
+
+    def take_permit(self, now_s: float) -> bool:
+        """Returns whether a request may be written now.
+
+        If the instance is cold, that uses up a permit.
+        """
+        return not self.is_cold(now_s) or self.permits.take(
+            self.endpoint.instance_id, now_s
+        )
+
     def wants(self, keyed: bool, now_s: float) -> bool:
         """Whether its announcements allow a request that it was chosen for.
 
@@ -156,6 +178,8 @@
         request may be sent after the baseline time divided by the quota.
         """
         self.in_flight += 1
+        if self.is_cold(now_s):
+            self.permits.assign(self.endpoint.instance_id, now_s)
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
 
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -1,12 +1,17 @@
 """The registered instances, their load state, and which one a request gets."""
 
+from collections.abc import Collection
+
 from oriolefold_routing import (
     announcements,
     concurrency,
     selection,
     topology,
+    warmuppermits,
 )
 
+MAX_COLD_IDS = 8  # For which a VM asks for permits in one report.
+
 
 class InstanceTable:
     """Load state of all registered instances, grouped by service."""
@@ -17,6 +22,7 @@
         self.states_by_id: dict[str, concurrency.InstanceState] = {}
         self._by_service_id: dict[str, list[concurrency.InstanceState]] = {}
         self._announcements = announcements.Announcements()
+        self.permits = warmuppermits.WarmUpPermits()
 
     def update(
         self, endpoints_by_id: dict[str, topology.Endpoint], now_s: float
@@ -35,6 +41,7 @@
                     self._locality.distance_to(endpoint.zone_id),
                     max(1.0, endpoint.slots),
                     warm_up_until_s=now_s + endpoint.warm_up_s,
+                    permits=self.permits,
                 )
             known.endpoint = endpoint
             known.belief = self._announcements.belief(
@@ -72,6 +79,41 @@
             if state.belief.is_leaving(now_s)
         ]
 
+    def any_cold(self, service_id: str, now_s: float) -> bool:
+        """Whether an instance of a service is cold."""
+        return any(
+            state.is_cold(now_s) for state in self.of_service(service_id)
+        )
+
+    def wanted_cold_ids(
+        self, service_id: str, owner_ids: Collection[str], now_s: float
+    ) -> tuple[str, ...]:
+        """Returns the cold instances that this VM would send requests to.
+
+        Args:
+            service_id: The service.
+            owner_ids: Owners of keys in demand, which come first.
+            now_s: Current time.
+
+        Returns:
+            A bounded number of them, the nearest first.
+        """
+        cold = [
+            state
+            for state in self.of_service(service_id)
+            if state.is_cold(now_s)
+            and not (state.endpoint.evacuated or state.endpoint.unverified)
+            and not _leaves(state, now_s)
+        ]
+        cold.sort(
+            key=lambda state: (
+                state.endpoint.instance_id not in owner_ids,
+                state.distance,
+                state.endpoint.instance_id,
+            )
+        )
+        return tuple(s.endpoint.instance_id for s in cold[:MAX_COLD_IDS])
+
     def any_pushes_back(self, service_id: str, now_s: float) -> bool:
         """Whether an instance of a service wants no requests now."""
         return any(
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -15,6 +15,7 @@
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
     'oriolefold_log_lines': ('result',),
+    'oriolefold_warm_up_permits': ('result',),
 }
 
 
@@ -54,6 +55,10 @@
         """Counts a grant or release."""
         self._counts['oriolefold_grants', call, result] += 1
 
+    def count_warm_up(self, result: str, count: int = 1) -> None:
+        """Counts permits for requests to cold instances."""
+        self._counts['oriolefold_warm_up_permits', result] += count
+
     def register_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
