--- a/libs/coordination/tests/test_warmupallotment.py
+++ b/libs/coordination/tests/test_warmupallotment.py
@@ -101,18 +101,16 @@
             max_size=120,
         )
     )
-    events, now_s = [], 0.0
+    kinds = ('report',) * 8 + ('restart', 'cut', 'cold')
+    kinds += ('elect',) * draw(st.sampled_from((0, 1, 8)))
+    events, now_s = [], 2.5
     for passed_s in times:
         now_s += passed_s
         events.append(
             (
                 now_s,
                 draw(st.integers(0, VMS - 1)),
-                draw(
-                    st.sampled_from(
-                        ('report',) * 8 + ('restart', 'elect', 'cut', 'cold')
-                    )
-                ),
+                draw(st.sampled_from(kinds)),
                 draw(st.sampled_from((0.0, 0.02, 0.4, 0.9, 1.1))),
                 draw(st.sampled_from((0.0, 0.02, 0.4, 0.9))),
                 draw(st.sampled_from(('once', 'once', 'lost', 'twice'))),
@@ -165,6 +163,8 @@
             # The former leader may act until then, and may not know it.
             self._leaders[-1].sole_until_s = now_s
             self._leaders.append(_Leader(now_s))
+            for other in range(VMS):
+                self._run(now_s, other, 'report', there_s, back_s, how, 0.0)
         elif kind == 'cut':
             self._leaders[-1].sole_until_s = now_s
         elif kind == 'cold':
--- a/libs/direct/tests/test_coordinator.py
+++ b/libs/direct/tests/test_coordinator.py
@@ -879,6 +879,44 @@
         self.assertIsNone(reply.granted)
 
 
+class WarmUpPermitsTest(_CoordinatorCase):
+    """Only a leader that cannot have a successor grants permits."""
+
+    async def start_leader(self, store=None):
+        self.store = store or self.store
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        leader.post(messages.WarmUpRateUpdated(9.0))
+        await self.wait_for(lambda: self.instances.grants)
+        return leader
+
+    async def permits(self, leader):
+        load = messages.ObservedLoad((), {}, cold_ids=('a',))
+        report = messages.LoadReport('other', 'svc', load)
+        return (await leader.ask(report)).permits_by_id
+
+    async def test_permits_begin_when_earlier_ones_have_expired(self):
+        leader = await self.start_coordinator('one', fakes.endpoint('a'))
+        leader.post(messages.WarmUpRateUpdated(9.0))
+        name = documents.LEADER_PREFIX + 'svc'
+        while not (await updates.read(self.store, name)).body:
+            await asyncio.sleep(0.01)
+        elected_s = self.clock.now_s()
+        while not await self.permits(leader):
+            await asyncio.sleep(0.05)
+            self.assertLess(self.clock.now_s() - elected_s, 5.0)
+        self.assertGreater(self.clock.now_s() - elected_s, 2.4)
+
+    async def test_leader_cut_off_from_the_store_grants_no_permits(self):
+        """Guards against two leaders whose permits add up."""
+        link = _StoreLink(self.store)
+        leader = await self.start_leader(link)
+        await asyncio.sleep(2.6)
+        self.assertTrue(await self.permits(leader))
+        link.cut = True
+        await asyncio.sleep(leaderelection.SUSPECTED_TAKEOVER_S)
+        self.assertEqual(await self.permits(leader), {})
+
+
 def _address(vm_id):
     return f'{vm_id}:80'
 
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -60,6 +60,37 @@
         self.prepare()
         self.assertEqual(await self.ask(), fakes.ANSWER)
 
+    async def test_a_failed_send_to_a_cold_instance_uses_up_its_permit(self):
+        """Guards against a second send: the first may have arrived."""
+        now_s = clock.BootClock().now_s()
+        self.prepare(endpoints=[fakes.endpoint('one', cold_until_s=now_s + 60)])
+        failed = errors.UnreachableError('reset')
+        self.instances.outcomes = {'one': [failed, fakes.ANSWER]}
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask()
+        self.assertEqual(self.instances.sent, [])
+        self.dispatcher.post(messages.PermitsGranted({'one': 1}, now_s))
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask()
+        self.assertEqual(len(self.instances.sent), 1)
+
+    async def test_cold_instances_are_wanted_when_requests_need_them(self):
+        cold_until_s = clock.BootClock().now_s() + 60
+        self.prepare(
+            endpoints=[fakes.endpoint('one', cold_until_s=cold_until_s)]
+        )
+        collect = messages.CollectLoad('svc')
+        self.assertEqual((await self.dispatcher.ask(collect)).cold_ids, ())
+        asking = asyncio.ensure_future(self.ask())
+        await asyncio.sleep(0.02)
+        collect = messages.CollectLoad('svc')
+        self.assertEqual(
+            (await self.dispatcher.ask(collect)).cold_ids, ('one',)
+        )
+        now_s = clock.BootClock().now_s()
+        self.dispatcher.post(messages.PermitsGranted({'one': 1}, now_s))
+        self.assertEqual(await asking, fakes.ANSWER)
+
     async def test_instance_is_logged_once_when_it_begins_to_drain(self):
         with mock.patch.object(logs, 'event') as event:
             self.prepare()
--- a/libs/direct/tests/test_loadreports.py
+++ b/libs/direct/tests/test_loadreports.py
@@ -68,6 +68,48 @@
         self.peers.report = answering
         self.assertTrue(await self.report(one=1))
 
+    async def report_cold(self, leader=LEADER):
+        """Reports a cold instance; returns the ones in the sent report."""
+        self.dispatcher.load = messages.ObservedLoad(
+            (1,), {}, cold_ids=('a',), read_at_s=7.0
+        )
+        before = len(self.peers.reports)
+        await self.reporter.report(leader)
+        sent = self.peers.reports[before:]
+        return [report.load.cold_ids for _, report in sent]
+
+    async def test_cold_instances_are_reported_each_time_with_few_keys(self):
+        for _ in range(2):
+            self.assertEqual(await self.report_cold(), [('a',)])
+
+    async def test_permits_count_from_when_the_load_was_read(self):
+        async def grant(address, report):
+            return messages.LoadReply({}, None, {'a': 2})
+
+        self.peers.report = grant
+        await self.report_cold()
+        await self.wait_for(lambda: len(self.dispatcher.messages) >= 2)
+        self.assertIn(
+            messages.PermitsGranted({'a': 2}, 7.0), self.dispatcher.messages
+        )
+
+    async def test_a_leader_that_rejects_cold_instances_gets_the_keys(self):
+        """Guards against losing all reports to a leader of an older version."""
+        answering = self.peers.report
+
+        async def reject(address, report):
+            raise errors.ProtocolError('status 400')
+
+        self.peers.report = reject
+        await self.report_cold()
+        self.peers.report = answering
+        sent = []
+        for _ in range(loadreports.PAUSED_COLD_REPORTS):
+            sent += await self.report_cold()
+        self.assertEqual(set(sent), {()})
+        self.assertEqual(await self.report_cold(), [('a',)])
+        self.assertEqual(await self.report_cold('10.0.0.9:80'), [('a',)])
+
     async def test_leaving_instances_are_in_all_reports_of_keys(self):
         for _ in range(2):
             self.assertTrue(await self.report(keys=(1, 2, 3, 4), one=1))
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -124,6 +124,46 @@
                 with self.assertRaises(errors.ProtocolError):
                     await peers.report(address, fakes.load_report())
 
+    async def test_permits_are_read_with_and_without_granted_ranges(self):
+        granted = messages.GrantedRanges('svc', 3, frozenset({(0, 9, 4)}))
+        for reply in (
+            messages.LoadReply({'i': 0.5}, None, {'a': 2}),
+            messages.LoadReply({}, granted, {'a': 2}),
+        ):
+            peers, address = await self.connect(
+                peering.encode_load_reply(reply)
+            )
+            self.assertEqual(
+                await peers.report(address, fakes.load_report()), reply
+            )
+            peers.close()
+
+    async def test_without_cold_instances_nothing_has_new_fields(self):
+        """Guards against fields that VMs of earlier versions reject."""
+        granted = messages.GrantedRanges('svc', 3, frozenset({(0, 9, 4)}))
+        self.assertEqual(
+            peering.encode_load_reply(messages.LoadReply({'i': 0.5}, granted)),
+            b'{"shares_by_id":{"i":0.5},"map_version":3,"granted":[[0,9,4]]}',
+        )
+        peers, _ = await self.connect(b'{}')
+        call = mock.AsyncMock(return_value=b'{}')
+        with mock.patch.object(peers, '_call', call):
+            await peers.report('h:1', fakes.load_report())
+            self.assertNotIn(b'cold_ids', call.call_args.args[2])
+            load = messages.ObservedLoad((), {}, cold_ids=('a',))
+            await peers.report('h:1', messages.LoadReport('v', 's', load))
+        body = call.call_args.args[2]
+        self.assertEqual(peering.decode_report(body).load, load)
+
+    async def test_odd_permits_are_errors(self):
+        for odd in (b'-1', b'1.5', b'1e9', b'"1"'):
+            peers, address = await self.connect(
+                b'{"shares_by_id":{},"permits_by_id":{"a":%s}}' % odd
+            )
+            with self.assertRaises(errors.ProtocolError):
+                await peers.report(address, fakes.load_report())
+            peers.close()
+
 
 DEEP = b'[' * 100_000 + b']' * 100_000
 HUGE = b'9' * 400
