--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -1,5 +1,6 @@
 """The registered instances, their load state, and which one a request gets."""
 
+import functools
 from collections.abc import Collection
 
 from oriolefold_routing import (
@@ -42,6 +43,9 @@
                     max(1.0, endpoint.slots),
                     warm_up_until_s=now_s + endpoint.warm_up_s,
                     permits=self.permits,
+                    may_send_cold=functools.partial(
+                        self.permits.may_use, instance_id
+                    ),
                 )
             known.endpoint = endpoint
             known.belief = self._announcements.belief(
@@ -138,7 +142,12 @@
             if state.endpoint.instance_id not in demand.excluded_ids
         ]
         return min(
-            (state.belief.busy_until_s for state in others or staying),
+            (
+                max(state.belief.busy_until_s, cold_until_s)
+                if (cold_until_s := state.cold_until_s(now_s))
+                else state.belief.busy_until_s
+                for state in others or staying
+            ),
             default=float('-inf'),
         )
 
@@ -181,7 +190,12 @@
 
 
 def _leaves(state: concurrency.InstanceState, now_s: float) -> bool:
-    return state.endpoint.draining or state.belief.is_leaving(now_s)
+    endpoint = state.endpoint
+    return (
+        endpoint.evacuated
+        or endpoint.draining
+        or state.belief.is_leaving(now_s)
+    )
 
 
 def _is_new_incarnation(
--- a/libs/routing/src/oriolefold_routing/warmuppermits.py
+++ b/libs/routing/src/oriolefold_routing/warmuppermits.py
@@ -43,6 +43,13 @@
         """Whether there is a permit that is not assigned to a request."""
         return bool(_valid(self._free_by_id.get(instance_id), now_s))
 
+    def may_take(self, instance_id: str, now_s: float) -> bool:
+        """Whether there is a permit, assigned or not."""
+        return any(
+            _valid(permits_by_id.get(instance_id), now_s)
+            for permits_by_id in (self._assigned_by_id, self._free_by_id)
+        )
+
     def assign(self, instance_id: str, now_s: float) -> None:
         """Assigns a permit, if there is one, to a request."""
         free = _valid(self._free_by_id.get(instance_id), now_s)
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -14,6 +14,7 @@
     'oriolefold_sends': ('distance', 'result'),
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
+    'oriolefold_health_checks': ('service', 'result'),
     'oriolefold_log_lines': ('result',),
     'oriolefold_warm_up_permits': ('result',),
 }
@@ -59,6 +60,10 @@
         """Counts permits for requests to cold instances."""
         self._counts['oriolefold_warm_up_permits', result] += count
 
+    def count_health_check(self, service_id: str, result: str) -> None:
+        """Counts a health check of an instance."""
+        self._counts['oriolefold_health_checks', service_id, result] += 1
+
     def register_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
