--- a/libs/direct/src/oriolefold_direct/application.py
+++ b/libs/direct/src/oriolefold_direct/application.py
@@ -217,6 +217,7 @@
                 time,
                 recorder,
                 generator,
+                settings.warm_up_limits,
             )
 
         self._coordinators = coordinators.Coordinators(
--- a/libs/direct/tests/test_dispatcher.py
+++ b/libs/direct/tests/test_dispatcher.py
@@ -60,6 +60,40 @@
         self.prepare()
         self.assertEqual(await self.ask(), fakes.ANSWER)
 
+    async def test_a_failed_send_to_a_cold_instance_uses_up_its_permit(self):
+        """Guards against a second send: the first may have arrived."""
+        now_s = clock.BootClock().now_s()
+        self.prepare(endpoints=[fakes.endpoint('one', cold_until_s=now_s + 60)])
+        failed = errors.UnreachableError('reset')
+        self.instances.outcomes = {'one': [failed, fakes.ANSWER]}
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask()
+        self.assertEqual(self.instances.sent, [])
+        self.dispatcher.post(messages.PermitsGranted({'one': 1}, now_s))
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask()
+        self.assertEqual(len(self.instances.sent), 1)
+
+    async def test_cold_owner_is_wanted_after_a_request_for_its_keys(self):
+        """Guards against a cold owner that nobody asks permits for."""
+        cold_until_s = clock.BootClock().now_s() + 60
+        self.prepare(
+            keyed=True,
+            endpoints=[fakes.endpoint('one', cold_until_s=cold_until_s)],
+        )
+        self.post_key_map()
+        load = await self.dispatcher.ask(messages.CollectLoad('svc'))
+        self.assertEqual(load.cold_ids, ())
+        with self.assertRaises(errors.OverloadedError):
+            await self.ask(key=7)
+        load = await self.dispatcher.ask(messages.CollectLoad('svc'))
+        self.assertEqual(load.cold_ids, ('one',))
+        self.dispatcher.post(
+            messages.PermitsGranted({'one': 1}, load.read_at_s)
+        )
+        self.assertEqual(await self.ask(key=7), fakes.ANSWER)
+        self.assertEqual(len(self.instances.sent), 1)
+
     async def test_instance_is_logged_once_when_it_begins_to_drain(self):
         with mock.patch.object(logs, 'event') as event:
             self.prepare()
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -11,7 +11,7 @@
 import enum
 from collections.abc import Callable
 
-from oriolefold_routing import announcements, topology
+from oriolefold_routing import announcements, topology, warmuppermits
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -79,6 +79,7 @@
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
+        permits: Permits of this VM for requests to cold instances.
         may_send_cold: Whether one request may be sent at a time although the
             instance is cold; None if it never may.
     """
@@ -101,6 +102,9 @@
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
     )
+    permits: warmuppermits.WarmUpPermits = dataclasses.field(
+        default_factory=warmuppermits.WarmUpPermits
+    )
     may_send_cold: Callable[[float], bool] | None = None
 
     @property
@@ -140,6 +144,19 @@
             limit = max(1.0, limit / 2)
         return None if self.in_flight < limit else obstacle
 
+    def is_cold(self, now_s: float) -> bool:
+        """Whether it may be sent a request with a permit only."""
+        return now_s < self.endpoint.cold_until_s
+
+    def take_permit(self, now_s: float) -> bool:
+        """Returns whether a request may be written now.
+
+        If the instance is cold, that uses up a permit.
+        """
+        return not self.is_cold(now_s) or self.permits.take(
+            self.endpoint.instance_id, now_s
+        )
+
     def wants(self, keyed: bool, now_s: float) -> bool:
         """Whether its announcements allow a request that it was chosen for.
 
@@ -147,7 +164,11 @@
             keyed: Whether the request is for a key that it owns.
             now_s: Current time.
         """
-        if self.endpoint.evacuated or self._is_restarting(now_s):
+        if self.endpoint.evacuated or self.endpoint.unverified:
+            return False
+        if self._is_restarting(now_s) and not self.permits.may_take(
+            self.endpoint.instance_id, now_s
+        ):
             return False
         if now_s < self.belief.busy_until_s:
             return False
@@ -188,6 +209,8 @@
         request may be sent after the baseline time divided by the quota.
         """
         self.in_flight += 1
+        if self.is_cold(now_s):
+            self.permits.assign(self.endpoint.instance_id, now_s)
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
 
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -17,6 +17,7 @@
     'oriolefold_region_refusals': ('service', 'reason'),
     'oriolefold_health_checks': ('service', 'result'),
     'oriolefold_log_lines': ('result',),
+    'oriolefold_warm_up_permits': ('result',),
 }
 
 
@@ -60,6 +61,10 @@
         """Counts a request kept from instances by its allowed regions."""
         self._counts['oriolefold_region_refusals', service_id, reason] += 1
 
+    def count_warm_up(self, result: str, count: int = 1) -> None:
+        """Counts permits for requests to cold instances."""
+        self._counts['oriolefold_warm_up_permits', result] += count
+
     def count_health_check(self, service_id: str, result: str) -> None:
         """Counts a health check of an instance."""
         self._counts['oriolefold_health_checks', service_id, result] += 1
