Load figures of instances and the selection EvenLoad

Cause: a VM sees only its own requests, a small part of what an instance has to do.

Change: `X-Instance-Load` is decoded in platform.loadheader and kept by routing.loadfigures. A service whose instances report figures is balanced by routing.evenload: the shortest expected time of a random sample. All others keep NearestCheapest. The limit at an instance does not grow while requests of others wait there.

--- a/libs/core/src/oriolefold_core/data.py
+++ b/libs/core/src/oriolefold_core/data.py
@@ -197,6 +197,7 @@
         leaving: Whether the instance announces that it is about to end.
         pushback_s: For how long it announces that it wants no requests, in
             seconds.
+        load: Load figures of the instance, or None if it reports none.
     """
 
     status: int
@@ -212,6 +213,7 @@
     pushback_s: float = dataclasses.field(
         default=0.0, compare=False, kw_only=True
     )
+    load: object = dataclasses.field(default=None, compare=False, kw_only=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -103,10 +103,12 @@
         leaving: Whether the instance announces that it is about to end.
         pushback_s: For how long it announces that it wants no requests, in
             seconds.
+        load: Load figures of the instance, or None if it reports none.
     """
 
     leaving = False
     pushback_s = 0.0
+    load: object = None
 
 
 class NotRunError(OriolefoldError):
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -71,7 +71,7 @@
         self._retries = retries.Retries(time, budget_limits)
         self._reporter = pending.Reporter(time, recorder)
         self._admission = admission.Admission(key_header)
-        self._instance_table = instancetable.InstanceTable(locality)
+        self._instance_table = instancetable.InstanceTable(locality, generator)
         self._key_owners = keyowners.KeyOwners(self._instance_table)
         self._acquisition = acquisition.Acquisition(
             self._instance_table,
@@ -344,15 +344,20 @@
         said: data.Answer | errors.AnnouncingError,
     ) -> None:
         """Records what an instance has announced with a response."""
+        now_s = self._clock.now_s()
+        held_up_s = said.held_up_s if isinstance(said, data.Answer) else 0.0
+        if said.load is not None:
+            is_first = self._instance_table.record_load(
+                endpoint, said.load, now_s - held_up_s
+            )
+            self._reporter.load_read(endpoint, said.load, held_up_s, is_first)
         if not said.leaving and said.pushback_s <= 0:
             return
-        now_s = self._clock.now_s()
         news = self._instance_table.record_announcement(
             endpoint,
             announcements.Announcement(said.leaving, said.pushback_s),
             now_s,
         )
-        held_up_s = said.held_up_s if isinstance(said, data.Answer) else 0.0
         self._reporter.announced(endpoint, news, held_up_s)
         if news.leaving or said.pushback_s:
             self._acquisition.refuse_pushed_back(endpoint.service_id)
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -5,7 +5,13 @@
 from oriolefold_core import clock, data
 from oriolefold_direct import ports
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import announcements, concurrency, policy, topology
+from oriolefold_routing import (
+    announcements,
+    concurrency,
+    loadfigures,
+    policy,
+    topology,
+)
 from oriolefold_telemetry import counters, logs
 
 MIN_FAILURE_STATUS = 500  # Lowest status that reports a server error.
@@ -164,6 +170,35 @@
                 'instance.pushback', **fields, pushback_s=news.pushback_s
             )
 
+    def load_read(
+        self,
+        endpoint: topology.Endpoint,
+        figures: loadfigures.LoadFigures,
+        age_s: float,
+        is_first: bool,
+    ) -> None:
+        """Counts load figures and logs the first ones of a service.
+
+        Args:
+            endpoint: The instance that reported them.
+            figures: Its load.
+            age_s: Time since the head of the answer arrived, in seconds.
+            is_first: Whether they are the first of the service.
+        """
+        self._metrics.count_load_report(endpoint.service_id)
+        if not is_first:
+            return
+        logs.event(
+            'load.reported',
+            service=endpoint.service_id,
+            instance=endpoint.instance_id,
+            running=figures.running,
+            waiting=figures.waiting,
+            slots=figures.slots,
+            time_percent=figures.time_percent,
+            age_ms=round(age_s * 1000),
+        )
+
     def listed(
         self,
         endpoint: topology.Endpoint,
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from oriolefold_routing import announcements, topology
+from oriolefold_routing import announcements, loadfigures, topology
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -75,6 +75,7 @@
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
+        load: What is known of the load that it reports; None if it does not.
     """
 
     endpoint: topology.Endpoint
@@ -95,6 +96,7 @@
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
     )
+    load: loadfigures.KnownLoad | None = None
 
     @property
     def max_limit(self) -> float:
@@ -156,6 +158,8 @@
         request may be sent after the baseline time divided by the quota.
         """
         self.in_flight += 1
+        if self.load is not None:
+            self.load.sends_since += 1
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
 
@@ -185,7 +189,11 @@
         if failed:
             return
         self._update_times(took_s)
+        if self.load is not None:
+            self.load.record_answer(took_s)
         if not self.is_queueing:
+            if self.load and self.load.others_wait(self.in_flight, now_s):
+                return
             self.limit = min(self.max_limit, self.limit + 1.0 / self.limit)
         elif now_s >= self.decreased_at_s + self.baseline_time_s:
             # Latency falls in proportion to the requests in flight, so the
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -1,8 +1,12 @@
 """The registered instances, their load state, and which one a request gets."""
 
+import random
+
 from oriolefold_routing import (
     announcements,
     concurrency,
+    evenload,
+    loadfigures,
     selection,
     topology,
 )
@@ -11,9 +15,22 @@
 class InstanceTable:
     """Load state of all registered instances, grouped by service."""
 
-    def __init__(self, locality: topology.Locality):
+    def __init__(
+        self,
+        locality: topology.Locality,
+        generator: random.Random | None = None,
+    ):
+        """Initializes it without instances.
+
+        Args:
+            locality: Location of this VM.
+            generator: Source of random numbers for `EvenLoad`; without one,
+                reported load is recorded and not used to choose.
+        """
         self._locality = locality
+        self._random = generator
         self._selection: selection.Selection = selection.NearestCheapest()
+        self._even_by_service_id: dict[str, evenload.EvenLoad] = {}
         self.states_by_id: dict[str, concurrency.InstanceState] = {}
         self._by_service_id: dict[str, list[concurrency.InstanceState]] = {}
         self._announcements = announcements.Announcements()
@@ -44,6 +61,41 @@
             grouped.setdefault(endpoint.service_id, []).append(known)
         self.states_by_id = states
         self._by_service_id = grouped
+        for service_id in self._even_by_service_id.keys() - grouped.keys():
+            del self._even_by_service_id[service_id]
+
+    def record_load(
+        self,
+        endpoint: topology.Endpoint,
+        figures: loadfigures.LoadFigures,
+        read_at_s: float,
+    ) -> bool:
+        """Records the load that an instance reports.
+
+        Args:
+            endpoint: The instance.
+            figures: Its load.
+            read_at_s: When it was read.
+
+        Returns:
+            Whether its service is balanced by reported load from now on.
+        """
+        known = self.states_by_id.get(endpoint.instance_id)
+        if known is None or known.endpoint.born_ms != endpoint.born_ms:
+            return False
+        if known.load is None:
+            known.load = loadfigures.KnownLoad(figures, read_at_s)
+        elif not known.load.record_figures(figures, read_at_s):
+            return False
+        if self._random is None:
+            return False
+        even = self._even_by_service_id.get(endpoint.service_id)
+        begins = even is None
+        if even is None:
+            even = evenload.EvenLoad(self._random)
+            self._even_by_service_id[endpoint.service_id] = even
+        even.load.record(figures)
+        return begins
 
     def record_announcement(
         self,
@@ -135,7 +187,10 @@
         if not eligible:
             return None
         typical_s = self.typical_time_s(demand.service_id)
-        return self._selection.choose(eligible, demand, typical_s, now_s)
+        chooser = self._even_by_service_id.get(
+            demand.service_id, self._selection
+        )
+        return chooser.choose(eligible, demand, typical_s, now_s)
 
 
 def _leaves(state: concurrency.InstanceState, now_s: float) -> bool:
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -12,6 +12,7 @@
 _LABELS_BY_NAME = {
     'oriolefold_requests': ('service', 'outcome', 'category'),
     'oriolefold_sends': ('distance', 'result'),
+    'oriolefold_load_reports': ('service',),
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
     'oriolefold_log_lines': ('result',),
@@ -46,6 +47,10 @@
         """
         self._counts['oriolefold_sends', str(distance), result] += 1
 
+    def count_load_report(self, service_id: str) -> None:
+        """Counts load figures from an instance of a service."""
+        self._counts['oriolefold_load_reports', service_id] += 1
+
     def count_store_call(self, call: str, result: str) -> None:
         """Counts a call to the object store."""
         self._counts['oriolefold_store_calls', call, result] += 1
