EvenLoad: average time to an answer once figures are old

Change: figures lose their weight linearly in two usual times, at most 0.9 s; then the average time to an answer counts, queueing included. The sample has 12 instances.

--- a/libs/experiment/src/oriolefold_experiment/policies.py
+++ b/libs/experiment/src/oriolefold_experiment/policies.py
@@ -4,12 +4,14 @@
 import itertools
 import random
 from collections.abc import Sequence
+from typing import Protocol
 
 from oriolefold_core import data
 from oriolefold_experiment import scenarios
 from oriolefold_routing import (
     concurrency,
     instancetable,
+    loadfigures,
     selection,
     topology,
     waitqueue,
@@ -17,14 +19,27 @@
 
 SERVICE_ID = 'service'
 DEMAND = selection.Demand(SERVICE_ID)
+DEMAND_IN_TIME = selection.Demand(SERVICE_ID, left_s=60.0)
 ZONE_ID = 'zone'
 UNUSED_ADDRESS = data.Address('0.0.0.0', 0)
 
 
+class ReportingInstance(Protocol):
+    """What policies may read of a simulated instance."""
+
+    capacity: float
+    under_way: int
+
+    def figures(self, at_s: float) -> loadfigures.LoadFigures:
+        """Returns the load that it reported at a time."""
+
+
 class Policy(abc.ABC):
     """Decisions of one VM, which only observes its own requests."""
 
     name: str
+    # Set by the simulation: the instances with their history.
+    instances: Sequence['ReportingInstance'] = ()
 
     def __init__(self, scenario: scenarios.Scenario, generator: random.Random):
         self.scenario = scenario
--- a/libs/experiment/src/oriolefold_experiment/scenarios.py
+++ b/libs/experiment/src/oriolefold_experiment/scenarios.py
@@ -35,12 +35,20 @@
     times: float = pydantic.Field(gt=0, le=1000)
 
 
+class NoiseModel(models.DocumentModel):
+    """Short slowdowns of a random share of the instances."""
+
+    for_s: float = pydantic.Field(gt=0)
+    share: float = pydantic.Field(gt=0, le=1)
+    times: float = pydantic.Field(gt=0, le=1000)
+
+
 class ScenarioModel(models.DocumentModel):
     """A scenario file."""
 
     seed: int = 1
     length_s: float = pydantic.Field(gt=0, le=3600)
-    vms: int = pydantic.Field(ge=1, le=200)
+    vms: int = pydantic.Field(ge=1, le=2000)
     instances: int = pydantic.Field(ge=1, le=1000)
     slots: int = pydantic.Field(ge=1, le=1000)
     queue: int = pydantic.Field(default=24, ge=0, le=10_000)
@@ -49,6 +57,8 @@
     kinds: list[RequestKindModel] = pydantic.Field(min_length=1)
     bursts: list[EventModel] = []
     slow: list[EventModel] = []
+    noise: NoiseModel | None = None
+    figures_age_s: float = pydantic.Field(default=0.0, ge=0, le=60)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +113,21 @@
         return self.at_s <= now_s < self.at_s + self.for_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noise:
+    """Slowdowns of instances that are drawn anew for each period.
+
+    Attributes:
+        for_s: Length of a period.
+        share: Fraction of the instances that are slow.
+        times: Factor on their service time.
+    """
+
+    for_s: float
+    share: float
+    times: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """A validated scenario; the fields are those of the file.
@@ -120,6 +145,8 @@
         kinds: Kinds of requests.
         bursts: Periods with a higher request rate.
         slow: Periods with longer service times.
+        noise: Short slowdowns, or None.
+        figures_age_s: Age of the load figures that policies may use.
     """
 
     seed: int
@@ -133,6 +160,8 @@
     kinds: tuple[RequestKind, ...]
     bursts: tuple[Event, ...]
     slow: tuple[Event, ...]
+    noise: Noise | None = None
+    figures_age_s: float = 0.0
 
     @property
     def load(self) -> float:
@@ -202,4 +231,6 @@
         ('slow', Event),
     ):
         values[name] = tuple(item_class(**dict(item)) for item in values[name])
+    if model.noise is not None:
+        values['noise'] = Noise(**dict(model.noise))
     return Scenario(**values | {'speeds': tuple(model.speeds)})
--- a/libs/experiment/src/oriolefold_experiment/simulation.py
+++ b/libs/experiment/src/oriolefold_experiment/simulation.py
@@ -1,5 +1,6 @@
 """Discrete-event simulation of callers, entry VMs and instances."""
 
+import bisect
 import collections
 import dataclasses
 import heapq
@@ -9,7 +10,7 @@
 from collections.abc import Callable
 
 from oriolefold_experiment import policies, scenarios
-from oriolefold_routing import concurrency, waitqueue
+from oriolefold_routing import concurrency, loadfigures, waitqueue
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +96,12 @@
             for event in simulation.scenario.slow
             if number < math.ceil(event.share * simulation.scenario.instances)
         ]
+        self._number = number
+        self.under_way = 0  # Requests that were sent and have not arrived.
+        self.arrivals_s: list[float] = []
+        # Times of changes and the requests that ran and waited from then on.
+        self._changed_at_s: list[float] = [0.0]
+        self._loads: list[tuple[int, int]] = [(0, 0)]
         self._running = 0
         self._queue: collections.deque = collections.deque()
 
@@ -104,19 +111,44 @@
         respond: Callable[[concurrency.SendResult], None],
     ) -> None:
         """Runs, queues or refuses a request."""
+        self.under_way -= 1
+        self.arrivals_s.append(self._simulation.clock.now_s)
         if self._running < self._simulation.scenario.slots:
             self._begin(request, respond)
+            self._record_load()
         elif len(self._queue) < self._simulation.scenario.queue:
             self._queue.append((request, respond))
+            self._record_load()
         else:
             respond(concurrency.SendResult.REFUSED)
 
+    @property
+    def capacity(self) -> float:
+        """Requests of one second of work that it serves each second."""
+        return self._simulation.scenario.slots / self._service_time_factor
+
+    def figures(self, at_s: float) -> loadfigures.LoadFigures:
+        """Returns the load that it reported at a time."""
+        index = bisect.bisect_right(self._changed_at_s, at_s) - 1
+        running, waiting = self._loads[max(0, index)]
+        return loadfigures.LoadFigures(
+            running,
+            waiting,
+            self._simulation.scenario.slots,
+            round(100 * self._simulation.noise_factor(self._number, at_s)),
+        )
+
+    def _record_load(self) -> None:
+        self._changed_at_s.append(self._simulation.clock.now_s)
+        self._loads.append((self._running, len(self._queue)))
+
     def _begin(self, request: Request, respond) -> None:
         self._running += 1
         clock = self._simulation.clock
         work_s = (
             self._simulation.draw_work_s(request.kind)
             * self._service_time_factor
+            * self._simulation.noise_factor(self._number, clock.now_s)
         )
         for event in self._slow:
             if event.is_active(clock.now_s):
@@ -141,6 +173,7 @@
                 respond_to_queued(concurrency.SendResult.REFUSED)
             else:
                 self._begin(request, respond_to_queued)
+        self._record_load()
 
 
 class _Vm:
@@ -148,6 +181,7 @@
 
     def __init__(self, policy: policies.Policy, simulation: 'Simulation'):
         self._policy = policy
+        policy.instances = simulation.instances
         self._simulation = simulation
         self._wait_queue = waitqueue.WaitQueue()
 
@@ -182,6 +216,7 @@
         started_s = clock.now_s
         self._policy.on_send(instance, started_s)
         transit_s = self._simulation.scenario.transit_s
+        self._simulation.instances[instance].under_way += 1
 
         def respond(result: concurrency.SendResult) -> None:
             clock.schedule(transit_s, lambda: on_response(result))
@@ -240,6 +275,22 @@
             for _ in range(scenario.vms)
         ]
         self.completed: list[CompletedRequest] = []
+        self._noisy_by_period: dict[int, frozenset[int]] = {}
+
+    def noise_factor(self, instance: int, at_s: float) -> float:
+        """Returns the factor on the service time of an instance at a time."""
+        noise = self.scenario.noise
+        if noise is None or at_s < 0:
+            return 1.0
+        period = int(at_s / noise.for_s)
+        noisy = self._noisy_by_period.get(period)
+        if noisy is None:
+            count = self.scenario.instances
+            drawn = random.Random(f'{self.scenario.seed}-{period}').sample(
+                range(count), math.ceil(noise.share * count)
+            )
+            noisy = self._noisy_by_period[period] = frozenset(drawn)
+        return noise.times if instance in noisy else 1.0
 
     def draw_work_s(self, kind: scenarios.RequestKind) -> float:
         """Returns a random service time at an instance of speed 1."""
--- a/libs/routing/src/oriolefold_routing/evenload.py
+++ b/libs/routing/src/oriolefold_routing/evenload.py
@@ -1,20 +1,25 @@
 """Selection by the load that instances report, among a random sample.
 
 Figures are old by the time they are used, and other VMs use the same ones. So
-each choice compares only a few random instances, and figures count for less as
-they age. Instances are drawn in proportion to their capacity, so that without
-valid figures each gets its share.
+each choice compares only some random instances, and figures give way to the
+average time to an answer as they age. Instances are drawn in proportion to
+their capacity, so that faster ones do not get more than their share when
+nothing newer is known.
 """
 
 import random
 from collections.abc import Sequence
 
-from oriolefold_routing import concurrency, loadfigures, selection, topology
+from oriolefold_routing import concurrency, selection, topology
 
-SAMPLE_SIZE = 3
-MAX_DRAWS = 12  # Bounds the work of one choice.
-RELAXATION_TIMES = 0.5  # Age at which figures count for 1/e, in usual times.
-MIN_RELAXATION_S = 0.02
+# Larger samples gained nothing with figures 0.2 to 0.5 s old, and smaller ones
+# lost with figures from own answers only (docs/design/even-load.md).
+SAMPLE_SIZE = 12
+MAX_DRAWS = 24  # Bounds the work of one choice.
+VALID_TIMES = 2.0  # Age from which on figures do not count, in usual times.
+MIN_VALID_S = 0.04
+# An instance that has recovered gets its share again within 1 s.
+MAX_VALID_S = 0.9
 # Time to the instance and back: 0.9 ms one way between zones, 12 ms between
 # regions.
 ROUND_TRIP_S_BY_DISTANCE = {
@@ -34,18 +39,14 @@
 
     Failing instances come last. Among the others, another region is used if
     all sampled instances in the region of this VM would answer too late.
-
-    Attributes:
-        load: Average load of the service, updated by the owner of the object.
     """
 
     def __init__(self, generator: random.Random):
-        """Initializes it without figures.
+        """Initializes it.
 
         Args:
             generator: Source of random numbers.
         """
-        self.load = loadfigures.ServiceLoad()
         self._random = generator
 
     def choose(
@@ -100,21 +101,23 @@
     ) -> list[concurrency.InstanceState]:
         """Returns random instances, drawn in proportion to their capacity."""
         count = len(states)
-        if count <= SAMPLE_SIZE:
-            return list(states)
         draw = self._random.random
+        if count <= SAMPLE_SIZE:
+            # A random start, since VMs with equal knowledge share the order.
+            start = int(draw() * count)
+            return [*states[start:], *states[:start]]
         # An instance at half of the typical time is always taken when drawn;
         # slower ones in proportion to their speed.
         fastest_s = typical_s / 2
-        sample = []
+        sample: dict[int, concurrency.InstanceState] = {}
         for _ in range(MAX_DRAWS):
-            state = states[int(draw() * count)]
-            usual_s = _usual_time_s(state, typical_s)
-            if draw() * usual_s < fastest_s and state not in sample:
-                sample.append(state)
+            index = int(draw() * count)
+            state = states[index]
+            if draw() * _usual_time_s(state, typical_s) < fastest_s:
+                sample[index] = state
                 if len(sample) == SAMPLE_SIZE:
                     break
-        return sample or [states[int(draw() * count)]]
+        return list(sample.values()) or [states[int(draw() * count)]]
 
     def expected_s(
         self,
@@ -129,25 +132,21 @@
             typical_s: Average time to an answer of the service, in seconds.
             now_s: Current time.
         """
-        usual_s = _usual_time_s(state, typical_s)
+        round_trip_s = ROUND_TRIP_S_BY_DISTANCE[state.distance]
+        # As figures age, other VMs have sent by them, until the time to an
+        # answer is again what it has been on average, queueing included. Each
+        # own request counts in full: those of other VMs grow along with it.
+        aged_s = (state.service_time_s or typical_s) * (1 + state.in_flight)
         known = state.load
         if known is None:
-            slots = state.endpoint.slots
-            requests = self.load.per_slot * slots
-            time_s = usual_s
-        else:
-            slots = known.figures.slots
-            relaxation_s = max(MIN_RELAXATION_S, RELAXATION_TIMES * usual_s)
-            requests = known.expected_requests(
-                self.load.per_slot, relaxation_s, now_s
-            )
-            time_s = usual_s * known.time_factor(now_s)
-        requests = max(requests, state.in_flight)
-        queued = max(0.0, requests + 1 - slots)
-        return (
-            time_s * (1 + queued / slots)
-            + ROUND_TRIP_S_BY_DISTANCE[state.distance]
-        )
+            return aged_s + round_trip_s
+        usual_s = known.usual_time_s(typical_s)
+        valid_s = min(MAX_VALID_S, max(MIN_VALID_S, VALID_TIMES * usual_s))
+        weight = known.weight(valid_s, now_s)
+        slots = known.figures.slots
+        queued = max(0, known.requests(state.in_flight) + 1 - slots)
+        new_s = usual_s * known.time_factor(now_s) * (1 + queued / slots)
+        return aged_s + weight * (new_s - aged_s) + round_trip_s
 
 
 def _usual_time_s(state: concurrency.InstanceState, typical_s: float) -> float:
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -94,7 +94,6 @@
         if even is None:
             even = evenload.EvenLoad(self._random)
             self._even_by_service_id[endpoint.service_id] = even
-        even.load.record(figures)
         return begins
 
     def record_announcement(
--- a/libs/routing/src/oriolefold_routing/loadfigures.py
+++ b/libs/routing/src/oriolefold_routing/loadfigures.py
@@ -1,16 +1,13 @@
 """Load that instances report in responses, and how long it stays valid."""
 
 import dataclasses
-import math
 
 USUAL_TIME_PERCENT = 100
 # An instance is slow for 0.4 s at a time, so the reported time says nothing
 # about a request that is sent later than that.
 TIME_VALID_S = 0.4
 TIME_SMOOTHING = 0.15  # Weight of a new answer in the time of an instance.
-PRIOR_ANSWERS = 3.0  # Answers that the average of the service counts as.
-SERVICE_SMOOTHING = 0.05  # Weight of new figures in the load of a service.
-INITIAL_PER_SLOT = 0.6  # Load of a service assumed before any figures.
+PRIOR_ANSWERS = 1.0  # Answers that the average of the service counts as.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,22 +83,24 @@
         excess = self.figures.time_percent / USUAL_TIME_PERCENT - 1
         return 1 + excess * (1 - age_s / TIME_VALID_S)
 
-    def expected_requests(
-        self, usual_per_slot: float, relaxation_s: float, now_s: float
-    ) -> float:
-        """Returns the expected number of requests at the instance.
+    def weight(self, valid_s: float, now_s: float) -> float:
+        """Returns how much the figures count, 1 when new and 0 when old.
 
         Args:
-            usual_per_slot: Average of the service per slot, to which the
-                expectation returns as the figures age and other VMs send.
-            relaxation_s: Age at which the figures count for 1/e.
+            valid_s: Age from which on they count for nothing.
             now_s: Current time.
         """
+        return max(0.0, 1 - max(0.0, now_s - self.read_at_s) / valid_s)
+
+    def requests(self, in_flight: int) -> int:
+        """Returns the requests at the instance, with own ones sent since.
+
+        Args:
+            in_flight: Requests of this VM that have not ended.
+        """
         figures = self.figures
-        age_s = max(0.0, now_s - self.read_at_s)
         known = figures.running + figures.waiting + self.sends_since
-        usual = usual_per_slot * figures.slots
-        return usual + (known - usual) * math.exp(-age_s / relaxation_s)
+        return max(known, in_flight)
 
     def others_wait(self, in_flight: int, now_s: float) -> bool:
         """Whether requests of other VMs wait there, by valid figures.
@@ -114,23 +113,3 @@
             now_s < self.read_at_s + TIME_VALID_S
             and self.figures.waiting > in_flight
         )
-
-
-@dataclasses.dataclass(slots=True)
-class ServiceLoad:
-    """Average load of the instances of a service that report theirs.
-
-    Attributes:
-        per_slot: Moving average of running and waiting requests per slot.
-        reports: Number of figures so far.
-    """
-
-    per_slot: float = INITIAL_PER_SLOT
-    reports: int = 0
-
-    def record(self, figures: LoadFigures) -> None:
-        """Takes the figures of one instance into the average."""
-        self.reports += 1
-        per_slot = (figures.running + figures.waiting) / figures.slots
-        weight = max(SERVICE_SMOOTHING, 1 / self.reports)
-        self.per_slot += weight * (per_slot - self.per_slot)
