Experiment: policies compared by the age of load figures

Cause: EvenLoad has to be chosen by figures of many choosers and ages.

One policy has the instances in the same order at all VMs, as the product has them.

--- a/libs/experiment/src/oriolefold_experiment/figurepolicies.py
+++ b/libs/experiment/src/oriolefold_experiment/figurepolicies.py
@@ -234,6 +234,16 @@
         )
 
 
+class NearestSameOrder(Nearest):
+    """The same for VMs that all have the instances in the same order."""
+
+    name = 'same order'
+
+    def __init__(self, scenario, generator):
+        super().__init__(scenario, generator)
+        self._order = self._states
+
+
 class AllKnowing(FigurePolicy):
     """The best of all instances by what is true at the moment.
 
@@ -268,5 +278,6 @@
     Even,
     EvenByAnswers,
     Nearest,
+    NearestSameOrder,
     AllKnowing,
 )
--- a/libs/tool/src/oriolefold_tool/api.py
+++ b/libs/tool/src/oriolefold_tool/api.py
@@ -166,6 +166,37 @@
             policies = ','.join(policies)
         print(experiments.run(str(scenario), str(plot), policies))
 
+    def experiment_ages(
+        self,
+        scenario: str,
+        choosers: tuple[int, ...] = (67,),
+        ages: tuple[float, ...] = (0.0, 0.5),
+        plot: str = '',
+        policies: str = '',
+    ) -> None:
+        """Compares policies that choose by load figures of given ages.
+
+        Args:
+            scenario: Scenario file.
+            choosers: Numbers of VMs, separated by commas.
+            ages: Ages of the figures in seconds, separated by commas.
+            plot: File for an SVG of the 99th percentile; none by default.
+            policies: Names of the policies, separated by commas; all by
+                default.
+        """
+        # Fire parses `a,b` into a tuple and `1` into a number.
+        if not isinstance(policies, str):
+            policies = ','.join(policies)
+        if not isinstance(choosers, tuple):
+            choosers = (choosers,)
+        if not isinstance(ages, tuple):
+            ages = (ages,)
+        print(
+            experiments.run_ages(
+                str(scenario), choosers, ages, str(plot), policies
+            )
+        )
+
 
 async def _load(targets, workload, scale) -> loadgenerator.Report:
     generator = loadgenerator.LoadGenerator(targets, _show_progress)
