--- a/libs/routing/src/oriolefold_routing/evenload.py
+++ b/libs/routing/src/oriolefold_routing/evenload.py
@@ -67,19 +67,19 @@
         ]
         if not near:
             return self._fastest(sound, typical_s, now_s)[1]
-        near_s, nearest = self._fastest(near, typical_s, now_s)
+        near_s, near_state = self._fastest(near, typical_s, now_s)
         is_large = demand.body_bytes >= LARGE_BODY_BYTES
         body_part = min(1.0, demand.body_bytes / LARGE_BODY_BYTES)
-        patience_s = demand.left_s * (NEAR_PART + (1 - NEAR_PART) * body_part)
-        if near_s <= patience_s or len(near) == len(sound):
-            return nearest
+        near_limit_s = demand.left_s * (NEAR_PART + (1 - NEAR_PART) * body_part)
+        if near_s <= near_limit_s or len(near) == len(sound):
+            return near_state
         far = [
             state for state in sound if state.distance == topology.OTHER_REGION
         ]
-        far_s, farthest = self._fastest(far, typical_s, now_s)
+        far_s, far_state = self._fastest(far, typical_s, now_s)
         if far_s >= near_s or (is_large and far_s > demand.left_s):
-            return nearest
-        return farthest
+            return near_state
+        return far_state
 
     def _fastest(
         self,
