--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -11,7 +11,12 @@
 import enum
 from collections.abc import Callable
 
-from oriolefold_routing import announcements, topology, warmuppermits
+from oriolefold_routing import (
+    announcements,
+    loadfigures,
+    topology,
+    warmuppermits,
+)
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -82,6 +87,9 @@
         permits: Permits of this VM for requests to cold instances.
         may_send_cold: Whether one request may be sent at a time although the
             instance is cold; None if it never may.
+        load: What is known of the load that it reports; None if it does not.
+        registered_late: Whether it registered after others of its service had
+            reported their load.
     """
 
     endpoint: topology.Endpoint
@@ -106,6 +114,8 @@
         default_factory=warmuppermits.WarmUpPermits
     )
     may_send_cold: Callable[[float], bool] | None = None
+    load: loadfigures.KnownLoad | None = None
+    registered_late: bool = False
 
     @property
     def max_limit(self) -> float:
@@ -211,6 +221,8 @@
         self.in_flight += 1
         if self.is_cold(now_s):
             self.permits.assign(self.endpoint.instance_id, now_s)
+        if self.load is not None:
+            self.load.sends_since += 1
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
 
@@ -240,7 +252,11 @@
         if failed:
             return
         self._update_times(took_s)
+        if self.load is not None:
+            self.load.record_answer(took_s)
         if not self.is_queueing:
+            if self.load and self.load.others_wait(self.in_flight, now_s):
+                return
             self.limit = min(self.max_limit, self.limit + 1.0 / self.limit)
         elif now_s >= self.decreased_at_s + self.baseline_time_s:
             # Latency falls in proportion to the requests in flight, so the
