Reservation of room by rank at shared instances, and order of keyed waiters

Cause: on instances that kinds of different rank share, long requests of a low rank filled this VM's room and its turns under a small quota, and each new keyed request passed those that waited for the same owner. Change: routing.reservation keeps the use of an instance by rank. While several ranks were seen there in the last 3 s, lower ranks have 0.75 of the room, 0.5 if their work is long; each rank is paced by its own sends. Keyed requests queue behind more urgent ones of their owner, by rank and then by limit. With one rank nothing changes. The experiment's policy ends a send by record_end, too.

--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -69,39 +69,70 @@
         queue = self._queue(request.service_id)
         now_s = self._clock.now_s()
         self._check_may_send(request)
-        # Requests for one busy owner must not delay those for other owners,
-        # so keyed requests skip the check for queued requests.
-        if request.key is not None or not queue.count_ahead(request.route.rank):
-            selected = self._choose(request, now_s)
-            if selected is not None:
-                selected.record_send(now_s)
-                return selected
+        rank = request.route.rank
         max_wait_s = waitqueue.max_wait_s(
             request.route.objective_s, self._expected_time_s(request)
         )
         give_up_at_s = request.received_at_s + max_wait_s
+        waiter = waitqueue.Waiter(None, rank, give_up_at_s)
+        self._update_owner(waiter, request, now_s)
+        if not self._is_any_ahead(queue, waiter, request):
+            selected = self._choose(request, now_s)
+            if selected is not None:
+                selected.record_send(now_s, rank)
+                return selected
         self._check_pushback(request, give_up_at_s)
         assignment = asyncio.get_running_loop().create_future()
-        waiter = waitqueue.Waiter(
-            (request, assignment), request.route.rank, give_up_at_s
-        )
+        waiter.payload = (request, assignment)
         queue.add(waiter)
         self._schedule_wake(request.service_id)
+        if request.key is not None and self._choose(request, now_s):
+            self.wake(request.service_id)  # What waited longer gets this turn.
         try:
             async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
                 return await assignment
         except TimeoutError as error:
-            self._release_instance(assignment)
+            self._release_instance(request, assignment)
             if request.key is not None:
                 self._log_unavailable_owner(request)
             text = f'no instance of {request.service_id} has capacity'
             raise self.overloaded_error(request, text) from error
         except asyncio.CancelledError:
-            self._release_instance(assignment)
+            self._release_instance(request, assignment)
             raise
         finally:
             queue.discard(waiter)
 
+    def _is_any_ahead(
+        self,
+        queue: waitqueue.WaitQueue,
+        waiter: waitqueue.Waiter,
+        request: pending.PendingRequest,
+    ) -> bool:
+        """Whether a queued request has to be served before a new one.
+
+        Requests for one busy owner must not delay those for other owners.
+        """
+        if request.key is None:
+            return queue.count_ahead(waiter.rank) > 0
+        return waiter.owner_is_shared and queue.any_ahead(waiter)
+
+    def _update_owner(
+        self,
+        waiter: waitqueue.Waiter,
+        request: pending.PendingRequest,
+        now_s: float,
+    ) -> None:
+        """Notes the owner that a request waits for, and its rank there."""
+        if request.key is None:
+            return
+        owner = self._owner(request)
+        waiter.owner_id = '' if owner is None else owner.endpoint.instance_id
+        waiter.owner_is_shared = False
+        if owner is not None:
+            owner.reserved.record_seen(waiter.rank, now_s)
+            waiter.owner_is_shared = owner.reserved.is_shared(now_s)
+
     def waiting(self, service_id: str) -> int:
         """Returns the number of queued requests of a service."""
         return len(self._queue(service_id))
@@ -141,12 +172,14 @@
             return owner.service_time_s
         return self._instance_table.typical_time_s(request.service_id)
 
-    def _release_instance(self, assignment: asyncio.Future) -> None:
+    def _release_instance(
+        self, request: pending.PendingRequest, assignment: asyncio.Future
+    ) -> None:
         """Undoes the assignment of an instance to an abandoned request."""
         if not assignment.done() or assignment.cancelled():
             return
         if assignment.exception() is None:
-            assignment.result().in_flight -= 1
+            assignment.result().record_end(request.route.rank)
 
     def _choose(
         self, request: pending.PendingRequest, now_s: float
@@ -156,7 +189,7 @@
                 self._demand(request, now_s), now_s
             )
         owner = self._owner(request)
-        if owner is None or not owner.has_capacity(now_s):
+        if owner is None or not owner.has_capacity(now_s, request.route.rank):
             return None
         return owner
 
@@ -169,6 +202,7 @@
             request.tried_ids,
             body_bytes=len(request.call.body),
             left_s=request.received_at_s + route.objective_s - now_s,
+            rank=route.rank,
         )
 
     def _owner(
@@ -225,15 +259,22 @@
         if not queue:
             return
         now_s = self._clock.now_s()
+        full_owner_ids = set()
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
                 continue
+            self._update_owner(waiter, request, now_s)
+            # What waits for the same owner stays in order of priority.
+            if waiter.owner_id in full_owner_ids:
+                continue
             selected = self._choose(request, now_s)
             if selected is not None:
-                selected.record_send(now_s)
+                selected.record_send(now_s, waiter.rank)
                 assignment.set_result(selected)
                 queue.discard(waiter)
+            elif waiter.owner_id:
+                full_owner_ids.add(waiter.owner_id)
             elif request.key is None and not request.tried_ids:
                 break
         if queue:
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -330,10 +330,10 @@
             self._reporter.send_failed(request, instance, started_s, error)
             raise
         finally:
-            instance.in_flight -= 1
+            instance.record_end(request.route.rank)
             now_s = self._clock.now_s()
             took_s = now_s - started_s - held_up_s
-            instance.record(result, took_s, now_s)
+            instance.record(result, took_s, now_s, request.route.rank)
             self._reporter.sent(instance, result)
             self._acquisition.wake(request.service_id)
         return answer
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -115,12 +115,13 @@
         fields = {}
         if owner is not None:
             now_s = self._clock.now_s()
-            found = owner.obstacle(now_s)
+            found = owner.obstacle(now_s, request.route.rank)
             obstacle = '' if found is None else found.value
             fields = {
                 'instance': owner.endpoint.instance_id,
                 'in_flight': owner.in_flight,
                 'limit': round(owner.limit, 1),
+                'rank': request.route.rank,
                 'quota': (
                     round(owner.quota, 2)
                     if now_s < owner.quota_until_s
--- a/libs/experiment/src/oriolefold_experiment/policies.py
+++ b/libs/experiment/src/oriolefold_experiment/policies.py
@@ -111,7 +111,7 @@
     def on_end(self, instance, result, took_s, now_s):
         """Adapts the limit of the instance to the result."""
         instance_state = self._instance_table.states_by_id[str(instance)]
-        instance_state.in_flight -= 1
+        instance_state.record_end()
         instance_state.record(result, took_s, now_s)
 
 
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from oriolefold_routing import announcements, topology
+from oriolefold_routing import announcements, reservation, topology
 
 INITIAL_SERVICE_TIME_S = 0.2  # Assumed until the first answer.
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
@@ -50,6 +50,7 @@
     PACING = 'pacing'
     PUSHBACK = 'pushback'
     QUOTA = 'quota'
+    RESERVED = 'reserved'  # For higher ranks.
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +76,7 @@
         quota_until_s: When the quota expires.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
+        reserved: Room that each rank has at the instance.
     """
 
     endpoint: topology.Endpoint
@@ -95,18 +97,21 @@
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
     )
+    reserved: reservation.Reservation = dataclasses.field(
+        default_factory=reservation.Reservation
+    )
 
     @property
     def max_limit(self) -> float:
         """Upper bound of the limit."""
         return self.endpoint.slots * (1 + MAX_QUEUED_PER_SLOT)
 
-    def has_capacity(self, now_s: float) -> bool:
-        """Whether one more request may be sent now."""
-        return self.obstacle(now_s) is None
+    def has_capacity(self, now_s: float, rank: int = 0) -> bool:
+        """Whether one more request of a rank may be sent now."""
+        return self.obstacle(now_s, rank) is None
 
-    def obstacle(self, now_s: float) -> Obstacle | None:
-        """Returns what forbids to send one more request now, if anything."""
+    def obstacle(self, now_s: float, rank: int = 0) -> Obstacle | None:
+        """Returns what forbids one more request of a rank now, if anything."""
         if not self.belief.may_get_keyed(now_s):
             return Obstacle.LEAVING
         if now_s < self.belief.busy_until_s:
@@ -114,12 +119,22 @@
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
         limit, obstacle = self.limit, Obstacle.LIMIT
+        shared = self.reserved.is_shared(now_s)
         if now_s < self.quota_until_s:
-            if self.quota < 1 and now_s < self.next_send_at_s:
+            next_send_at_s = (
+                self.reserved.may_send_at_s(rank)
+                if shared
+                else self.next_send_at_s
+            )
+            if self.quota < 1 and now_s < next_send_at_s:
                 return Obstacle.PACING
             limit, obstacle = max(1.0, self.quota), Obstacle.QUOTA
         if now_s < self.warm_up_until_s:
             limit = max(1.0, limit / 2)
+        if shared:
+            if self.reserved.has_room(rank, limit, now_s):
+                return None
+            return obstacle if self.in_flight >= limit else Obstacle.RESERVED
         return None if self.in_flight < limit else obstacle
 
     def wants(self, keyed: bool, now_s: float) -> bool:
@@ -149,24 +164,36 @@
         self.quota = max(MIN_QUOTA, rounded, part * QUOTA_MARGIN)
         self.quota_until_s = now_s + QUOTA_TTL_S
 
-    def record_send(self, now_s: float) -> None:
+    def record_send(self, now_s: float, rank: int = 0) -> None:
         """Counts a request that is about to be sent.
 
         A quota below one request is enforced over time by pacing: the next
         request may be sent after the baseline time divided by the quota.
         """
         self.in_flight += 1
+        self.reserved.record_send(rank, now_s)
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
+            self.reserved.pace(rank, self.quota, self.baseline_time_s, now_s)
+
+    def record_end(self, rank: int = 0) -> None:
+        """Stops counting a request that has ended or was not sent."""
+        self.in_flight -= 1
+        self.reserved.record_end(rank)
 
-    def record(self, result: SendResult, took_s: float, now_s: float) -> None:
+    def record(
+        self, result: SendResult, took_s: float, now_s: float, rank: int = 0
+    ) -> None:
         """Updates averages and limit with the result of a send.
 
         Args:
             result: How the send ended.
             took_s: Duration of the send, in seconds.
             now_s: Current time.
+            rank: Rank of the request.
         """
+        if result is SendResult.ANSWERED:
+            self.reserved.record_time(rank, took_s)
         if result is SendResult.WITHHELD:
             return
         if result is SendResult.CANCELLED:
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -130,7 +130,7 @@
             for state in self.of_service(demand.service_id)
             if not _leaves(state, now_s)
             and state.endpoint.instance_id not in demand.excluded_ids
-            and state.has_capacity(now_s)
+            and state.has_capacity(now_s, demand.rank)
         ]
         if not eligible:
             return None
--- a/libs/routing/src/oriolefold_routing/selection.py
+++ b/libs/routing/src/oriolefold_routing/selection.py
@@ -21,6 +21,7 @@
             be served in all.
         body_bytes: Size of its body.
         left_s: Time until its latency objective, in seconds.
+        rank: Its priority; 0 is the most urgent.
     """
 
     service_id: str
@@ -28,6 +29,7 @@
     allowed_region_ids: frozenset[str] = frozenset()
     body_bytes: int = 0
     left_s: float = 0.0
+    rank: int = 0
 
 
 class Selection(abc.ABC):
--- a/libs/routing/src/oriolefold_routing/waitqueue.py
+++ b/libs/routing/src/oriolefold_routing/waitqueue.py
@@ -19,11 +19,16 @@
         payload: Opaque object that identifies the request to the queue's user.
         rank: Priority; 0 is the most urgent.
         give_up_at_s: When it leaves the queue, since an answer would be late.
+        owner_id: The one instance that may serve it, or an empty string.
+        owner_is_shared: Whether requests of different ranks go to that
+            instance.
     """
 
     payload: Any
     rank: int
     give_up_at_s: float
+    owner_id: str = ''
+    owner_is_shared: bool = False
 
 
 class WaitQueue:
@@ -52,6 +57,14 @@
         """Returns how many requests are served before a new one of a rank."""
         return sum(1 for waiter in self._waiters if waiter.rank <= rank)
 
+    def any_ahead(self, waiter: Waiter) -> bool:
+        """Whether a queued request for the same owner goes before another."""
+        return any(
+            other.owner_id == waiter.owner_id
+            and _priority(other) <= _priority(waiter)
+            for other in self._waiters
+        )
+
 
 def max_wait_s(objective_s: float, service_time_s: float) -> float:
     """Returns how long a request may wait for capacity, in seconds.
