Silent instances: detection from own sends, limits, retries elsewhere

Cause: some instances never answer what they cannot queue. Their requests waited until the deadline, and the limits of such instances did not fall. Change: routing.silence counts sends that later ones overtook and that ended without an answer; after two pieces of evidence in 300 s the service is known to be silent. direct.silentsends then lowers the limit, which grows at a fifth of the pace for 10 s, and cuts an idempotent request that has time and budget for another send; the cut closes the connection. Others end by their deadline, 502. Not idempotent: no request executed twice.

--- a/libs/core/src/oriolefold_core/errors.py
+++ b/libs/core/src/oriolefold_core/errors.py
@@ -179,6 +179,10 @@
     """A response was given up for lack of memory; its sender did not fail."""
 
 
+class SilentInstanceError(OutcomeUnknownError):
+    """An instance gave no answer; the budget is charged for another send."""
+
+
 class StoreError(OriolefoldError):
     """An operation of the object store failed."""
 
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -18,6 +18,7 @@
     pending,
     ports,
     retries,
+    silentsends,
 )
 from oriolefold_gateway import messages as gateway_messages
 from oriolefold_routing import (
@@ -84,6 +85,12 @@
                 delay_s, messages.Wake(service_id)
             ),
         )
+        self._silent_sends = silentsends.SilentSends(
+            time,
+            self._retries,
+            self._reporter,
+            self._instance_table.typical_time_s,
+        )
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._stops_at_s = math.inf
         self._children_by_request: dict[
@@ -297,12 +304,13 @@
             return not withheld
 
         try:
-            answer = await self._instances.send(
+            sending = self._instances.send(
                 endpoint,
                 request.call,
                 request.expires_at_s - started_s,
                 may_send,
             )
+            answer = await self._silent_sends.watch(request, instance, sending)
             held_up_s = answer.held_up_s
             self._heed(endpoint, answer)
             failed = answer.status >= pending.MIN_FAILURE_STATUS
@@ -324,7 +332,11 @@
             self._reporter.send_failed(request, instance, started_s, error)
             raise
         except errors.OriolefoldError as error:
-            result = concurrency.SendResult.FAILED
+            result = (
+                concurrency.SendResult.SILENT
+                if isinstance(error, errors.SilentInstanceError)
+                else concurrency.SendResult.FAILED
+            )
             if isinstance(error, errors.AnnouncingError):
                 self._heed(endpoint, error)
             self._reporter.send_failed(request, instance, started_s, error)
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -5,7 +5,13 @@
 from oriolefold_core import clock, data
 from oriolefold_direct import ports
 from oriolefold_gateway import messages as gateway_messages
-from oriolefold_routing import announcements, concurrency, policy, topology
+from oriolefold_routing import (
+    announcements,
+    concurrency,
+    policy,
+    silence,
+    topology,
+)
 from oriolefold_telemetry import counters, logs
 
 MIN_FAILURE_STATUS = 500  # Lowest status that reports a server error.
@@ -223,6 +229,53 @@
             error=str(error),
         )
 
+    def silence_seen(
+        self, request: PendingRequest, send: silence.OpenSend
+    ) -> None:
+        """Logs that instances of a service are silent when they are full."""
+        logs.event(
+            'silence.seen',
+            request=request.call.request_id,
+            service=request.service_id,
+            **self._silence_fields(send),
+        )
+
+    def silent(
+        self,
+        request: PendingRequest,
+        instance: concurrency.InstanceState,
+        send: silence.OpenSend,
+        elsewhere: bool,
+    ) -> None:
+        """Counts and logs a send that gets no answer.
+
+        Args:
+            request: The request.
+            instance: The instance, with its limit lowered already.
+            send: The send.
+            elsewhere: Whether it is ended and the request sent elsewhere.
+        """
+        decision = 'silent-elsewhere' if elsewhere else 'silent-kept'
+        self._metrics.count_overload(request.service_id, decision)
+        logs.event(
+            'instance.silent',
+            request=request.call.request_id,
+            service=request.service_id,
+            elsewhere=elsewhere,
+            limit=round(instance.limit, 1),
+            in_flight=instance.in_flight,
+            left_ms=round((request.expires_at_s - self._clock.now_s()) * 1000),
+            **self._silence_fields(send),
+        )
+
+    def _silence_fields(self, send: silence.OpenSend) -> dict:
+        return {
+            'instance': send.instance_id,
+            'waited_ms': round((self._clock.now_s() - send.started_s) * 1000),
+            'usual_ms': round(send.usual_s * 1000),
+            'overtaken': send.overtaken,
+        }
+
     def answered(
         self, request: PendingRequest, answer: data.Answer, view: View
     ) -> None:
--- a/libs/direct/src/oriolefold_direct/retries.py
+++ b/libs/direct/src/oriolefold_direct/retries.py
@@ -27,6 +27,8 @@
             error: Error of the last send, or None if the instance answered
                 with a server error.
         """
+        if isinstance(error, errors.SilentInstanceError):
+            return True  # It is raised only for a retry that was charged.
         if error is None or error.category is errors.Category.OUTCOME_UNKNOWN:
             if not request.route.idempotent:
                 return False
--- a/libs/direct/tests/test_overload.py
+++ b/libs/direct/tests/test_overload.py
@@ -5,7 +5,7 @@
 
 import virtualload
 
-from oriolefold_routing import reservation
+from oriolefold_routing import reservation, silence
 from oriolefold_telemetry import logs
 
 
@@ -17,14 +17,55 @@
     ]
 
 
-class SharedInstancesTest(unittest.TestCase):
-    """Short urgent requests beside long ones at the same owners."""
+class OverloadCase(unittest.TestCase):
+    """Plays loads without log lines."""
 
     def setUp(self):
         patcher = mock.patch.object(logs, 'event')
         patcher.start()
         self.addCleanup(patcher.stop)
 
+
+class SilentInstancesTest(OverloadCase):
+    """Instances that never answer what they cannot queue."""
+
+    def play(self, idempotent):
+        kind = virtualload.Kind('k', 2, idempotent, 120, 0.222, 0.812, 3.021)
+        load = virtualload.Load(
+            [kind],
+            vm_count=12,
+            instance_count=16,
+            keyed=False,
+            queue=4,
+            burst=(10, 1.5, 5),
+        )
+        return load, load.run(40)['k']
+
+    def test_idempotent_requests_are_answered_elsewhere(self):
+        """They used to wait for a silent instance until their deadline."""
+        with mock.patch.object(
+            silence.Silence, 'is_active', return_value=False
+        ):
+            _, before = self.play(True)
+        load, after = self.play(True)
+        self.assertLess(
+            after.failed / after.sent, 0.9 * before.failed / before.sent
+        )
+        # Fewer than 1 in 1,000 sends that will be answered are cut.
+        self.assertLess(load.instances.cut['/k/x'], after.sent / 1000)
+
+    def test_others_are_executed_at_most_once(self):
+        """A request that may have run must not be sent a second time."""
+        load, result = self.play(False)
+        self.assertGreater(load.instances.silenced['/k/x'], 0)
+        self.assertGreater(result.failed, 0)
+        self.assertEqual(max(load.instances.executed.values()), 1)
+        self.assertEqual(load.instances.cut['/k/x'], 0)
+
+
+class SharedInstancesTest(OverloadCase):
+    """Short urgent requests beside long ones at the same owners."""
+
     def play(self, load):
         return virtualload.Load(
             shared_kinds(load), vm_count=16, instance_count=16
--- a/libs/direct/tests/virtualload.py
+++ b/libs/direct/tests/virtualload.py
@@ -60,7 +60,9 @@
     Attributes:
         speeds_by_id: Speed of each instance.
         executed: Number of executions of each request.
-        silenced: Requests of each kind that will never be answered.
+        silenced: Sends of each kind that will never be answered.
+        queued: Sends of each kind that will be answered.
+        cut: Sends of each kind cut early although they would be.
     """
 
     def __init__(self, endpoints, speeds, queue, silent, generator):
@@ -76,6 +78,8 @@
         self._present = collections.Counter()
         self.executed = collections.Counter()
         self.silenced = collections.Counter()
+        self.queued = collections.Counter()
+        self.cut = collections.Counter()
         self.works_by_target = {}
 
     async def send(self, endpoint, call, remaining_s, may_send=None):
@@ -91,7 +95,13 @@
         self._present[name] += 1
         # An instance goes on with a request whose sender has left.
         work = asyncio.create_task(self._work(name, call))
-        await asyncio.shield(work)
+        self.queued[call.target] += 1
+        ends_at_s = LoopClock().now_s() + remaining_s
+        try:
+            await asyncio.shield(work)
+        except asyncio.CancelledError:
+            self.cut[call.target] += LoopClock().now_s() < ends_at_s - 0.01
+            raise
         return data.Answer(200, (), b'', name)
 
     async def _work(self, name, call):
@@ -138,11 +148,13 @@
         queue=16,
         silent=True,
         follow_retry_after=True,
+        burst=None,
         seed=7,
     ):
         self.kinds = kinds
         self._vm_count = vm_count
         self._keyed = keyed
+        self._burst = burst  # Interval, duration and factor of the rate.
         self._follow = follow_retry_after
         self._random = random.Random(seed)
         self._endpoints = [
@@ -183,7 +195,7 @@
         weights = [kind.per_s for kind in self.kinds]
         count = 0
         while LoopClock().now_s() < started_s + seconds:
-            await asyncio.sleep(self._random.expovariate(rate))
+            await asyncio.sleep(self._random.expovariate(rate * self._factor()))
             count += 1
             kind = self._random.choices(self.kinds, weights)[0]
             asked = asyncio.create_task(self._call(kind, f'q{count}'))
@@ -195,6 +207,13 @@
         for vm in self.dispatchers:
             await vm.stop()
 
+    def _factor(self):
+        if self._burst is None:
+            return 1.0
+        interval_s, burst_s, factor = self._burst
+        in_burst = LoopClock().now_s() % interval_s < burst_s
+        return factor if in_burst else 1.0
+
     async def _start_vms(self):
         width = ranges.KEY_COUNT // len(self._endpoints)
         holders = [
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -16,6 +16,8 @@
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
 REFUSAL_DECREASE_FACTOR = 0.7  # Limit after a refusal over the limit before.
 REFUSAL_BACKOFF_S = 0.08  # Time without new requests after a refusal.
+SILENCE_GROWTH_FACTOR = 0.2  # Growth of the limit after a silence, over usual.
+SILENCE_EFFECT_S = 10.0  # Duration of the slow growth after a silence.
 FAILURE_BACKOFF_S = 1.0  # Time without new requests after a failed connection.
 MAX_QUEUED_PER_SLOT = 0.5  # Requests that one VM may queue, per slot.
 QUEUEING_RATIO = 1.5  # Service time over baseline that indicates a queue.
@@ -36,6 +38,7 @@
     ANSWERED = 'answered'
     FAILED = 'failed'
     REFUSED = 'refused'
+    SILENT = 'silent'  # Given up, since the instance gives no answer.
     UNREACHABLE = 'unreachable'
     CANCELLED = 'cancelled'
     WITHHELD = 'withheld'  # The instance wanted it no more; nothing was sent.
@@ -74,6 +77,7 @@
         quota: Requests in flight allotted to this VM while the instance is
             busy.
         quota_until_s: When the quota expires.
+        slow_growth_until_s: The limit grows slowly before this time.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
         reserved: Room that each rank has at the instance.
@@ -93,6 +97,7 @@
     warm_up_until_s: float = 0.0
     quota: float = 0.0
     quota_until_s: float = 0.0
+    slow_growth_until_s: float = 0.0
     next_send_at_s: float = 0.0
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
@@ -194,7 +199,7 @@
         """
         if result is SendResult.ANSWERED:
             self.reserved.record_time(rank, took_s)
-        if result is SendResult.WITHHELD:
+        if result in (SendResult.WITHHELD, SendResult.SILENT):
             return
         if result is SendResult.CANCELLED:
             # The duration is a lower bound of the time to an answer.
@@ -213,7 +218,10 @@
             return
         self._update_times(took_s)
         if not self.is_queueing:
-            self.limit = min(self.max_limit, self.limit + 1.0 / self.limit)
+            growth = 1.0 / self.limit
+            if now_s < self.slow_growth_until_s:
+                growth *= SILENCE_GROWTH_FACTOR
+            self.limit = min(self.max_limit, self.limit + growth)
         elif now_s >= self.decreased_at_s + self.baseline_time_s:
             # Latency falls in proportion to the requests in flight, so the
             # limit is scaled by the ratio of both times. It is scaled once per
@@ -227,6 +235,16 @@
             self.limit = max(1.0, base * max(MIN_DECREASE_FACTOR, ratio))
             self.decreased_at_s = now_s
 
+    def record_silence(self, now_s: float) -> None:
+        """Lowers the limit, since the instance could not queue a request.
+
+        It is full then, so nothing is sent for the time of one request.
+        """
+        self.limit = max(1.0, self.limit * REFUSAL_DECREASE_FACTOR)
+        backoff_s = max(REFUSAL_BACKOFF_S, self.baseline_time_s)
+        self.backoff_until_s = max(self.backoff_until_s, now_s + backoff_s)
+        self.slow_growth_until_s = now_s + SILENCE_EFFECT_S
+
     @property
     def is_queueing(self) -> bool:
         """Whether recent answers show a queue at the instance."""
--- a/libs/routing/src/oriolefold_routing/reservation.py
+++ b/libs/routing/src/oriolefold_routing/reservation.py
@@ -61,6 +61,11 @@
             use.time_s = took_s
         use.time_s += TIME_SMOOTHING * (took_s - use.time_s)
 
+    def time_s(self, rank: int) -> float:
+        """Returns the usual time to an answer of a rank, 0 if unknown."""
+        use = self._uses_by_rank.get(rank)
+        return use.time_s if use is not None else 0.0
+
     def is_shared(self, now_s: float) -> bool:
         """Whether requests of different ranks were seen recently."""
         if len(self._uses_by_rank) < 2:
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -14,6 +14,7 @@
     'oriolefold_sends': ('distance', 'result'),
     'oriolefold_store_calls': ('call', 'result'),
     'oriolefold_grants': ('call', 'result'),
+    'oriolefold_overload': ('service', 'decision'),
     'oriolefold_log_lines': ('result',),
 }
 
@@ -46,6 +47,10 @@
         """
         self._counts['oriolefold_sends', str(distance), result] += 1
 
+    def count_overload(self, service_id: str, decision: str) -> None:
+        """Counts a decision made because a service or instance was full."""
+        self._counts['oriolefold_overload', service_id, decision] += 1
+
     def count_store_call(self, call: str, result: str) -> None:
         """Counts a call to the object store."""
         self._counts['oriolefold_store_calls', call, result] += 1
