Scarcity: admission by rank, early rejections and turns for rejected callers

Cause: a request that could not be sent in time was held until its limit, rank 2 could starve, and rejected callers were told similar times. It rejects by the pace of the line, serves each kind at least a quarter as often as all, puts callers that come back first within their rank, and gives each rejected caller a turn. At rooms below 2 a lower rank's request that is overdue counts against higher ranks, since the instance has a queue then.

--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -12,6 +12,7 @@
 from oriolefold_routing import (
     concurrency,
     instancetable,
+    scarcity,
     selection,
     waitqueue,
 )
@@ -54,6 +55,7 @@
         self._post_wake = schedule_wake
         self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
         self._wake_scheduled_ids: set[str] = set()
+        self._scarcity_by_service_id: dict[str, scarcity.Scarcity] = {}
 
     async def acquire(
         self, request: pending.PendingRequest
@@ -69,29 +71,50 @@
         queue = self._queue(request.service_id)
         now_s = self._clock.now_s()
         self._check_may_send(request)
-        rank = request.route.rank
+        kind_id = request.route.route_id
+        admission = self._scarcity(request.service_id)
+        if not request.sends:
+            admission.record_arrival(kind_id, request.caller_left_s, now_s)
+        standing = admission.standing(
+            kind_id, request.route.rank, request.caller_left_s, now_s
+        )
+        if not queue:
+            selected = self._take(request, standing.rank, now_s)
+            if selected is not None:
+                return selected
         max_wait_s = waitqueue.max_wait_s(
             request.route.objective_s, self._expected_time_s(request)
         )
         give_up_at_s = request.received_at_s + max_wait_s
-        waiter = waitqueue.Waiter(None, rank, give_up_at_s)
+        waiter = waitqueue.Waiter(
+            None,
+            standing.rank,
+            give_up_at_s,
+            returning=standing.returning,
+            since_s=now_s,
+        )
         self._update_owner(waiter, request, now_s)
-        if not self._is_any_ahead(queue, waiter, request):
-            selected = self._choose(request, now_s)
+        if queue and not self._is_any_ahead(queue, waiter, request):
+            selected = self._take(request, waiter.rank, now_s)
             if selected is not None:
-                selected.record_send(now_s, rank)
                 return selected
+        self._check_wait(queue, waiter, request, now_s)
         self._check_pushback(request, give_up_at_s)
         assignment = asyncio.get_running_loop().create_future()
         waiter.payload = (request, assignment)
         queue.add(waiter)
         self._schedule_wake(request.service_id)
-        if request.key is not None and self._choose(request, now_s):
+        if queue.has_other_rank(waiter.rank):
+            admission.record_overload(now_s)
+        if request.key is not None and self._choose(
+            request, now_s, waiter.rank
+        ):
             self.wake(request.service_id)  # What waited longer gets this turn.
         try:
             async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
                 return await assignment
         except TimeoutError as error:
+            admission.record_overload(self._clock.now_s())
             self._release_instance(request, assignment)
             if request.key is not None:
                 self._log_unavailable_owner(request)
@@ -130,9 +153,64 @@
         waiter.owner_id = '' if owner is None else owner.endpoint.instance_id
         waiter.owner_is_shared = False
         if owner is not None:
-            owner.reserved.record_seen(waiter.rank, now_s)
+            owner.reserved.record_seen(request.route.rank, now_s)
             waiter.owner_is_shared = owner.reserved.is_shared(now_s)
 
+    def _take(
+        self, request: pending.PendingRequest, rank: int, now_s: float
+    ) -> concurrency.InstanceState | None:
+        """Chooses an instance, if one has capacity, and counts the request."""
+        selected = self._choose(request, now_s, rank)
+        if selected is None:
+            return None
+        selected.record_send(now_s, request.route.rank)
+        if not request.sends:
+            admission = self._scarcity(request.service_id)
+            admission.record_send(request.route.route_id)
+        return selected
+
+    def _check_wait(
+        self,
+        queue: waitqueue.WaitQueue,
+        waiter: waitqueue.Waiter,
+        request: pending.PendingRequest,
+        now_s: float,
+    ) -> None:
+        """Checks that a new request can be expected to be sent in time.
+
+        Raises:
+            OverloadedError: If it cannot.
+        """
+        if not queue or not self._scarcity(request.service_id).is_active(now_s):
+            return
+        ahead = queue.count_before(waiter)
+        error = self._hopeless_error(waiter, request, ahead, now_s)
+        if error is not None:
+            raise error
+
+    def _hopeless_error(
+        self,
+        waiter: waitqueue.Waiter,
+        request: pending.PendingRequest,
+        ahead: int,
+        now_s: float,
+    ) -> errors.OverloadedError | None:
+        """Returns the error for a request that would wait in vain, or None."""
+        admission = self._scarcity(request.service_id)
+        left_s = waiter.give_up_at_s - now_s
+        if not admission.is_hopeless(waiter.owner_id, ahead, left_s, now_s):
+            return None
+        admission.record_overload(now_s)
+        self._reporter.rejected_early(
+            request,
+            waiter,
+            ahead,
+            admission.expected_wait_s(waiter.owner_id, ahead, now_s),
+        )
+        return self.overloaded_error(
+            request, f'the wait for {request.service_id} would be too long'
+        )
+
     def waiting(self, service_id: str) -> int:
         """Returns the number of queued requests of a service."""
         return len(self._queue(service_id))
@@ -182,19 +260,22 @@
             assignment.result().record_end(request.route.rank)
 
     def _choose(
-        self, request: pending.PendingRequest, now_s: float
+        self, request: pending.PendingRequest, now_s: float, rank: int
     ) -> concurrency.InstanceState | None:
         if request.key is None:
             return self._instance_table.choose(
-                self._demand(request, now_s), now_s
+                self._demand(request, now_s, rank), now_s
             )
         owner = self._owner(request)
-        if owner is None or not owner.has_capacity(now_s, request.route.rank):
+        if owner is None or not owner.has_capacity(now_s, rank):
             return None
         return owner
 
     def _demand(
-        self, request: pending.PendingRequest, now_s: float
+        self,
+        request: pending.PendingRequest,
+        now_s: float,
+        rank: int | None = None,
     ) -> selection.Demand:
         route = request.route
         return selection.Demand(
@@ -202,7 +283,7 @@
             request.tried_ids,
             body_bytes=len(request.call.body),
             left_s=request.received_at_s + route.objective_s - now_s,
-            rank=route.rank,
+            rank=route.rank if rank is None else rank,
         )
 
     def _owner(
@@ -251,6 +332,7 @@
     def wake_on_schedule(self, service_id: str) -> None:
         """Assigns instances when the time that was arranged has come."""
         self._wake_scheduled_ids.discard(service_id)
+        self._reject_hopeless(service_id)
         self.wake(service_id)
 
     def wake(self, service_id: str) -> None:
@@ -260,6 +342,7 @@
             return
         now_s = self._clock.now_s()
         full_owner_ids = set()
+        admission = self._scarcity(service_id)
         for waiter in queue.by_priority():
             request, assignment = waiter.payload
             if assignment.done():
@@ -268,9 +351,9 @@
             # What waits for the same owner stays in order of priority.
             if waiter.owner_id in full_owner_ids:
                 continue
-            selected = self._choose(request, now_s)
+            selected = self._take(request, waiter.rank, now_s)
             if selected is not None:
-                selected.record_send(now_s, waiter.rank)
+                admission.record_start(waiter.owner_id, waiter.since_s, now_s)
                 assignment.set_result(selected)
                 queue.discard(waiter)
             elif waiter.owner_id:
@@ -280,6 +363,25 @@
         if queue:
             self._schedule_wake(service_id)
 
+    def _reject_hopeless(self, service_id: str) -> None:
+        """Rejects queued requests that more urgent ones have pushed back."""
+        queue = self._queues_by_service_id.get(service_id)
+        now_s = self._clock.now_s()
+        if not queue or not self._scarcity(service_id).is_active(now_s):
+            return
+        ahead_by_owner_id: dict[str, int] = {}
+        for waiter in queue.by_priority():
+            request, assignment = waiter.payload
+            if assignment.done():
+                continue
+            ahead = ahead_by_owner_id.get(waiter.owner_id, 0)
+            error = self._hopeless_error(waiter, request, ahead, now_s)
+            if error is None:
+                ahead_by_owner_id[waiter.owner_id] = ahead + 1
+                continue
+            assignment.set_exception(error)
+            queue.discard(waiter)
+
     def _refuse_unfinishable(self, queue: waitqueue.WaitQueue) -> None:
         """Refuses the queued requests that may no longer be sent."""
         for waiter in queue.by_priority():
@@ -304,6 +406,17 @@
         error = errors.OverloadedError(text)
         now_s = self._clock.now_s()
         left_s = request.caller_left_s - (now_s - request.received_at_s)
+        owner = self._owner(request) if request.key is not None else None
+        line_id = '' if owner is None else owner.endpoint.instance_id
+        spread_s = self._scarcity(request.service_id).retry_after_s(
+            line_id,
+            self._queue(request.service_id).line_length(line_id),
+            max(0.0, left_s),
+            now_s,
+        )
+        if spread_s is not None:
+            error.retry_after_s = spread_s
+            return error
         error.retry_after_s = waitqueue.retry_after_s(
             max(0.0, left_s),
             self._instance_table.typical_time_s(request.service_id),
@@ -311,6 +424,13 @@
         )
         return error
 
+    def _scarcity(self, service_id: str) -> scarcity.Scarcity:
+        known = self._scarcity_by_service_id.get(service_id)
+        if known is None:
+            known = scarcity.Scarcity()
+            self._scarcity_by_service_id[service_id] = known
+        return known
+
     def _queue(self, service_id: str) -> waitqueue.WaitQueue:
         queue = self._queues_by_service_id.get(service_id)
         if queue is None:
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -11,6 +11,7 @@
     policy,
     silence,
     topology,
+    waitqueue,
 )
 from oriolefold_telemetry import counters, logs
 
@@ -229,6 +230,37 @@
             error=str(error),
         )
 
+    def rejected_early(
+        self,
+        request: PendingRequest,
+        waiter: waitqueue.Waiter,
+        ahead: int,
+        wait_s: float,
+    ) -> None:
+        """Counts and logs a request that would wait beyond its limit.
+
+        Args:
+            request: The request.
+            waiter: Its place in the queue.
+            ahead: Requests that go before it.
+            wait_s: Expected wait, in seconds.
+        """
+        self._metrics.count_overload(request.service_id, 'rejected-early')
+        left_s = waiter.give_up_at_s - self._clock.now_s()
+        logs.event(
+            'admission.rejected',
+            request=request.call.request_id,
+            service=request.service_id,
+            route=request.route.route_id,
+            rank=request.route.rank,
+            served_as=waiter.rank,
+            returning=waiter.returning,
+            owner=waiter.owner_id,
+            ahead=ahead,
+            expected_wait_ms=round(wait_s * 1000),
+            limit_ms=round(left_s * 1000),
+        )
+
     def silence_seen(
         self, request: PendingRequest, send: silence.OpenSend
     ) -> None:
--- a/libs/direct/tests/test_overload.py
+++ b/libs/direct/tests/test_overload.py
@@ -5,7 +5,7 @@
 
 import virtualload
 
-from oriolefold_routing import reservation, silence
+from oriolefold_routing import reservation, scarcity, silence
 from oriolefold_telemetry import logs
 
 
@@ -63,6 +63,68 @@
         self.assertEqual(load.instances.cut['/k/x'], 0)
 
 
+class ScarcityTest(OverloadCase):
+    """Two ranks on a service that cannot serve all, callers that return."""
+
+    def play(self, load=2.0):
+        kinds = [
+            virtualload.Kind('valve', 1, False, 9 * load, 0.3, 1.022, 4.024),
+            virtualload.Kind('trend', 2, True, 20 * load, 0.22, 0.812, 3.021),
+        ]
+        return virtualload.Load(
+            kinds,
+            vm_count=4,
+            instance_count=3,
+            keyed=False,
+            queue=24,
+            silent=False,
+        ).run(40)
+
+    def test_rejections_come_at_once_and_nobody_starves(self):
+        """Requests used to be held until their limit before a rejection."""
+        with mock.patch.object(
+            scarcity.Scarcity, 'is_active', return_value=False
+        ):
+            before = self.play()['trend'].reject_waits_s
+        results = self.play()
+        after = results['trend'].reject_waits_s
+        self.assertLess(
+            sum(after) / len(after), 0.7 * sum(before) / len(before)
+        )
+        served = [
+            (r.in_time + r.late) / r.sent
+            for r in (results['valve'], results['trend'])
+        ]
+        self.assertGreaterEqual(served[0], served[1])
+        self.assertGreater(served[1], 0.25 * served[0])
+
+    def test_calm_load_is_served_as_before(self):
+        """Admission control must not change a service with enough room."""
+        with mock.patch.object(
+            scarcity.Scarcity, 'is_active', return_value=False
+        ):
+            before = self.play(0.8)
+        self.assertEqual(self.play(0.8), before)
+
+    def test_full_instances_that_fail_reject_truthfully(self):
+        """A rejected request must not have run."""
+        load = virtualload.Load(
+            [virtualload.Kind('k', 1, False, 60, 0.3, 0.6, 2.0)],
+            vm_count=3,
+            instance_count=3,
+            keyed=False,
+            queue=1,
+            silent=False,
+            retries=0,
+        )
+        result = load.run(15)['k']
+        self.assertGreater(result.rejected, 0)
+        self.assertEqual(
+            sum(load.instances.executed.values()) + result.rejected,
+            result.sent,
+        )
+
+
 class SharedInstancesTest(OverloadCase):
     """Short urgent requests beside long ones at the same owners."""
 
--- a/libs/direct/tests/virtualload.py
+++ b/libs/direct/tests/virtualload.py
@@ -147,7 +147,7 @@
         slots=4,
         queue=16,
         silent=True,
-        follow_retry_after=True,
+        retries=3,
         burst=None,
         seed=7,
     ):
@@ -155,7 +155,7 @@
         self._vm_count = vm_count
         self._keyed = keyed
         self._burst = burst  # Interval, duration and factor of the rate.
-        self._follow = follow_retry_after
+        self._retries = retries  # Of each caller, after rejections.
         self._random = random.Random(seed)
         self._endpoints = [
             fakes.endpoint(f'i-{n:03}', slots=slots)
@@ -273,6 +273,7 @@
     async def _call(self, kind, request_id):
         result = self.results[kind.name]
         result.sent += 1
+        retries_left = self._retries
         time = LoopClock()
         started_s = time.now_s()
         headers = {'Host': 'h.example'}
@@ -298,8 +299,9 @@
                 result.reject_waits_s.append(time.now_s() - asked_s)
                 left_s = started_s + kind.deadline_s - time.now_s()
                 result.retry_fractions.append(error.retry_after_s / left_s)
-                if self._follow and error.retry_after_s <= left_s / 3:
-                    await asyncio.sleep(error.retry_after_s)
+                if retries_left and left_s > 0:
+                    retries_left -= 1
+                    await asyncio.sleep(min(error.retry_after_s, left_s / 3))
                     continue
                 result.rejected += 1
             except errors.OriolefoldError:
--- a/libs/gateway/tests/test_connections.py
+++ b/libs/gateway/tests/test_connections.py
@@ -748,6 +748,25 @@
         self.assert_refused(parse(await caller.read_to_end()), 503)
         self.assertEqual(self.dispatcher.dispatches, [])
 
+    async def test_an_upload_counts_until_it_is_answered(self):
+        """Uploads in progress must not exceed the memory for bodies."""
+        answer = self.dispatcher.answer
+        caller = await self.send_post(360_000, 359_000)
+        self.dispatcher.answer = None
+        caller.send(b'x' * 1000)
+        await self.wait_for(
+            lambda: any(d.body for d in self.dispatcher.dispatches)
+        )
+        self.dispatcher.answer = answer
+        self.assertEqual(self.held_bytes(), 360_000)
+        second = await self.send_post(500_000, 0)
+        self.assert_refused(parse(await second.read_to_end()), 503)
+        upload = next(d for d in self.dispatcher.dispatches if d.body)
+        self.assertEqual(len(upload.body), 360_000)
+        upload.answer(answer)
+        self.assertEqual((await caller.read_answer())[0], 200)
+        await self.wait_for(lambda: not self.held_bytes())
+
     async def test_a_body_that_never_fits_gets_413(self):
         caller = await self.send_post(900_000, 0)
         self.assert_refused(parse(await caller.read_to_end()), 413)
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -124,7 +124,7 @@
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
         limit, obstacle = self.limit, Obstacle.LIMIT
-        shared = self.reserved.is_shared(now_s)
+        shared = self.reserved.has_ranks and self.reserved.is_shared(now_s)
         if now_s < self.quota_until_s:
             next_send_at_s = (
                 self.reserved.may_send_at_s(rank)
@@ -137,7 +137,8 @@
         if now_s < self.warm_up_until_s:
             limit = max(1.0, limit / 2)
         if shared:
-            if self.reserved.has_room(rank, limit, now_s):
+            usual_s = self.baseline_time_s or INITIAL_SERVICE_TIME_S
+            if self.reserved.has_room(rank, limit, usual_s, now_s):
                 return None
             return obstacle if self.in_flight >= limit else Obstacle.RESERVED
         return None if self.in_flight < limit else obstacle
--- a/libs/routing/src/oriolefold_routing/reservation.py
+++ b/libs/routing/src/oriolefold_routing/reservation.py
@@ -12,6 +12,9 @@
 LONG_WORK_FRACTION = 0.5  # The same for lower ranks whose work is long.
 LONG_WORK_RATIO = 2.0  # Times the work of a higher rank that count as long.
 TIME_SMOOTHING = 0.2  # Weight of a new sample in the time of a rank.
+# A lower rank's request in flight for longer than this multiple of the usual
+# time shows a queue, in which a request beside it would wait too.
+QUEUEING_FACTOR = 1.5
 MIN_DIVISIBLE_ROOM = 2.0  # Smaller rooms cannot be divided between ranks.
 
 
@@ -20,24 +23,31 @@
     """Use of an instance by the requests of one rank.
 
     Attributes:
-        seen_at_s: When the last request was sent or began to wait.
+        seen_at_s: When the last request was sent or waited.
+        sent_at_s: When the last request was sent.
         in_flight: Requests sent that have not ended.
         time_s: Moving average of the time to an answer; 0 if unknown.
         next_send_at_s: Earliest next send under a quota below one request.
     """
 
     seen_at_s: float = float('-inf')
+    sent_at_s: float = float('-inf')
     in_flight: int = 0
     time_s: float = 0.0
     next_send_at_s: float = 0.0
 
 
 class Reservation:
-    """Use of one instance by rank, and the room that each rank has there."""
+    """Use of one instance by rank, and the room that each rank has there.
 
-    __slots__ = ('_uses_by_rank',)
+    Attributes:
+        has_ranks: Whether requests of different ranks were ever seen.
+    """
+
+    __slots__ = ('_uses_by_rank', 'has_ranks')
 
     def __init__(self):
+        self.has_ranks = False
         self._uses_by_rank: dict[int, RankUse] = {}
 
     def record_seen(self, rank: int, now_s: float) -> None:
@@ -47,7 +57,7 @@
     def record_send(self, rank: int, now_s: float) -> None:
         """Counts a request in flight."""
         use = self._use(rank)
-        use.seen_at_s = now_s
+        use.seen_at_s = use.sent_at_s = now_s
         use.in_flight += 1
 
     def record_end(self, rank: int) -> None:
@@ -68,29 +78,33 @@
 
     def is_shared(self, now_s: float) -> bool:
         """Whether requests of different ranks were seen recently."""
-        if len(self._uses_by_rank) < 2:
+        if not self.has_ranks:
             return False
         oldest_s = now_s - RECENT_S
         uses = self._uses_by_rank.values()
         return sum(use.seen_at_s >= oldest_s for use in uses) > 1
 
-    def has_room(self, rank: int, room: float, now_s: float) -> bool:
+    def has_room(
+        self, rank: int, room: float, usual_s: float, now_s: float
+    ) -> bool:
         """Whether one more request of a rank fits beside the other ranks.
 
         Args:
             rank: Rank of the request.
             room: Requests that this VM may have in flight there.
+            usual_s: Usual time to an answer without a queue.
             now_s: Current time.
         """
-        in_flight = lower = 0
+        in_flight = running_lower = 0
+        queueing_s = QUEUEING_FACTOR * usual_s
         for other, use in self._uses_by_rank.items():
             in_flight += use.in_flight
-            if other > rank:
-                lower += use.in_flight
+            if other > rank and now_s - use.sent_at_s <= queueing_s:
+                running_lower += use.in_flight
         if room < MIN_DIVISIBLE_ROOM:
             # Requests of lower ranks do not count against a room for one, which
             # a long one would close for its whole time.
-            return in_flight - lower < room
+            return in_flight - running_lower < room
         if in_flight >= room:
             return False
         higher = sum(
@@ -140,4 +154,5 @@
         use = self._uses_by_rank.get(rank)
         if use is None:
             use = self._uses_by_rank[rank] = RankUse()
+            self.has_ranks = len(self._uses_by_rank) > 1
         return use
--- a/libs/routing/src/oriolefold_routing/waitqueue.py
+++ b/libs/routing/src/oriolefold_routing/waitqueue.py
@@ -22,6 +22,8 @@
         owner_id: The one instance that may serve it, or an empty string.
         owner_is_shared: Whether requests of different ranks go to that
             instance.
+        returning: Whether it goes before first attempts of its rank.
+        since_s: When it began to wait.
     """
 
     payload: Any
@@ -29,6 +31,8 @@
     give_up_at_s: float
     owner_id: str = ''
     owner_is_shared: bool = False
+    returning: bool = False
+    since_s: float = 0.0
 
 
 class WaitQueue:
@@ -59,12 +63,24 @@
 
     def any_ahead(self, waiter: Waiter) -> bool:
         """Whether a queued request for the same owner goes before another."""
-        return any(
-            other.owner_id == waiter.owner_id
-            and _priority(other) <= _priority(waiter)
+        return self.count_before(waiter) > 0
+
+    def count_before(self, waiter: Waiter) -> int:
+        """Returns how many queued requests for its owner go before another."""
+        own = _priority(waiter)
+        return sum(
+            other.owner_id == waiter.owner_id and _priority(other) <= own
             for other in self._waiters
         )
 
+    def has_other_rank(self, rank: int) -> bool:
+        """Whether a request of another rank waits."""
+        return any(waiter.rank != rank for waiter in self._waiters)
+
+    def line_length(self, owner_id: str) -> int:
+        """Returns how many requests wait for an owner."""
+        return sum(waiter.owner_id == owner_id for waiter in self._waiters)
+
 
 def max_wait_s(objective_s: float, service_time_s: float) -> float:
     """Returns how long a request may wait for capacity, in seconds.
@@ -93,4 +109,4 @@
 
 
 def _priority(waiter: Waiter) -> tuple:
-    return waiter.rank, waiter.give_up_at_s
+    return waiter.rank, not waiter.returning, waiter.give_up_at_s
