--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -10,7 +10,9 @@
     concurrency,
     loadfigures,
     policy,
+    silence,
     topology,
+    waitqueue,
 )
 from oriolefold_telemetry import counters, logs
 
@@ -123,12 +125,13 @@
         fields = {}
         if owner is not None:
             now_s = self._clock.now_s()
-            found = owner.obstacle(now_s)
+            found = owner.obstacle(now_s, request.route.rank)
             obstacle = '' if found is None else found.value
             fields = {
                 'instance': owner.endpoint.instance_id,
                 'in_flight': owner.in_flight,
                 'limit': round(owner.limit, 1),
+                'rank': request.route.rank,
                 'quota': (
                     round(owner.quota, 2)
                     if now_s < owner.quota_until_s
@@ -300,6 +303,84 @@
             error=str(error),
         )
 
+    def rejected_early(
+        self,
+        request: PendingRequest,
+        waiter: waitqueue.Waiter,
+        ahead: int,
+        wait_s: float,
+    ) -> None:
+        """Counts and logs a request that would wait beyond its limit.
+
+        Args:
+            request: The request.
+            waiter: Its place in the queue.
+            ahead: Requests that go before it.
+            wait_s: Expected wait, in seconds.
+        """
+        self._metrics.count_overload(request.service_id, 'rejected-early')
+        left_s = waiter.give_up_at_s - self._clock.now_s()
+        logs.event(
+            'admission.rejected',
+            request=request.call.request_id,
+            service=request.service_id,
+            route=request.route.route_id,
+            rank=request.route.rank,
+            served_as=waiter.rank,
+            returning=waiter.returning,
+            owner=waiter.owner_id,
+            ahead=ahead,
+            expected_wait_ms=round(wait_s * 1000),
+            limit_ms=round(left_s * 1000),
+        )
+
+    def silence_seen(
+        self, request: PendingRequest, send: silence.OpenSend
+    ) -> None:
+        """Logs that instances of a service are silent when they are full."""
+        logs.event(
+            'silence.seen',
+            request=request.call.request_id,
+            service=request.service_id,
+            **self._silence_fields(send),
+        )
+
+    def silent(
+        self,
+        request: PendingRequest,
+        instance: concurrency.InstanceState,
+        send: silence.OpenSend,
+        elsewhere: bool,
+    ) -> None:
+        """Counts and logs a send that gets no answer.
+
+        Args:
+            request: The request.
+            instance: The instance, with its limit lowered already.
+            send: The send.
+            elsewhere: Whether it is ended and the request sent elsewhere.
+        """
+        decision = 'silent-elsewhere' if elsewhere else 'silent-kept'
+        self._metrics.count_overload(request.service_id, decision)
+        logs.event(
+            'instance.silent',
+            request=request.call.request_id,
+            service=request.service_id,
+            elsewhere=elsewhere,
+            limit=round(instance.limit, 1),
+            in_flight=instance.in_flight,
+            left_ms=round((request.expires_at_s - self._clock.now_s()) * 1000),
+            **self._silence_fields(send),
+        )
+
+    def _silence_fields(self, send: silence.OpenSend) -> dict:
+        return {
+            'instance': send.instance_id,
+            'waited_ms': round((self._clock.now_s() - send.started_s) * 1000),
+            'usual_ms': round(send.usual_s * 1000),
+            'overtaken': send.overtaken,
+        }
+
     def answered(
         self, request: PendingRequest, answer: data.Answer, view: View
     ) -> None:
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -14,6 +14,7 @@
 from oriolefold_routing import (
     announcements,
     loadfigures,
+    reservation,
     topology,
     warmuppermits,
 )
@@ -22,6 +23,8 @@
 SMOOTHING_FACTOR = 0.2  # Weight of a new sample in moving averages.
 REFUSAL_DECREASE_FACTOR = 0.7  # Limit after a refusal over the limit before.
 REFUSAL_BACKOFF_S = 0.08  # Time without new requests after a refusal.
+SILENCE_GROWTH_FACTOR = 0.2  # Growth of the limit after a silence, over usual.
+SILENCE_EFFECT_S = 10.0  # Duration of the slow growth after a silence.
 FAILURE_BACKOFF_S = 1.0  # Time without new requests after a failed connection.
 MAX_QUEUED_PER_SLOT = 0.5  # Requests that one VM may queue, per slot.
 QUEUEING_RATIO = 1.5  # Service time over baseline that indicates a queue.
@@ -42,6 +45,7 @@
     ANSWERED = 'answered'
     FAILED = 'failed'
     REFUSED = 'refused'
+    SILENT = 'silent'  # Given up, since the instance gives no answer.
     UNREACHABLE = 'unreachable'
     CANCELLED = 'cancelled'
     WITHHELD = 'withheld'  # The instance wanted it no more; nothing was sent.
@@ -59,6 +63,7 @@
     PUSHBACK = 'pushback'
     QUOTA = 'quota'
     UNVERIFIED = 'unverified'
+    RESERVED = 'reserved'  # For higher ranks.
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +87,7 @@
         quota: Requests in flight allotted to this VM while the instance is
             busy.
         quota_until_s: When the quota expires.
+        slow_growth_until_s: The limit grows slowly before this time.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
         permits: Permits of this VM for requests to cold instances.
@@ -90,6 +96,7 @@
         load: What is known of the load that it reports; None if it does not.
         registered_late: Whether it registered after others of its service had
             reported their load.
+        reserved: Room that each rank has at the instance.
     """
 
     endpoint: topology.Endpoint
@@ -106,6 +113,7 @@
     warm_up_until_s: float = 0.0
     quota: float = 0.0
     quota_until_s: float = 0.0
+    slow_growth_until_s: float = 0.0
     next_send_at_s: float = 0.0
     belief: announcements.Belief = dataclasses.field(
         default_factory=lambda: announcements.Belief(0)
@@ -116,6 +124,9 @@
     may_send_cold: Callable[[float], bool] | None = None
     load: loadfigures.KnownLoad | None = None
     registered_late: bool = False
+    reserved: reservation.Reservation = dataclasses.field(
+        default_factory=reservation.Reservation
+    )
 
     @property
     def max_limit(self) -> float:
@@ -127,12 +138,12 @@
         """When its announced pushback and the back-off have ended."""
         return max(self.belief.busy_until_s, self.backoff_until_s)
 
-    def has_capacity(self, now_s: float) -> bool:
-        """Whether one more request may be sent now."""
-        return self.obstacle(now_s) is None
+    def has_capacity(self, now_s: float, rank: int = 0) -> bool:
+        """Whether one more request of a rank may be sent now."""
+        return self.obstacle(now_s, rank) is None
 
-    def obstacle(self, now_s: float) -> Obstacle | None:
-        """Returns what forbids to send one more request now, if anything."""
+    def obstacle(self, now_s: float, rank: int = 0) -> Obstacle | None:
+        """Returns what forbids one more request of a rank now, if anything."""
         if self.endpoint.evacuated:
             return Obstacle.EVACUATED
         if not self.belief.may_get_keyed(now_s):
@@ -146,12 +157,23 @@
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
         limit, obstacle = self.limit, Obstacle.LIMIT
+        shared = self.reserved.has_ranks and self.reserved.is_shared(now_s)
         if now_s < self.quota_until_s:
-            if self.quota < 1 and now_s < self.next_send_at_s:
+            next_send_at_s = (
+                self.reserved.may_send_at_s(rank)
+                if shared
+                else self.next_send_at_s
+            )
+            if self.quota < 1 and now_s < next_send_at_s:
                 return Obstacle.PACING
             limit, obstacle = max(1.0, self.quota), Obstacle.QUOTA
         if now_s < self.warm_up_until_s:
             limit = max(1.0, limit / 2)
+        if shared:
+            usual_s = self.baseline_time_s or INITIAL_SERVICE_TIME_S
+            if self.reserved.has_room(rank, limit, usual_s, now_s):
+                return None
+            return obstacle if self.in_flight >= limit else Obstacle.RESERVED
         return None if self.in_flight < limit else obstacle
 
     def is_cold(self, now_s: float) -> bool:
@@ -212,7 +234,7 @@
         self.quota = max(MIN_QUOTA, rounded, part * QUOTA_MARGIN)
         self.quota_until_s = now_s + QUOTA_TTL_S
 
-    def record_send(self, now_s: float) -> None:
+    def record_send(self, now_s: float, rank: int = 0) -> None:
         """Counts a request that is about to be sent.
 
         A quota below one request is enforced over time by pacing: the next
@@ -223,18 +245,30 @@
             self.permits.assign(self.endpoint.instance_id, now_s)
         if self.load is not None:
             self.load.sends_since += 1
+        self.reserved.record_send(rank, now_s)
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
+            self.reserved.pace(rank, self.quota, self.baseline_time_s, now_s)
+
+    def record_end(self, rank: int = 0) -> None:
+        """Stops counting a request that has ended or was not sent."""
+        self.in_flight -= 1
+        self.reserved.record_end(rank)
 
-    def record(self, result: SendResult, took_s: float, now_s: float) -> None:
+    def record(
+        self, result: SendResult, took_s: float, now_s: float, rank: int = 0
+    ) -> None:
         """Updates averages and limit with the result of a send.
 
         Args:
             result: How the send ended.
             took_s: Duration of the send, in seconds.
             now_s: Current time.
+            rank: Rank of the request.
         """
-        if result is SendResult.WITHHELD:
+        if result is SendResult.ANSWERED:
+            self.reserved.record_time(rank, took_s)
+        if result in (SendResult.WITHHELD, SendResult.SILENT):
             return
         if result is SendResult.CANCELLED:
             # The duration is a lower bound of the time to an answer.
@@ -258,6 +292,10 @@
             if self.load and self.load.others_wait(self.in_flight, now_s):
                 return
             self.limit = min(self.max_limit, self.limit + 1.0 / self.limit)
+            growth = 1.0 / self.limit
+            if now_s < self.slow_growth_until_s:
+                growth *= SILENCE_GROWTH_FACTOR
+            self.limit = min(self.max_limit, self.limit + growth)
         elif now_s >= self.decreased_at_s + self.baseline_time_s:
             # Latency falls in proportion to the requests in flight, so the
             # limit is scaled by the ratio of both times. It is scaled once per
@@ -271,6 +309,16 @@
             self.limit = max(1.0, base * max(MIN_DECREASE_FACTOR, ratio))
             self.decreased_at_s = now_s
 
+    def record_silence(self, now_s: float) -> None:
+        """Lowers the limit, since the instance could not queue a request.
+
+        It is full then, so nothing is sent for the time of one request.
+        """
+        self.limit = max(1.0, self.limit * REFUSAL_DECREASE_FACTOR)
+        backoff_s = max(REFUSAL_BACKOFF_S, self.baseline_time_s)
+        self.backoff_until_s = max(self.backoff_until_s, now_s + backoff_s)
+        self.slow_growth_until_s = now_s + SILENCE_EFFECT_S
+
     @property
     def is_queueing(self) -> bool:
         """Whether recent answers show a queue at the instance."""
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -273,7 +273,7 @@
             for state in self._within_regions(demand)
             if not _leaves(state, now_s)
             and state.endpoint.instance_id not in demand.excluded_ids
-            and state.has_capacity(now_s)
+            and state.has_capacity(now_s, demand.rank)
         ]
         if not eligible:
             return None
--- a/libs/telemetry/src/oriolefold_telemetry/counters.py
+++ b/libs/telemetry/src/oriolefold_telemetry/counters.py
@@ -17,6 +17,7 @@
     'oriolefold_grants': ('call', 'result'),
     'oriolefold_region_refusals': ('service', 'reason'),
     'oriolefold_health_checks': ('service', 'result'),
+    'oriolefold_overload': ('service', 'decision'),
     'oriolefold_log_lines': ('result',),
     'oriolefold_warm_up_permits': ('result',),
 }
@@ -54,6 +55,10 @@
         """Counts load figures from an instance of a service."""
         self._counts['oriolefold_load_reports', service_id] += 1
 
+    def count_overload(self, service_id: str, decision: str) -> None:
+        """Counts a decision made because a service or instance was full."""
+        self._counts['oriolefold_overload', service_id, decision] += 1
+
     def count_store_call(self, call: str, result: str) -> None:
         """Counts a call to the object store."""
         self._counts['oriolefold_store_calls', call, result] += 1
