Test bed of overload knows health checks

Cause: the merge of instance states added an abstract method to the client of instances. Change: the virtual instances of the overload tests have it; they are never checked.

--- a/libs/direct/tests/virtualload.py
+++ b/libs/direct/tests/virtualload.py
@@ -117,6 +117,9 @@
     async def grant(self, *_args, **_changes):
         raise NotImplementedError
 
+    async def check_health(self, endpoint, path, timeout_s):
+        raise NotImplementedError
+
     async def release(self, *_args):
         raise NotImplementedError
 
