--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -21,6 +21,7 @@
     changefeed,
     documents,
     following,
+    leadercalls,
     leaderrecords,
     loadreports,
     loadtracker,
@@ -46,45 +47,6 @@
 DEFAULT_WARM_UP_LIMITS = warmup.WarmUpLimits()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CallEnded:
-    """Result of a call.
-
-    Attributes:
-        lease_manager: That of the term in which the call began. The result is
-            of no use to a later term, which has other calls in flight.
-    """
-
-    lease_manager: rangeleases.RangeLeaseManager
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _GrantEnded(_CallEnded):
-    grant: rangeleases.Grant
-    outcome: ports.GrantOutcome
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ReleaseEnded(_CallEnded):
-    release: rangeleases.Release
-    result: ports.ReleaseResult
-    took_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PublishEnded(_CallEnded):
-    document: updates.Document | None
-    key_map: ranges.KeyMap
-    error: Exception | None
-    era: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _FormerLeaderAnswered(_CallEnded):
-    former: leaderelection.LeaderRecord
-    statement: leaderelection.TermsEnded
-
-
 class Coordinator(tasks.Task):
     """Owns the leadership state and the grants of one service."""
 
@@ -200,19 +162,21 @@
                 self._warm_up_grants.set_rate(message.rate_per_s)
             case messages.EndpointsUpdated():
                 self._update_endpoints(message)
-            case _CallEnded() if not self._is_term_of(message.lease_manager):
+            case leadercalls.CallEnded() if not self._is_term_of(
+                message.lease_manager
+            ):
                 pass
-            case _GrantEnded():
+            case leadercalls.GrantEnded():
                 self._handle_grant_ended(message)
-            case _ReleaseEnded():
+            case leadercalls.ReleaseEnded():
                 self._handle_release_ended(message)
-            case _PublishEnded():
+            case leadercalls.PublishEnded():
                 self._handle_publish_ended(message)
             case messages.LoadReport():
                 message.answer(self._record_load(message.vm_id, message.load))
             case messages.EndTerms():
                 self._end_terms(message)
-            case _FormerLeaderAnswered():
+            case leadercalls.FormerLeaderAnswered():
                 self._handle_former_leader_answered(message)
             case messages.Tick():
                 await self._update_own_load()
@@ -446,12 +410,14 @@
                 await asyncio.sleep(END_TERMS_RETRY_S)
             else:
                 self.post(
-                    _FormerLeaderAnswered(lease_manager, former, statement)
+                    leadercalls.FormerLeaderAnswered(
+                        lease_manager, former, statement
+                    )
                 )
                 return
 
     def _handle_former_leader_answered(
-        self, answered: _FormerLeaderAnswered
+        self, answered: leadercalls.FormerLeaderAnswered
     ) -> None:
         has_ended = leaderelection.has_ended(
             answered.former, self._term_version, answered.statement
@@ -706,7 +672,7 @@
             )
         finally:
             self._metrics.count_grant('grant', outcome.result.value)
-            self.post(_GrantEnded(lease_manager, grant, outcome))
+            self.post(leadercalls.GrantEnded(lease_manager, grant, outcome))
         # It counts as in flight until it must have arrived.
         await asyncio.sleep(outcome.in_transit_s)
 
@@ -735,7 +701,9 @@
         finally:
             took_s = self._clock.now_s() - started_s
             self._metrics.count_grant('release', str(result.released))
-            self.post(_ReleaseEnded(lease_manager, release, result, took_s))
+            self.post(
+                leadercalls.ReleaseEnded(lease_manager, release, result, took_s)
+            )
 
     async def _publish(
         self,
@@ -760,12 +728,12 @@
         finally:
             # No other map is published until this one has ended.
             self.post(
-                _PublishEnded(
+                leadercalls.PublishEnded(
                     lease_manager, document, key_map, publish_error, era
                 )
             )
 
-    def _handle_grant_ended(self, ended: _GrantEnded) -> None:
+    def _handle_grant_ended(self, ended: leadercalls.GrantEnded) -> None:
         result = ended.outcome.result
         now_s = self._clock.now_s()
         sent = dataclasses.replace(
@@ -802,7 +770,7 @@
             # Renewals have no priors: they are frequent and need no step.
             self._step()
 
-    def _handle_release_ended(self, ended: _ReleaseEnded) -> None:
+    def _handle_release_ended(self, ended: leadercalls.ReleaseEnded) -> None:
         result = ended.result
         handover = result.handover if result.released else None
         self._lease_manager.release_ended(
@@ -818,7 +786,7 @@
         )
         self._step()
 
-    def _handle_publish_ended(self, ended: _PublishEnded) -> None:
+    def _handle_publish_ended(self, ended: leadercalls.PublishEnded) -> None:
         # A restore of the store undoes a write that has just succeeded, and
         # makes one in progress conflict.
         if ended.document is None or ended.era < self._map_era:
