Configurations are checked before they are sent

Cause: a register or a platform configuration could be sent with entries that never match and with limits that contradict each other; nothing showed what a change alters. Invalid documents ended in exit code 2 like unreadable ones, and some YAML (unprintable characters, impossible dates, recursive aliases) ended the tool with a traceback. Change: routing.policychecks and config.checks decide on data classes and return core.issues; tool.checking reads, locates and prints through a Format, of which registerformat and the platform's checking are the two.

--- a/libs/config/src/oriolefold_config/locations.py
+++ b/libs/config/src/oriolefold_config/locations.py
@@ -55,8 +55,10 @@
         ConfigurationError: If the text is not valid YAML or repeats a key.
     """
     found = findings.Findings()
-    loader = yaml.SafeLoader(text)
+    loader = None
     try:
+        # The constructor refuses unprintable characters.
+        loader = yaml.SafeLoader(text)
         node = loader.get_single_node()
         lines_by_path: dict[tuple, int] = {}
         value = None
@@ -70,8 +72,11 @@
         )
     except yaml.YAMLError as error:
         found.add(findings.Location(source), f'invalid YAML: {error}')
+    except RecursionError:
+        found.add(findings.Location(source), 'nested too deeply')
     finally:
-        loader.dispose()
+        if loader is not None:
+            loader.dispose()
     found.raise_if_any()
     return LocatedDocument(source, value, lines_by_path)
 
@@ -85,13 +90,25 @@
         ]
     if isinstance(node, yaml.MappingNode):
         return _read_mapping(loader, node, path, lines_by_path, source, found)
-    return loader.construct_object(node)
+    return _read_scalar(loader, node, path, source, found)
+
+
+def _read_scalar(loader, node, path, source, found) -> Any:
+    try:
+        return loader.construct_object(node)
+    except (ArithmeticError, AttributeError, LookupError, ValueError) as error:
+        # The constructors of dates, numbers and booleans raise these for texts
+        # that only look like one, or that a tag declares to be one.
+        line = node.start_mark.line + 1
+        location = findings.Location(source, line, dotted(path))
+        found.add(location, f'invalid YAML value: {error}')
+    return None
 
 
 def _read_mapping(loader, node, path, lines_by_path, source, found) -> dict:
     value = {}
     for key_node, value_node in node.value:
-        key = str(loader.construct_object(key_node))
+        key = str(_read_scalar(loader, key_node, path, source, found))
         if key in value:
             line = key_node.start_mark.line + 1
             location = findings.Location(source, line, dotted(path + (key,)))
--- a/libs/tool/src/oriolefold_tool/api.py
+++ b/libs/tool/src/oriolefold_tool/api.py
@@ -9,9 +9,11 @@
 from oriolefold_experiment import experiments
 from oriolefold_tool import (
     addresses,
+    checking,
     loadgenerator,
     logfiles,
     operations,
+    registerformat,
     tracing,
     version,
     workloads,
@@ -29,22 +31,18 @@
         """Prints the version."""
         print(f'oriolefold {version.VERSION}')
 
-    def check(self, folder: str, json: bool = False) -> None:  # pylint: disable=redefined-outer-name
-        """Validates the register and the rules in a folder.
+    def check(self, file: str, against: str = '', json: bool = False) -> None:  # pylint: disable=redefined-outer-name
+        """Checks a register with its rules before they are applied.
 
         Args:
-            folder: Folder with register.yaml and rules.yaml.
+            file: Folder with register.yaml and rules.yaml, or one of them.
+            against: Folder to compare with; no comparison by default.
             json: Print JSON.
         """
-        configuration = operations.check(str(folder))
-        services = configuration.register.services_by_id.values()
-        record = {
-            'vms': len(configuration.register.vms_by_id),
-            'services': len(services),
-            'instances': sum(len(s.instances_by_id) for s in services),
-        }
-        text = ', '.join(f'{count} {name}' for name, count in record.items())
-        _print(record, f'{folder}: no findings ({text})', json)
+        report = checking.run(
+            registerformat.RegisterFormat(), str(file), str(against)
+        )
+        checking.finish(report, json)
 
     def apply(
         self,
--- a/libs/tool/src/oriolefold_tool/operations.py
+++ b/libs/tool/src/oriolefold_tool/operations.py
@@ -27,15 +27,6 @@
     changed: bool
 
 
-def check(folder: str) -> data.Configuration:
-    """Reads and validates the documents in a folder.
-
-    Raises:
-        ConfigurationError: With all findings.
-    """
-    return documents.validate(documents.read_folder(folder))
-
-
 async def apply(
     folder: str,
     store_address: data.Address,
