--- a/libs/core/src/oriolefold_core/issues.py
+++ b/libs/core/src/oriolefold_core/issues.py
@@ -11,7 +11,8 @@
 class Kind(enum.Enum):
     """Kind of an issue.
 
-    Only configurations with an `ERROR` are refused by the programs.
+    Without an `ERROR` the programs accept a configuration, and read it as it is
+    written.
     """
 
     ERROR = 'error'
--- a/libs/tool/src/oriolefold_tool/api.py
+++ b/libs/tool/src/oriolefold_tool/api.py
@@ -10,10 +10,10 @@
 from oriolefold_tool import (
     addresses,
     checking,
+    formats,
     loadgenerator,
     logfiles,
     operations,
-    registerformat,
     tracing,
     version,
     workloads,
@@ -32,16 +32,15 @@
         print(f'oriolefold {version.VERSION}')
 
     def check(self, file: str, against: str = '', json: bool = False) -> None:  # pylint: disable=redefined-outer-name
-        """Checks a register with its rules before they are applied.
+        """Checks a configuration before it is sent.
 
         Args:
-            file: Folder with register.yaml and rules.yaml, or one of them.
-            against: Folder to compare with; no comparison by default.
+            file: Folder with register.yaml and rules.yaml, or a file in a
+                format that an installed adapter adds.
+            against: Configuration to compare with; no comparison by default.
             json: Print JSON.
         """
-        report = checking.run(
-            registerformat.RegisterFormat(), str(file), str(against)
-        )
+        report = checking.run(formats.find(str(file)), str(file), str(against))
         checking.finish(report, json)
 
     def apply(
--- a/libs/tool/src/oriolefold_tool/checking.py
+++ b/libs/tool/src/oriolefold_tool/checking.py
@@ -1,7 +1,8 @@
 """Checks of configurations in any format, before they are sent.
 
 A format reads one kind of configuration. The adapter of a platform adds its own
-with a subclass of `Format` and a command that calls `run` and `finish`.
+with a subclass of `Format`, found by `formats`, and may have a command that
+calls `run` and `finish`.
 """
 
 import abc
@@ -20,6 +21,10 @@
 class Format(abc.ABC, Generic[Document]):
     """A format of configurations."""
 
+    @abc.abstractmethod
+    def recognizes(self, path: str) -> bool:
+        """Whether a path looks like a configuration of this format."""
+
     @abc.abstractmethod
     def read(self, path: str) -> Document:
         """Reads a configuration without validating it.
@@ -33,7 +38,8 @@
         """Decodes a document as the programs do.
 
         Returns:
-            The configuration, or None if there are errors, and all errors.
+            The configuration, or None if the programs refuse it, and all
+            errors.
         """
 
     @abc.abstractmethod
--- a/libs/tool/src/oriolefold_tool/registerformat.py
+++ b/libs/tool/src/oriolefold_tool/registerformat.py
@@ -22,6 +22,11 @@
 class RegisterFormat(checking.Format[documents.Documents]):
     """Folders with `register.yaml` and `rules.yaml`."""
 
+    def recognizes(self, path: str) -> bool:
+        """Whether a path is a folder, or named like a file of one."""
+        given = pathlib.Path(path)
+        return given.is_dir() or given.name in _FILES
+
     def read(self, path: str) -> documents.Documents:
         """Reads the folder, also given as one of the two files in it."""
         folder = pathlib.Path(path)
