Strict shares of busy owners where instances need short queues

Cause: each of 67 or 80 VMs rounds its small share of a busy owner up three times, so all together may have 3 times its slots in flight. At an owner with more requests than it can process nearly all answers are late then, and an instance that is silent when full gets requests that it never answers. No VM alone sees the queue.

--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -173,7 +173,11 @@
             case leadercalls.PublishEnded():
                 self._handle_publish_ended(message)
             case messages.LoadReport():
-                message.answer(self._record_load(message.vm_id, message.load))
+                message.answer(
+                    self._record_load(
+                        message.vm_id, message.load, message.reads_strict
+                    )
+                )
             case messages.EndTerms():
                 self._end_terms(message)
             case leadercalls.FormerLeaderAnswered():
@@ -550,11 +554,13 @@
             return
         self._load_updated_at_s = now_s
         load = await self._load_reporter.collect()
-        self._load_reporter.apply(self._record_load(self._vm_id, load), load)
+        self._load_reporter.apply(
+            self._record_load(self._vm_id, load, reads_strict=True), load
+        )
         self._update_candidates()
 
     def _record_load(
-        self, vm_id: str, load: messages.ObservedLoad
+        self, vm_id: str, load: messages.ObservedLoad, reads_strict: bool
     ) -> messages.LoadReply:
         """Records the load of a VM and returns the reply to it."""
         if self._lease_manager is None:
@@ -566,6 +572,7 @@
             self._lease_manager.key_map,
             self._candidates.endpoints,
             self._clock.now_s(),
+            reads_strict,
         )
         permits_by_id = self._warm_up_grants.grant(
             vm_id,
@@ -575,7 +582,11 @@
             self._clock.now_s(),
         )
         return messages.LoadReply(
-            shares_by_id, self._granted_ranges(), permits_by_id
+            shares_by_id,
+            self._granted_ranges(),
+            permits_by_id,
+            reads_strict
+            and self._load_tracker.needs_short_queues(self._clock.now_s()),
         )
 
     def _record_leaving(
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -118,7 +118,7 @@
                 for instance_id, share in message.shares_by_id.items():
                     known = self._instance_table.states_by_id.get(instance_id)
                     if known is not None:
-                        known.set_quota(share, now_s)
+                        known.set_quota(share, now_s, message.strict)
             case messages.PermitsGranted():
                 self._reporter.permits_granted(message)
                 permits = self._instance_table.permits
@@ -420,8 +420,16 @@
         cold_ids = self._key_owners.wanted_cold_ids(
             service_id, recent_keys, waiting, now_s
         )
+        needs_short_queues = self._instance_table.reports_load(
+            service_id
+        ) or self._silent_sends.is_active(service_id)
         return messages.ObservedLoad(
-            recent_keys, times_by_id, leaving_by_id, cold_ids, now_s
+            recent_keys,
+            times_by_id,
+            leaving_by_id,
+            cold_ids,
+            needs_short_queues,
+            now_s,
         )
 
     def _describe(self) -> dict:
--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -52,7 +52,9 @@
         self, reply: messages.LoadReply, load: messages.ObservedLoad
     ) -> None:
         """Passes the leader's reply to a reported load on to the dispatcher."""
-        self._dispatcher.post(messages.SharesUpdated(reply.shares_by_id))
+        self._dispatcher.post(
+            messages.SharesUpdated(reply.shares_by_id, reply.strict)
+        )
         if reply.granted is not None:
             self._dispatcher.post(reply.granted)
         if reply.permits_by_id:
@@ -81,9 +83,11 @@
             self._leader_address = leader_address
             self._paused_cold_reports = 0
             self._reported_leaving_by_id = {}
-        if self._paused_cold_reports and load.cold_ids:
+        if self._paused_cold_reports:
             self._paused_cold_reports -= 1
-            load = dataclasses.replace(load, cold_ids=())
+            load = dataclasses.replace(
+                load, cold_ids=(), needs_short_queues=False
+            )
         has_news = bool(load.cold_ids) or not (
             load.leaving_by_id.items() <= self._reported_leaving_by_id.items()
         )
@@ -105,7 +109,8 @@
         try:
             reply = await self._peers.report(leader_address, report)
         except errors.OriolefoldError as error:
-            if load.cold_ids and isinstance(error, errors.ProtocolError):
+            is_new = load.cold_ids or load.needs_short_queues
+            if is_new and isinstance(error, errors.ProtocolError):
                 self._paused_cold_reports = PAUSED_COLD_REPORTS
             # Not sent again: the leader uses the reports of the other VMs.
             logs.event(
--- a/libs/direct/src/oriolefold_direct/loadtracker.py
+++ b/libs/direct/src/oriolefold_direct/loadtracker.py
@@ -8,6 +8,8 @@
 
 DEFAULT_SERVICE_TIME_S = 0.2  # Assumed until the first reported answer.
 CAPACITY_INTERVAL_S = 0.5  # Interval between updates of the capacities.
+# For how long a report that instances need short queues holds.
+SHORT_QUEUES_TTL_S = 60.0
 PROFILE_INTERVAL_S = 0.2  # The same for key rates, whose half-life is 1 s.
 
 
@@ -23,6 +25,11 @@
         self._capacities_updated_at_s = float('-inf')
         self._profile = keyload.Profile({})
         self._profile_updated_at_s = float('-inf')
+        self._short_queues_until_s = float('-inf')
+
+    def needs_short_queues(self, now_s: float) -> bool:
+        """Whether a VM has reported lately that instances need them."""
+        return now_s < self._short_queues_until_s
 
     def record(
         self,
@@ -31,6 +38,7 @@
         key_map: ranges.KeyMap,
         endpoints: Sequence[topology.Endpoint],
         now_s: float,
+        reads_strict: bool = False,
     ) -> dict[str, float]:
         """Records the load that a VM observed since its last report.
 
@@ -40,10 +48,14 @@
             key_map: Current owners.
             endpoints: Instances of the service.
             now_s: Current time.
+            reads_strict: Whether the VM understands strict shares.
 
         Returns:
-            The VM's share of the slots of busy owners, by instance.
+            The VM's share of the slots of busy owners, by instance; strict if
+            the VM understands it and instances need short queues.
         """
+        if load.needs_short_queues:
+            self._short_queues_until_s = now_s + SHORT_QUEUES_TTL_S
         self._load.record(load.keys, now_s)
         if load.times_by_id:
             self._times_by_vm_id[vm_id] = load.times_by_id
@@ -52,7 +64,8 @@
             self._capacities_updated_at_s = now_s
             self._update_mean_times()
         capacities_by_id = {e.instance_id: self.capacity(e) for e in endpoints}
-        return self._quotas.shares(vm_id, capacities_by_id, now_s)
+        strict = reads_strict and self.needs_short_queues(now_s)
+        return self._quotas.shares(vm_id, capacities_by_id, now_s, strict)
 
     def profile(self, now_s: float) -> keyload.Profile:
         """Returns the request rates of the keys, cached for a short time."""
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -112,6 +112,8 @@
         leaving_by_id: Start time of each instance that announced in an answer
             that it leaves, in Unix milliseconds.
         cold_ids: Cold instances that the VM would send requests to.
+        needs_short_queues: Whether instances of the service report their load,
+            or are known not to answer what they cannot queue.
         read_at_s: When it was read, by the clock of the VM.
     """
 
@@ -119,6 +121,7 @@
     times_by_id: dict[str, float]
     leaving_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     cold_ids: tuple[str, ...] = ()
+    needs_short_queues: bool = False
     read_at_s: float = dataclasses.field(default=0.0, compare=False)
 
 
@@ -137,11 +140,13 @@
         vm_id: The reporting VM.
         service_id: The service.
         load: Load since its last report.
+        reads_strict: Whether the VM understands strict shares.
     """
 
     vm_id: str
     service_id: str
     load: ObservedLoad
+    reads_strict: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,11 +172,13 @@
         shares_by_id: The VM's shares of the slots of busy owners, by instance.
         granted: Moving ranges that may be sent to, or None.
         permits_by_id: Requests that may be sent to each cold instance.
+        strict: Whether the shares include the margin; see `Quotas.shares`.
     """
 
     shares_by_id: dict[str, float]
     granted: GrantedRanges | None = None
     permits_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    strict: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -195,10 +202,12 @@
     """This VM's share of the slots of busy owners.
 
     Attributes:
-        shares_by_id: Fraction from 0 to 1 by instance.
+        shares_by_id: Fraction by instance.
+        strict: Whether they include the margin; see `Quotas.shares`.
     """
 
     shares_by_id: dict[str, float]
+    strict: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -19,6 +19,9 @@
 # Asks for a reply with granted ranges. Leaders of earlier versions ignore it,
 # and VMs of earlier versions, which read only shares, do not send it.
 GRANTED_QUERY = 'granted'
+# Also reads whether shares are strict. Leaders of earlier versions reply to it
+# with shares only.
+STRICT_QUERY = 'granted&strict'
 CHANGES_PATH = '/changes'
 END_TERMS_PATH = '/end-terms'
 CALL_ID_BYTES = 8
@@ -34,14 +37,15 @@
 # The reply, its prefixes, their changes, the objects, and the parts of each.
 CHANGES_LEVELS = 5
 MAX_SERVICE_TIME_S = 3600.0
+MAX_SHARE = 4.0  # Over the largest margin of strict shares.
 MAX_COLD_IDS = 64  # Several times what a VM of this version sends.
 MAX_PERMITS = 1000  # For one instance in one reply.
 _ADDRESS = re.compile(r'(.+):([0-9]{1,5})')
 _Model = TypeVar('_Model')
 _ServiceTime = Annotated[float, msgspec.Meta(gt=0, le=MAX_SERVICE_TIME_S)]
 _Permits = Annotated[int, msgspec.Meta(ge=0, le=MAX_PERMITS)]
-# Sums of shares are rounded.
-_Share = Annotated[float, msgspec.Meta(ge=0, le=1.001)]
+# Sums of shares are rounded, and strict ones include a margin.
+_Share = Annotated[float, msgspec.Meta(ge=0, le=MAX_SHARE)]
 
 
 # Leaders of earlier versions reject a report with leaving or cold instances, so
@@ -53,6 +57,7 @@
     times_by_id: dict[str, _ServiceTime] = {}
     leaving_by_id: dict[str, documents.Counter] = {}
     cold_ids: Annotated[list[str], msgspec.Meta(max_length=MAX_COLD_IDS)] = []
+    needs_short_queues: bool = False
 
 
 # VMs of earlier versions reject a reply with permits. They do not ask for any.
@@ -63,6 +68,7 @@
     map_version: documents.Counter = 0
     granted: list[tuple[documents.Key, documents.Key, documents.Counter]] = []
     permits_by_id: dict[str, _Permits] = {}
+    strict: bool = False  # Only for VMs that asked by `STRICT_QUERY`.
 
 
 class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
@@ -133,10 +139,11 @@
                 report.load.times_by_id,
                 report.load.leaving_by_id,
                 list(report.load.cold_ids),
+                report.load.needs_short_queues,
             )
         )
         answer = await self._call(
-            address, f'{REPORT_PATH}?{GRANTED_QUERY}', body, REPORT_TIMEOUT_S
+            address, f'{REPORT_PATH}?{STRICT_QUERY}', body, REPORT_TIMEOUT_S
         )
         return _decode_load_reply(report.service_id, answer)
 
@@ -217,9 +224,13 @@
         self._pool.close()
 
 
-def decode_report(body: bytes) -> messages.LoadReport:
+def decode_report(body: bytes, query: str = '') -> messages.LoadReport:
     """Decodes the body of a load report.
 
+    Args:
+        body: The body.
+        query: Query of the request, which tells what the VM reads.
+
     Raises:
         ProtocolError: If the body is not a valid report.
     """
@@ -229,8 +240,11 @@
         decoded.times_by_id,
         decoded.leaving_by_id,
         tuple(decoded.cold_ids),
+        decoded.needs_short_queues,
+    )
+    return messages.LoadReport(
+        decoded.vm_id, decoded.service_id, load, query == STRICT_QUERY
     )
-    return messages.LoadReport(decoded.vm_id, decoded.service_id, load)
 
 
 def encode_shares(reply: messages.LoadReply) -> bytes:
@@ -240,9 +254,13 @@
 
 def encode_load_reply(reply: messages.LoadReply) -> bytes:
     """Encodes the reply to a load report."""
-    if reply.granted is None and not reply.permits_by_id:
+    if reply.granted is None and not (reply.permits_by_id or reply.strict):
         return encode_shares(reply)
-    encoded = _LoadReply(reply.shares_by_id, permits_by_id=reply.permits_by_id)
+    encoded = _LoadReply(
+        reply.shares_by_id,
+        permits_by_id=reply.permits_by_id,
+        strict=reply.strict,
+    )
     if reply.granted is not None:
         encoded.map_version = reply.granted.map_version
         encoded.granted = sorted(reply.granted.bounds)
@@ -261,7 +279,7 @@
             service_id, decoded.map_version, frozenset(decoded.granted)
         )
     return messages.LoadReply(
-        decoded.shares_by_id, granted, decoded.permits_by_id
+        decoded.shares_by_id, granted, decoded.permits_by_id, decoded.strict
     )
 
 
--- a/libs/direct/src/oriolefold_direct/silentsends.py
+++ b/libs/direct/src/oriolefold_direct/silentsends.py
@@ -38,6 +38,10 @@
         self._typical_time_s = typical_time_s
         self._silence = silence.Silence()
 
+    def is_active(self, service_id: str) -> bool:
+        """Whether instances of a service are known to be silent when full."""
+        return self._silence.is_active(service_id, self._clock.now_s())
+
     async def watch(
         self,
         request: pending.PendingRequest,
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -82,10 +82,11 @@
             self._pass_on(
                 request,
                 'load.unreadable',
-                peering.decode_report,
+                lambda body: peering.decode_report(body, request.query),
                 (
                     peering.encode_load_reply
-                    if request.query == peering.GRANTED_QUERY
+                    if request.query
+                    in (peering.GRANTED_QUERY, peering.STRICT_QUERY)
                     else peering.encode_shares
                 ),
             )
--- a/libs/direct/tests/test_peering.py
+++ b/libs/direct/tests/test_peering.py
@@ -129,6 +129,7 @@
         for reply in (
             messages.LoadReply({'i': 0.5}, None, {'a': 2}),
             messages.LoadReply({}, granted, {'a': 2}),
+            messages.LoadReply({'i': 1.5}, strict=True),
         ):
             peers, address = await self.connect(
                 peering.encode_load_reply(reply)
@@ -149,12 +150,26 @@
         call = mock.AsyncMock(return_value=b'{}')
         with mock.patch.object(peers, '_call', call):
             await peers.report('h:1', fakes.load_report())
-            self.assertNotIn(b'cold_ids', call.call_args.args[2])
-            load = messages.ObservedLoad((), {}, cold_ids=('a',))
+            for name in (b'cold_ids', b'needs_short_queues'):
+                self.assertNotIn(name, call.call_args.args[2])
+            load = messages.ObservedLoad(
+                (), {}, cold_ids=('a',), needs_short_queues=True
+            )
             await peers.report('h:1', messages.LoadReport('v', 's', load))
         body = call.call_args.args[2]
         self.assertEqual(peering.decode_report(body).load, load)
 
+    async def test_strict_shares_are_for_vms_that_ask_for_them(self):
+        """Guards against shares with a margin at VMs that would add theirs."""
+        body = b'{"vm_id":"v","service_id":"s","keys":[]}'
+        for query, expected in (
+            (peering.GRANTED_QUERY, False),
+            (peering.STRICT_QUERY, True),
+            ('', False),
+        ):
+            report = peering.decode_report(body, query)
+            self.assertIs(report.reads_strict, expected)
+
     async def test_odd_permits_are_errors(self):
         for odd in (b'-1', b'1.5', b'1e9', b'"1"'):
             peers, address = await self.connect(
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -85,6 +85,10 @@
         for service_id in self._even_by_service_id.keys() - grouped.keys():
             del self._even_by_service_id[service_id]
 
+    def reports_load(self, service_id: str) -> bool:
+        """Whether instances of a service report their load."""
+        return service_id in self._even_by_service_id
+
     def record_load(
         self,
         endpoint: topology.Endpoint,
