Overloaded owners: the leader says which part of its requests each can take

Cause: each of 40 to 80 VMs sends one owner a request every few seconds. Pacing cannot bound such senders, so long requests of a low rank fill the queue of urgent ones. Change: strict shares are replaced by the part of all work that an owner can take, by which each VM admits at random, higher ranks first (routing.loadshedding); what is not admitted is rejected at once. Only in services whose instances report their load, or are silent when full as a VM has found; reservation, early rejection and an own order of each VM for equal instances (SpreadCheapest) act only there, too, so that other services are served as before.

--- a/libs/coordination/src/oriolefold_coordination/quotas.py
+++ b/libs/coordination/src/oriolefold_coordination/quotas.py
@@ -13,13 +13,8 @@
 BUSY_UTILIZATION = 0.55  # Slots of owners below it are not divided.
 REPORT_TTL_S = 2.5  # Age after which the rates of a VM expire.
 TOTALS_MAX_AGE_S = 0.2  # Age after which the totals are recomputed.
-# Sum of the strict quotas of all VMs, relative to the slots of an owner: much
-# for one with room, since unused quota cannot pass to another VM, and little
-# for one with more requests than it can process, which would only queue there.
-LOOSE_MARGIN = 3.0
-TIGHT_MARGIN = 1.1
-LOOSE_UTILIZATION = 0.75
-TIGHT_UTILIZATION = 1.1
+# Part of its capacity that an overloaded owner is given.
+TARGET_UTILIZATION = 1.0
 
 
 class Quotas:
@@ -70,7 +65,6 @@
         vm_id: str,
         capacities_by_id: Mapping[str, float],
         now_s: float,
-        strict: bool = False,
     ) -> dict[str, float]:
         """Returns the fraction of each busy owner's slots that a VM may use.
 
@@ -78,31 +72,40 @@
             vm_id: The VM.
             capacities_by_id: Requests per second that each owner can process.
             now_s: Current time.
-            strict: Whether to include the margin that keeps the queues of
-                owners short; such fractions can exceed 1.
         """
         if now_s - self._totals_at_s >= TOTALS_MAX_AGE_S:
             self._totals_at_s = now_s
             self._totals_by_id = self._totals(now_s)
         own = self._rates_by_vm_id.get(vm_id, {})
-        if strict:
-            return {
-                owner_id: round(
-                    own.get(owner_id, 0.0)
-                    / total
-                    * _margin(total / capacities_by_id.get(owner_id, total)),
-                    4,
-                )
-                for owner_id, total in self._totals_by_id.items()
-                if total
-                > BUSY_UTILIZATION * capacities_by_id.get(owner_id, total)
-            }
         return {
             owner_id: round(min(1.0, own.get(owner_id, 0.0) / total), 3)
             for owner_id, total in self._totals_by_id.items()
             if total > BUSY_UTILIZATION * capacities_by_id.get(owner_id, total)
         }
 
+    def admissions(
+        self, capacities_by_id: Mapping[str, float], now_s: float
+    ) -> dict[str, float]:
+        """Returns the part of its requests that each overloaded owner can take.
+
+        A part holds for all VMs alike. Each of many VMs sends too few requests
+        to one owner to pace them, but all together admit a part exactly.
+
+        Args:
+            capacities_by_id: Requests per second that each owner can process.
+            now_s: Current time.
+        """
+        if now_s - self._totals_at_s >= TOTALS_MAX_AGE_S:
+            self._totals_at_s = now_s
+            self._totals_by_id = self._totals(now_s)
+        admissions_by_id = {}
+        for owner_id, total in self._totals_by_id.items():
+            capacity = capacities_by_id.get(owner_id)
+            if capacity is not None and total > TARGET_UTILIZATION * capacity:
+                part = TARGET_UTILIZATION * capacity / total
+                admissions_by_id[owner_id] = round(part, 3)
+        return admissions_by_id
+
     def _totals(self, now_s: float) -> dict[str, float]:
         """Returns the total request rate on each owner over all VMs."""
         totals_by_id: dict[str, float] = {}
@@ -112,12 +115,3 @@
             for owner_id, rate in rates.items():
                 totals_by_id[owner_id] = totals_by_id.get(owner_id, 0.0) + rate
         return totals_by_id
-
-
-def _margin(utilization: float) -> float:
-    """Returns the sum of the strict quotas relative to the slots."""
-    tightness = (utilization - LOOSE_UTILIZATION) / (
-        TIGHT_UTILIZATION - LOOSE_UTILIZATION
-    )
-    tightness = min(1.0, max(0.0, tightness))
-    return LOOSE_MARGIN + tightness * (TIGHT_MARGIN - LOOSE_MARGIN)
--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -13,6 +13,7 @@
 from oriolefold_routing import (
     concurrency,
     instancetable,
+    loadshedding,
     policy,
     scarcity,
     selection,
@@ -59,6 +60,7 @@
         self._queues_by_service_id: dict[str, waitqueue.WaitQueue] = {}
         self._wake_scheduled_ids: set[str] = set()
         self._scarcity_by_service_id: dict[str, scarcity.Scarcity] = {}
+        self._shedding_by_service_id: dict[str, loadshedding.LoadShedding] = {}
 
     async def acquire(
         self, request: pending.PendingRequest
@@ -82,6 +84,8 @@
         standing = admission.standing(
             kind_id, request.route.rank, request.caller_left_s, now_s
         )
+        if request.key is not None and not request.sends:
+            self._shed(request, standing.rank, now_s)
         if not queue:
             selected = self._take(request, standing.rank, now_s)
             if selected is not None:
@@ -113,7 +117,7 @@
             self.wake(request.service_id)
         self._schedule_wake(request.service_id)
         if queue.has_other_rank(waiter.rank):
-            admission.record_overload(now_s)
+            self._record_overload(request.service_id)
         if request.key is not None and self._choose(
             request, now_s, waiter.rank
         ):
@@ -122,7 +126,7 @@
             async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
                 return await assignment
         except TimeoutError as error:
-            admission.record_overload(self._clock.now_s())
+            self._record_overload(request.service_id)
             self._release_instance(request, assignment)
             if request.key is not None:
                 self._log_unavailable_owner(request)
@@ -134,6 +138,39 @@
         finally:
             queue.discard(waiter)
 
+    def _shed(
+        self, request: pending.PendingRequest, rank: int, now_s: float
+    ) -> None:
+        """Checks that the owner of a key can take one more request.
+
+        Raises:
+            OverloadedError: If it is among those that its owner cannot take.
+        """
+        if not self._instance_table.needs_short_queues(request.service_id):
+            return
+        owner = self._owner(request)
+        if owner is None:
+            return
+        shedding = self._shedding_by_service_id.setdefault(
+            request.service_id, loadshedding.LoadShedding()
+        )
+        shedding.record(rank, owner.reserved.time_s(request.route.rank))
+        if now_s >= owner.admitted_until_s or shedding.admits(
+            rank, owner.admitted, self._random.random()
+        ):
+            return
+        self._reporter.shed(
+            request, owner, shedding.probability(rank, owner.admitted)
+        )
+        raise self.overloaded_error(
+            request, f'{owner.endpoint.instance_id} has too many requests'
+        )
+
+    def _record_overload(self, service_id: str) -> None:
+        """Lets admission control act, if it may in the service."""
+        if self._instance_table.needs_short_queues(service_id):
+            self._scarcity(service_id).record_overload(self._clock.now_s())
+
     def _is_any_ahead(
         self,
         queue: waitqueue.WaitQueue,
@@ -162,7 +199,9 @@
         waiter.owner_is_shared = False
         if owner is not None:
             owner.reserved.record_seen(request.route.rank, now_s)
-            waiter.owner_is_shared = owner.reserved.is_shared(now_s)
+            waiter.owner_is_shared = (
+                owner.divides_room and owner.reserved.is_shared(now_s)
+            )
 
     def _take(
         self, request: pending.PendingRequest, rank: int, now_s: float
@@ -208,7 +247,7 @@
         left_s = waiter.give_up_at_s - now_s
         if not admission.is_hopeless(waiter.owner_id, ahead, left_s, now_s):
             return None
-        admission.record_overload(now_s)
+        self._record_overload(request.service_id)
         self._reporter.rejected_early(
             request,
             waiter,
--- a/libs/direct/src/oriolefold_direct/coordinator.py
+++ b/libs/direct/src/oriolefold_direct/coordinator.py
@@ -117,7 +117,7 @@
         self._map_document: updates.Document | None = None
         self._map_era = 0  # Era of the store in which the map was read.
         self._candidates = candidates.Candidates(service_id)
-        self._load_tracker = loadtracker.LoadTracker(time.now_s())
+        self._load_tracker = loadtracker.LoadTracker(time.now_s(), service_id)
         self._load_updated_at_s = 0.0
         self._load_reporter = loadreports.LoadReporter(
             service_id, vm_id, peers, dispatcher
@@ -175,7 +175,7 @@
             case messages.LoadReport():
                 message.answer(
                     self._record_load(
-                        message.vm_id, message.load, message.reads_strict
+                        message.vm_id, message.load, message.reads_admissions
                     )
                 )
             case messages.EndTerms():
@@ -555,12 +555,12 @@
         self._load_updated_at_s = now_s
         load = await self._load_reporter.collect()
         self._load_reporter.apply(
-            self._record_load(self._vm_id, load, reads_strict=True), load
+            self._record_load(self._vm_id, load, reads_admissions=True), load
         )
         self._update_candidates()
 
     def _record_load(
-        self, vm_id: str, load: messages.ObservedLoad, reads_strict: bool
+        self, vm_id: str, load: messages.ObservedLoad, reads_admissions: bool
     ) -> messages.LoadReply:
         """Records the load of a VM and returns the reply to it."""
         if self._lease_manager is None:
@@ -572,7 +572,6 @@
             self._lease_manager.key_map,
             self._candidates.endpoints,
             self._clock.now_s(),
-            reads_strict,
         )
         permits_by_id = self._warm_up_grants.grant(
             vm_id,
@@ -585,8 +584,13 @@
             shares_by_id,
             self._granted_ranges(),
             permits_by_id,
-            reads_strict
-            and self._load_tracker.needs_short_queues(self._clock.now_s()),
+            *(
+                self._load_tracker.admissions(
+                    self._candidates.endpoints, self._clock.now_s()
+                )
+                if reads_admissions
+                else ()
+            ),
         )
 
     def _record_leaving(
--- a/libs/direct/src/oriolefold_direct/dispatcher.py
+++ b/libs/direct/src/oriolefold_direct/dispatcher.py
@@ -89,7 +89,7 @@
             time,
             self._retries,
             self._reporter,
-            self._instance_table.typical_time_s,
+            self._instance_table,
         )
         self._keys_by_service_id: dict[str, collections.deque[int]] = {}
         self._stops_at_s = math.inf
@@ -114,11 +114,7 @@
             case messages.Wake():
                 self._acquisition.wake_on_schedule(message.service_id)
             case messages.SharesUpdated():
-                now_s = self._clock.now_s()
-                for instance_id, share in message.shares_by_id.items():
-                    known = self._instance_table.states_by_id.get(instance_id)
-                    if known is not None:
-                        known.set_quota(share, now_s, message.strict)
+                self._update_shares(message)
             case messages.PermitsGranted():
                 self._reporter.permits_granted(message)
                 permits = self._instance_table.permits
@@ -146,6 +142,19 @@
         self._acquisition.refuse_all_pushed_back()
         self._acquisition.wake_all()
 
+    def _update_shares(self, update: messages.SharesUpdated) -> None:
+        if update.short_queues:
+            self._instance_table.require_short_queues(update.service_id)
+        now_s = self._clock.now_s()
+        for instance_id, share in update.shares_by_id.items():
+            known = self._instance_table.states_by_id.get(instance_id)
+            if known is not None:
+                known.set_quota(share, now_s)
+        for instance_id, part in update.admitted_by_id.items():
+            known = self._instance_table.states_by_id.get(instance_id)
+            if known is not None:
+                known.set_admitted(part, now_s)
+
     def _update_key_map(self, update: messages.KeyMapUpdated) -> None:
         if self._key_owners.update(update):
             self._acquisition.wake(update.key_map.service_id)
@@ -420,9 +429,7 @@
         cold_ids = self._key_owners.wanted_cold_ids(
             service_id, recent_keys, waiting, now_s
         )
-        needs_short_queues = self._instance_table.reports_load(
-            service_id
-        ) or self._silent_sends.is_active(service_id)
+        needs_short_queues = self._instance_table.needs_short_queues(service_id)
         return messages.ObservedLoad(
             recent_keys,
             times_by_id,
--- a/libs/direct/src/oriolefold_direct/loadreports.py
+++ b/libs/direct/src/oriolefold_direct/loadreports.py
@@ -53,7 +53,12 @@
     ) -> None:
         """Passes the leader's reply to a reported load on to the dispatcher."""
         self._dispatcher.post(
-            messages.SharesUpdated(reply.shares_by_id, reply.strict)
+            messages.SharesUpdated(
+                reply.shares_by_id,
+                self._service_id,
+                reply.short_queues,
+                reply.admitted_by_id,
+            )
         )
         if reply.granted is not None:
             self._dispatcher.post(reply.granted)
--- a/libs/direct/src/oriolefold_direct/loadtracker.py
+++ b/libs/direct/src/oriolefold_direct/loadtracker.py
@@ -5,6 +5,7 @@
 from oriolefold_coordination import keyload, quotas, ranges
 from oriolefold_direct import messages
 from oriolefold_routing import topology
+from oriolefold_telemetry import logs
 
 DEFAULT_SERVICE_TIME_S = 0.2  # Assumed until the first reported answer.
 CAPACITY_INTERVAL_S = 0.5  # Interval between updates of the capacities.
@@ -16,7 +17,14 @@
 class LoadTracker:
     """Key rates, instance capacities and the VMs' shares of busy owners."""
 
-    def __init__(self, now_s: float):
+    def __init__(self, now_s: float, service_id: str = ''):
+        """Initializes it without load.
+
+        Args:
+            now_s: Current time.
+            service_id: The service, for the log.
+        """
+        self._service_id = service_id
         self._load = keyload.KeyLoad(now_s)
         self._quotas = quotas.Quotas()
         self._times_by_vm_id: dict[str, dict[str, float]] = {}
@@ -38,7 +46,6 @@
         key_map: ranges.KeyMap,
         endpoints: Sequence[topology.Endpoint],
         now_s: float,
-        reads_strict: bool = False,
     ) -> dict[str, float]:
         """Records the load that a VM observed since its last report.
 
@@ -48,13 +55,15 @@
             key_map: Current owners.
             endpoints: Instances of the service.
             now_s: Current time.
-            reads_strict: Whether the VM understands strict shares.
 
         Returns:
-            The VM's share of the slots of busy owners, by instance; strict if
-            the VM understands it and instances need short queues.
+            The VM's share of the slots of busy owners, by instance.
         """
         if load.needs_short_queues:
+            if not self.needs_short_queues(now_s):
+                logs.event(
+                    'load.short_queues', service=self._service_id, told=vm_id
+                )
             self._short_queues_until_s = now_s + SHORT_QUEUES_TTL_S
         self._load.record(load.keys, now_s)
         if load.times_by_id:
@@ -64,8 +73,20 @@
             self._capacities_updated_at_s = now_s
             self._update_mean_times()
         capacities_by_id = {e.instance_id: self.capacity(e) for e in endpoints}
-        strict = reads_strict and self.needs_short_queues(now_s)
-        return self._quotas.shares(vm_id, capacities_by_id, now_s, strict)
+        return self._quotas.shares(vm_id, capacities_by_id, now_s)
+
+    def admissions(
+        self, endpoints: Sequence[topology.Endpoint], now_s: float
+    ) -> tuple[bool, dict[str, float]]:
+        """Returns whether instances need short queues, and what they can take.
+
+        The part of the requests that each overloaded owner can take is only
+        given if they do.
+        """
+        if not self.needs_short_queues(now_s):
+            return False, {}
+        capacities_by_id = {e.instance_id: self.capacity(e) for e in endpoints}
+        return True, self._quotas.admissions(capacities_by_id, now_s)
 
     def profile(self, now_s: float) -> keyload.Profile:
         """Returns the request rates of the keys, cached for a short time."""
--- a/libs/direct/src/oriolefold_direct/messages.py
+++ b/libs/direct/src/oriolefold_direct/messages.py
@@ -140,13 +140,13 @@
         vm_id: The reporting VM.
         service_id: The service.
         load: Load since its last report.
-        reads_strict: Whether the VM understands strict shares.
+        reads_admissions: Whether the VM understands `admitted_by_id`.
     """
 
     vm_id: str
     service_id: str
     load: ObservedLoad
-    reads_strict: bool = True
+    reads_admissions: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,13 +172,16 @@
         shares_by_id: The VM's shares of the slots of busy owners, by instance.
         granted: Moving ranges that may be sent to, or None.
         permits_by_id: Requests that may be sent to each cold instance.
-        strict: Whether the shares include the margin; see `Quotas.shares`.
+        short_queues: Whether instances of the service need short queues.
+        admitted_by_id: Part of its requests that each overloaded owner can
+            take.
     """
 
     shares_by_id: dict[str, float]
     granted: GrantedRanges | None = None
     permits_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
-    strict: bool = False
+    short_queues: bool = False
+    admitted_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -202,12 +205,17 @@
     """This VM's share of the slots of busy owners.
 
     Attributes:
-        shares_by_id: Fraction by instance.
-        strict: Whether they include the margin; see `Quotas.shares`.
+        shares_by_id: Fraction from 0 to 1 by instance.
+        service_id: The service.
+        short_queues: Whether its instances need short queues.
+        admitted_by_id: Part of its requests that each overloaded owner can
+            take.
     """
 
     shares_by_id: dict[str, float]
-    strict: bool = False
+    service_id: str = ''
+    short_queues: bool = False
+    admitted_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/direct/src/oriolefold_direct/peering.py
+++ b/libs/direct/src/oriolefold_direct/peering.py
@@ -19,9 +19,9 @@
 # Asks for a reply with granted ranges. Leaders of earlier versions ignore it,
 # and VMs of earlier versions, which read only shares, do not send it.
 GRANTED_QUERY = 'granted'
-# Also reads whether shares are strict. Leaders of earlier versions reply to it
-# with shares only.
-STRICT_QUERY = 'granted&strict'
+# Also reads which part of the requests is admitted. Leaders of earlier versions
+# reply to it with shares only.
+ADMISSIONS_QUERY = 'granted&admitted'
 CHANGES_PATH = '/changes'
 END_TERMS_PATH = '/end-terms'
 CALL_ID_BYTES = 8
@@ -37,15 +37,14 @@
 # The reply, its prefixes, their changes, the objects, and the parts of each.
 CHANGES_LEVELS = 5
 MAX_SERVICE_TIME_S = 3600.0
-MAX_SHARE = 4.0  # Over the largest margin of strict shares.
 MAX_COLD_IDS = 64  # Several times what a VM of this version sends.
 MAX_PERMITS = 1000  # For one instance in one reply.
 _ADDRESS = re.compile(r'(.+):([0-9]{1,5})')
 _Model = TypeVar('_Model')
 _ServiceTime = Annotated[float, msgspec.Meta(gt=0, le=MAX_SERVICE_TIME_S)]
 _Permits = Annotated[int, msgspec.Meta(ge=0, le=MAX_PERMITS)]
-# Sums of shares are rounded, and strict ones include a margin.
-_Share = Annotated[float, msgspec.Meta(ge=0, le=MAX_SHARE)]
+# Sums of shares are rounded.
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1.001)]
 
 
 # Leaders of earlier versions reject a report with leaving or cold instances, so
@@ -68,7 +67,9 @@
     map_version: documents.Counter = 0
     granted: list[tuple[documents.Key, documents.Key, documents.Counter]] = []
     permits_by_id: dict[str, _Permits] = {}
-    strict: bool = False  # Only for VMs that asked by `STRICT_QUERY`.
+    # Only for VMs that asked by `ADMISSIONS_QUERY`.
+    short_queues: bool = False
+    admitted_by_id: dict[str, _Share] = {}
 
 
 class _EndTerms(msgspec.Struct, forbid_unknown_fields=True):
@@ -143,7 +144,7 @@
             )
         )
         answer = await self._call(
-            address, f'{REPORT_PATH}?{STRICT_QUERY}', body, REPORT_TIMEOUT_S
+            address, f'{REPORT_PATH}?{ADMISSIONS_QUERY}', body, REPORT_TIMEOUT_S
         )
         return _decode_load_reply(report.service_id, answer)
 
@@ -243,7 +244,7 @@
         decoded.needs_short_queues,
     )
     return messages.LoadReport(
-        decoded.vm_id, decoded.service_id, load, query == STRICT_QUERY
+        decoded.vm_id, decoded.service_id, load, query == ADMISSIONS_QUERY
     )
 
 
@@ -254,12 +255,15 @@
 
 def encode_load_reply(reply: messages.LoadReply) -> bytes:
     """Encodes the reply to a load report."""
-    if reply.granted is None and not (reply.permits_by_id or reply.strict):
+    if reply.granted is None and not (
+        reply.permits_by_id or reply.short_queues
+    ):
         return encode_shares(reply)
     encoded = _LoadReply(
         reply.shares_by_id,
         permits_by_id=reply.permits_by_id,
-        strict=reply.strict,
+        short_queues=reply.short_queues,
+        admitted_by_id=reply.admitted_by_id,
     )
     if reply.granted is not None:
         encoded.map_version = reply.granted.map_version
@@ -279,7 +283,11 @@
             service_id, decoded.map_version, frozenset(decoded.granted)
         )
     return messages.LoadReply(
-        decoded.shares_by_id, granted, decoded.permits_by_id, decoded.strict
+        decoded.shares_by_id,
+        granted,
+        decoded.permits_by_id,
+        decoded.short_queues,
+        decoded.admitted_by_id,
     )
 
 
--- a/libs/direct/src/oriolefold_direct/pending.py
+++ b/libs/direct/src/oriolefold_direct/pending.py
@@ -137,6 +137,9 @@
                     if now_s < owner.quota_until_s
                     else None
                 ),
+                'admitted': (
+                    owner.admitted if now_s < owner.admitted_until_s else 1.0
+                ),
                 'service_ms': round(owner.service_time_s * 1000),
                 'baseline_ms': round(owner.baseline_time_s * 1000),
             }
@@ -149,6 +152,35 @@
             **fields,
         )
 
+    def shed(
+        self,
+        request: PendingRequest,
+        owner: concurrency.InstanceState,
+        probability: float,
+    ) -> None:
+        """Counts and logs a request that its owner has no room for.
+
+        Args:
+            request: The request.
+            owner: The owner of its key.
+            probability: Probability with which it would have been admitted.
+        """
+        self._metrics.count_overload(request.service_id, 'shed')
+        logs.event(
+            'admission.shed',
+            request=request.call.request_id,
+            service=request.service_id,
+            route=request.route.route_id,
+            key=request.key,
+            rank=request.route.rank,
+            instance=owner.endpoint.instance_id,
+            admitted=owner.admitted,
+            expires_in_ms=round(
+                (owner.admitted_until_s - self._clock.now_s()) * 1000
+            ),
+            probability=round(probability, 2),
+        )
+
     def region_refused(
         self,
         request: PendingRequest,
--- a/libs/direct/src/oriolefold_direct/silentsends.py
+++ b/libs/direct/src/oriolefold_direct/silentsends.py
@@ -4,11 +4,11 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 
 from oriolefold_core import clock, data, errors
 from oriolefold_direct import pending, retries
-from oriolefold_routing import concurrency, silence
+from oriolefold_routing import concurrency, instancetable, silence
 
 # Tolerance of timers, which may fire just before the time that they are for.
 TIMER_TOLERANCE_S = 0.002
@@ -22,7 +22,7 @@
         time: clock.Clock,
         retry_decisions: retries.Retries,
         reporter: pending.Reporter,
-        typical_time_s: Callable[[str], float],
+        instance_table: instancetable.InstanceTable,
     ):
         """Initializes it without sends.
 
@@ -30,18 +30,15 @@
             time: Clock for deadlines.
             retry_decisions: Decides whether a request may be sent elsewhere.
             reporter: Logs and counters.
-            typical_time_s: Returns the average time to an answer of a service.
+            instance_table: Gives typical times, and is told of services whose
+                instances are silent when full.
         """
         self._clock = time
         self._retries = retry_decisions
         self._reporter = reporter
-        self._typical_time_s = typical_time_s
+        self._instance_table = instance_table
         self._silence = silence.Silence()
 
-    def is_active(self, service_id: str) -> bool:
-        """Whether instances of a service are known to be silent when full."""
-        return self._silence.is_active(service_id, self._clock.now_s())
-
     async def watch(
         self,
         request: pending.PendingRequest,
@@ -64,7 +61,7 @@
         usual_s = max(
             instance.service_time_s,
             instance.reserved.time_s(request.route.rank),
-        ) or self._typical_time_s(service_id)
+        ) or self._instance_table.typical_time_s(service_id)
         send = self._silence.start(
             instance.endpoint.instance_id, usual_s, started_s
         )
@@ -92,6 +89,7 @@
         """Records a send that its caller or its deadline has ended."""
         now_s = self._clock.now_s()
         if self._silence.confirm(request.service_id, send, now_s):
+            self._instance_table.require_short_queues(request.service_id)
             self._reporter.silence_seen(request, send)
 
     async def _watch(self, request, instance, send, sending) -> data.Answer:
--- a/libs/direct/src/oriolefold_direct/status.py
+++ b/libs/direct/src/oriolefold_direct/status.py
@@ -86,7 +86,7 @@
                 (
                     peering.encode_load_reply
                     if request.query
-                    in (peering.GRANTED_QUERY, peering.STRICT_QUERY)
+                    in (peering.GRANTED_QUERY, peering.ADMISSIONS_QUERY)
                     else peering.encode_shares
                 ),
             )
--- a/libs/routing/src/oriolefold_routing/concurrency.py
+++ b/libs/routing/src/oriolefold_routing/concurrency.py
@@ -36,9 +36,6 @@
 QUOTA_MARGIN = 1.2  # Sum of the quotas of all VMs, per slot.
 SMALL_QUOTA_MARGIN = 3.0  # The same for quotas below one request.
 MIN_QUOTA = 0.1  # Average requests in flight that every VM may have.
-# The same for strict quotas: with 80 VMs and 4 slots, 0.1 each would allow
-# twice the slots.
-MIN_STRICT_QUOTA = 0.02
 QUOTA_TTL_S = 1.5  # Validity of a quota; it is renewed twice a second.
 
 
@@ -90,7 +87,9 @@
         quota: Requests in flight allotted to this VM while the instance is
             busy.
         quota_until_s: When the quota expires.
-        quota_is_strict: Whether the quota must not be rounded up.
+        admitted: Part of the requests for it that it can take, by the leader;
+            1 unless it is overloaded.
+        admitted_until_s: When that expires.
         slow_growth_until_s: The limit grows slowly before this time.
         next_send_at_s: Earliest next send under a quota below one request.
         belief: What the instance has announced in its answers.
@@ -101,6 +100,7 @@
         registered_late: Whether it registered after others of its service had
             reported their load.
         reserved: Room that each rank has at the instance.
+        divides_room: Whether ranks that share the instance divide the room.
     """
 
     endpoint: topology.Endpoint
@@ -117,7 +117,8 @@
     warm_up_until_s: float = 0.0
     quota: float = 0.0
     quota_until_s: float = 0.0
-    quota_is_strict: bool = False
+    admitted: float = 1.0
+    admitted_until_s: float = 0.0
     slow_growth_until_s: float = 0.0
     next_send_at_s: float = 0.0
     belief: announcements.Belief = dataclasses.field(
@@ -132,6 +133,7 @@
     reserved: reservation.Reservation = dataclasses.field(
         default_factory=reservation.Reservation
     )
+    divides_room: bool = False
 
     @property
     def max_limit(self) -> float:
@@ -162,7 +164,7 @@
         if now_s < self.backoff_until_s:
             return Obstacle.BACKOFF
         limit, obstacle = self.limit, Obstacle.LIMIT
-        shared = self.reserved.has_ranks and self.reserved.is_shared(now_s)
+        shared = self.divides_room and self.reserved.is_shared(now_s)
         if now_s < self.quota_until_s:
             next_send_at_s = (
                 self.reserved.may_send_at_s(rank)
@@ -225,27 +227,24 @@
         """Whether it gets nothing since it has, or may have, restarted."""
         return self.endpoint.unverified or self.cold_until_s(now_s) > 0
 
-    def set_quota(
-        self, share: float, now_s: float, strict: bool = False
-    ) -> None:
+    def set_quota(self, share: float, now_s: float) -> None:
         """Sets the quota to this VM's share of the slots of a busy instance.
 
         Args:
             share: Fraction of the slots, 0 to 1.
             now_s: Current time.
-            strict: Whether the leader has added the margin, so that the quotas
-                of all VMs together leave no long queue at the instance.
         """
         part = share * self.endpoint.slots
-        self.quota_until_s = now_s + QUOTA_TTL_S
-        self.quota_is_strict = strict
-        if strict:
-            self.quota = max(MIN_STRICT_QUOTA, part)
-            return
         # Unused quota cannot pass to another VM, so quotas below one request
         # are rounded up as far as the queue of the instance allows.
         rounded = min(1.0, part * SMALL_QUOTA_MARGIN)
         self.quota = max(MIN_QUOTA, rounded, part * QUOTA_MARGIN)
+        self.quota_until_s = now_s + QUOTA_TTL_S
+
+    def set_admitted(self, part: float, now_s: float) -> None:
+        """Sets the part of its requests that the instance can take."""
+        self.admitted = part
+        self.admitted_until_s = now_s + QUOTA_TTL_S
 
     def record_send(self, now_s: float, rank: int = 0) -> None:
         """Counts a request that is about to be sent.
@@ -261,12 +260,7 @@
         self.reserved.record_send(rank, now_s)
         if self.quota < 1 and now_s < self.quota_until_s:
             self.next_send_at_s = now_s + self.baseline_time_s / self.quota
-            quota = self.quota
-            if self.quota_is_strict and self.reserved.is_most_urgent(
-                rank, now_s
-            ):
-                quota = min(1.0, quota * SMALL_QUOTA_MARGIN)
-            self.reserved.pace(rank, quota, self.baseline_time_s, now_s)
+            self.reserved.pace(rank, self.quota, self.baseline_time_s, now_s)
 
     def record_end(self, rank: int = 0) -> None:
         """Stops counting a request that has ended or was not sent."""
--- a/libs/routing/src/oriolefold_routing/instancetable.py
+++ b/libs/routing/src/oriolefold_routing/instancetable.py
@@ -43,6 +43,9 @@
         self._random = generator
         self._selection: selection.Selection = selection.NearestCheapest()
         self._even_by_service_id: dict[str, evenload.EvenLoad] = {}
+        # Services whose instances report their load or are silent when full.
+        self._short_queue_ids: set[str] = set()
+        self._spread = selection.SpreadCheapest(generator)
         self.states_by_id: dict[str, concurrency.InstanceState] = {}
         self._by_service_id: dict[str, list[concurrency.InstanceState]] = {}
         self._announcements = announcements.Announcements()
@@ -74,6 +77,7 @@
                     ),
                 )
             known.endpoint = endpoint
+            known.divides_room = endpoint.service_id in self._short_queue_ids
             known.belief = self._announcements.belief(
                 instance_id, endpoint.born_ms
             )
@@ -85,9 +89,21 @@
         for service_id in self._even_by_service_id.keys() - grouped.keys():
             del self._even_by_service_id[service_id]
 
-    def reports_load(self, service_id: str) -> bool:
-        """Whether instances of a service report their load."""
-        return service_id in self._even_by_service_id
+    def needs_short_queues(self, service_id: str) -> bool:
+        """Whether instances report their load or are silent when full.
+
+        Only in such services are rooms divided by rank, requests rejected
+        early and ties between instances broken in an order of this VM's own.
+        """
+        return service_id in self._short_queue_ids
+
+    def require_short_queues(self, service_id: str) -> None:
+        """Learns that instances of a service need short queues."""
+        if service_id in self._short_queue_ids:
+            return
+        self._short_queue_ids.add(service_id)
+        for state in self.of_service(service_id):
+            state.divides_room = True
 
     def record_load(
         self,
@@ -119,6 +135,7 @@
         if even is None:
             even = evenload.EvenLoad(self._random)
             self._even_by_service_id[endpoint.service_id] = even
+            self.require_short_queues(endpoint.service_id)
         return begins
 
     def record_announcement(
@@ -282,9 +299,14 @@
         if not eligible:
             return None
         typical_s = self.typical_time_s(demand.service_id)
-        chooser = self._even_by_service_id.get(
-            demand.service_id, self._selection
-        )
+        service_id = demand.service_id
+        chooser = self._even_by_service_id.get(service_id)
+        if chooser is None:
+            chooser = (
+                self._spread
+                if service_id in self._short_queue_ids
+                else self._selection
+            )
         return chooser.choose(eligible, demand, typical_s, now_s)
 
 
--- a/libs/routing/src/oriolefold_routing/reservation.py
+++ b/libs/routing/src/oriolefold_routing/reservation.py
@@ -84,16 +84,6 @@
         uses = self._uses_by_rank.values()
         return sum(use.seen_at_s >= oldest_s for use in uses) > 1
 
-    def is_most_urgent(self, rank: int, now_s: float) -> bool:
-        """Whether lower ranks, but no higher ones, were seen recently."""
-        oldest_s = now_s - RECENT_S
-        recent = [
-            other
-            for other, use in self._uses_by_rank.items()
-            if other != rank and use.seen_at_s >= oldest_s
-        ]
-        return bool(recent) and min(recent) > rank
-
     def has_room(
         self, rank: int, room: float, usual_s: float, now_s: float
     ) -> bool:
--- a/libs/routing/src/oriolefold_routing/selection.py
+++ b/libs/routing/src/oriolefold_routing/selection.py
@@ -2,6 +2,8 @@
 
 import abc
 import dataclasses
+import random
+import zlib
 from collections.abc import Collection, Sequence
 
 from oriolefold_routing import concurrency, topology
@@ -74,6 +76,39 @@
         return min(eligible, key=lambda state: _cost(state, typical_s))
 
 
+class SpreadCheapest(NearestCheapest):
+    """Like `NearestCheapest`, but each VM breaks ties in an order of its own.
+
+    With one or no request in flight most instances cost the same. VMs that all
+    take the first one in the order of registration overrun it while others
+    idle.
+    """
+
+    def __init__(self, generator: random.Random | None = None):
+        """Initializes the order of this VM.
+
+        Args:
+            generator: Source of random numbers; by default its own.
+        """
+        self._salt = (generator or random.Random()).getrandbits(32)
+
+    def choose(
+        self,
+        eligible: Sequence[concurrency.InstanceState],
+        demand: Demand,
+        typical_s: float,
+        now_s: float,
+    ) -> concurrency.InstanceState | None:
+        """Chooses the nearest instance with the lowest cost."""
+        return min(
+            eligible,
+            key=lambda state: (
+                _cost(state, typical_s),
+                zlib.crc32(state.endpoint.instance_id.encode(), self._salt),
+            ),
+        )
+
+
 def _cost(state: concurrency.InstanceState, typical_s: float) -> tuple:
     time_s = state.service_time_s or typical_s
     # A VM sees only its own requests; they estimate the queue at the instance.
