--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -90,14 +90,10 @@
             selected = self._take(request, standing.rank, now_s)
             if selected is not None:
                 return selected
-        max_wait_s = waitqueue.max_wait_s(
-            request.route.objective_s, self._expected_time_s(request)
-        )
-        give_up_at_s = request.received_at_s + max_wait_s
         waiter = waitqueue.Waiter(
             None,
             standing.rank,
-            give_up_at_s,
+            self._give_up_at_s(request),
             returning=standing.returning,
             since_s=now_s,
         )
@@ -106,9 +102,29 @@
             selected = self._take(request, waiter.rank, now_s)
             if selected is not None:
                 return selected
-        self._check_regions(request, give_up_at_s)
+        self._check_regions(request, waiter.give_up_at_s)
         self._check_wait(queue, waiter, request, now_s)
-        self._check_pushback(request, give_up_at_s)
+        self._check_pushback(request, waiter.give_up_at_s)
+        return await self._wait_for_instance(queue, waiter, request, now_s)
+
+    def _give_up_at_s(self, request: pending.PendingRequest) -> float:
+        """Returns until when a request may wait for an instance."""
+        return request.received_at_s + waitqueue.max_wait_s(
+            request.route.objective_s, self._expected_time_s(request)
+        )
+
+    async def _wait_for_instance(
+        self,
+        queue: waitqueue.WaitQueue,
+        waiter: waitqueue.Waiter,
+        request: pending.PendingRequest,
+        now_s: float,
+    ) -> concurrency.InstanceState:
+        """Queues a request until an instance is assigned to it.
+
+        Raises:
+            OverloadedError: If none is in time.
+        """
         assignment = asyncio.get_running_loop().create_future()
         waiter.payload = (request, assignment)
         queue.add(waiter)
@@ -122,8 +138,9 @@
             request, now_s, waiter.rank
         ):
             self.wake(request.service_id)  # What waited longer gets this turn.
+        left_s = max(0.0, waiter.give_up_at_s - now_s)
         try:
-            async with asyncio.timeout(max(0.0, give_up_at_s - now_s)):
+            async with asyncio.timeout(left_s):
                 return await assignment
         except TimeoutError as error:
             self._record_overload(request.service_id)
