Shedding spares the highest rank; first connections are proved only without keys

Change: the highest rank is never shed. Endpoint.needs_proof, only for services without keys; the test of the restarted instance sets it.

--- a/libs/direct/src/oriolefold_direct/instanceview.py
+++ b/libs/direct/src/oriolefold_direct/instanceview.py
@@ -243,6 +243,7 @@
             cold_until_s=state.cold_until_s,
             unverified=state.unverified_since_s is not None,
             health_path=profile.health_path,
+            needs_proof=bool(profile.health_path) and not profile.keyed,
         )
 
     def _count_cold(self) -> int:
--- a/libs/direct/src/oriolefold_direct/verifying.py
+++ b/libs/direct/src/oriolefold_direct/verifying.py
@@ -76,7 +76,7 @@
         if self._clock.now_s() < endpoint.cold_until_s:
             # Its state is known, and `may_write` lets no request pass that has
             # no permission for a cold instance.
-            known = dataclasses.replace(endpoint, health_path='')
+            known = dataclasses.replace(endpoint, needs_proof=False)
             return await self._instances.send(
                 known, call, remaining_s, may_write
             )
--- a/libs/routing/src/oriolefold_routing/loadshedding.py
+++ b/libs/routing/src/oriolefold_routing/loadshedding.py
@@ -2,7 +2,7 @@
 
 The leader sees the requests for an owner of all VMs and says which part of them
 it can take. A VM that sends it a request every few seconds cannot pace them, so
-each VM admits that part at random, lower ranks first to be rejected.
+each VM admits that part at random, at the cost of the lower ranks.
 """
 
 import collections
@@ -32,6 +32,8 @@
         """Returns the probability with which a request is admitted.
 
         Higher ranks use the room first, so that a rank gets what they leave.
+        The highest one is always admitted: nobody else has a use for its room,
+        and some of its answers are late rather than rejected.
 
         Args:
             rank: Rank of the request.
@@ -39,11 +41,13 @@
         """
         total = self._work_by_rank.total()
         own = self._work_by_rank[rank]
-        if not total or not own:
-            return admitted
         higher = sum(
             work for other, work in self._work_by_rank.items() if other < rank
         )
+        if not higher:
+            return 1.0
+        if not own:
+            return admitted
         return min(1.0, max(0.0, admitted * total - higher) / own)
 
     def admits(self, rank: int, admitted: float, draw: float) -> bool:
--- a/libs/routing/src/oriolefold_routing/topology.py
+++ b/libs/routing/src/oriolefold_routing/topology.py
@@ -29,8 +29,11 @@
             not, or if its service has no warm-up rate.
         unverified: Whether it may have restarted since it registered, so that
             it is sent nothing until a health check has succeeded.
-        health_path: Path of its health check, which has to prove each first
-            connection; empty if its service has no warm-up rate.
+        health_path: Path of its health check; empty if its service has no
+            warm-up rate.
+        needs_proof: Whether a health check has to prove that it is warm before
+            the first connection. An instance of a keyed service holds no keys
+            after a restart, and rejects requests until it is granted some.
     """
 
     instance_id: str
@@ -45,6 +48,7 @@
     cold_until_s: float = 0.0
     unverified: bool = False
     health_path: str = ''
+    needs_proof: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
