Silence counts only at instances with a long queue

Cause: an instance that runs a request and loses its answer, as in earlier deployments, gave the same evidence as one that is silent when full. Change: the answer that overtakes a send has to show a long queue itself (2.5 times the time without queueing). Result: test_silence (6) and 46 tests of overload and dispatcher pass.

--- a/libs/direct/src/oriolefold_direct/silentsends.py
+++ b/libs/direct/src/oriolefold_direct/silentsends.py
@@ -63,7 +63,10 @@
             instance.reserved.time_s(request.route.rank),
         ) or self._instance_table.typical_time_s(service_id)
         send = self._silence.start(
-            instance.endpoint.instance_id, usual_s, started_s
+            instance.endpoint.instance_id,
+            usual_s,
+            started_s,
+            instance.baseline_time_s,
         )
         answered = False
         try:
@@ -81,7 +84,7 @@
                 self._confirm(request, send)
             raise
         finally:
-            self._silence.end(send, answered)
+            self._silence.end(send, answered, self._clock.now_s())
 
     def _confirm(
         self, request: pending.PendingRequest, send: silence.OpenSend
--- a/libs/routing/src/oriolefold_routing/silence.py
+++ b/libs/routing/src/oriolefold_routing/silence.py
@@ -18,6 +18,10 @@
 # Evidence after which a service is known to be silent: a silent send counts
 # once, and twice if it has waited for so long that no long work explains it.
 MIN_EVIDENCE = 2
+# Times the time without queueing that an answer takes at an instance with a
+# long queue; a full one of 4 requests a slot takes 5. Instances that lose answers
+# for other reasons overtake them by quick ones.
+QUEUE_FACTOR = 2.5
 CONFIRMED_TTL_S = 300.0  # For how long a silent send counts.
 MAX_EVIDENCE = 64  # Pieces of evidence remembered for each service.
 
@@ -30,14 +34,18 @@
         instance_id: The instance.
         started_s: When it was sent.
         usual_s: Usual time to an answer then, in seconds.
+        unqueued_s: Usual time to an answer without queueing, in seconds.
         overtaken: Answers of the instance to requests sent later.
+        saw_queue: Whether one of them shows a long queue.
         reported: Whether it was found silent.
     """
 
     instance_id: str
     started_s: float
     usual_s: float
+    unqueued_s: float
     overtaken: int = 0
+    saw_queue: bool = False
     reported: bool = False
 
     @property
@@ -58,25 +66,42 @@
         self._open_by_id: dict[str, list[OpenSend]] = {}
         self._confirmed_at_s: dict[str, collections.deque[float]] = {}
 
-    def start(self, instance_id: str, usual_s: float, now_s: float) -> OpenSend:
-        """Records a send that begins."""
-        send = OpenSend(instance_id, now_s, usual_s)
+    def start(
+        self,
+        instance_id: str,
+        usual_s: float,
+        now_s: float,
+        unqueued_s: float = 0.0,
+    ) -> OpenSend:
+        """Records a send that begins.
+
+        Args:
+            instance_id: The instance.
+            usual_s: Usual time to an answer, in seconds.
+            now_s: Current time.
+            unqueued_s: The same without queueing; 0 if unknown.
+        """
+        send = OpenSend(instance_id, now_s, usual_s, unqueued_s or usual_s)
         self._open_by_id.setdefault(instance_id, []).append(send)
         return send
 
-    def end(self, send: OpenSend, answered: bool) -> None:
+    def end(self, send: OpenSend, answered: bool, now_s: float) -> None:
         """Records the end of a send.
 
         Args:
             send: The send.
             answered: Whether the instance has answered.
+            now_s: Current time.
         """
+        took_s = now_s - send.started_s
+        is_slow = took_s >= QUEUE_FACTOR * send.unqueued_s
         open_sends = self._open_by_id[send.instance_id]
         if answered:
             for other in open_sends:
                 if other is send:
                     break
                 other.overtaken += 1
+                other.saw_queue = other.saw_queue or is_slow
         open_sends.remove(send)
         if not open_sends:
             del self._open_by_id[send.instance_id]
@@ -87,7 +112,7 @@
         Returns:
             Whether the service has become known to be silent by it.
         """
-        if not send.overtaken or now_s - send.started_s < send.overdue_s:
+        if not send.saw_queue or now_s - send.started_s < send.overdue_s:
             return False
         was_active = self.is_active(service_id, now_s)
         confirmed = self._confirmed_at_s.setdefault(
--- a/libs/routing/tests/test_silence.py
+++ b/libs/routing/tests/test_silence.py
@@ -12,16 +12,16 @@
     def setUp(self):
         self.silence = silence.Silence()
 
-    def overtaken_send(self, at_s):
+    def overtaken_send(self, at_s, took_s=0.6):
         send = self.silence.start('i', 0.2, at_s)
         later = self.silence.start('i', 0.2, at_s + 0.1)
-        self.silence.end(later, True)
+        self.silence.end(later, True, at_s + 0.1 + took_s)
         return send
 
     def confirm(self, after_s, at_s=0.0):
         send = self.overtaken_send(at_s)
         self.silence.confirm('s', send, at_s + after_s)
-        self.silence.end(send, False)
+        self.silence.end(send, False, at_s + after_s)
 
     def test_nothing_is_silent_before_silence_was_seen_in_the_service(self):
         """Other deployments must not lose long requests."""
@@ -38,12 +38,20 @@
         end_s = 7.0 + silence.CONFIRMED_TTL_S
         self.assertFalse(self.silence.is_active('s', end_s))
 
+    def test_lost_answers_of_an_instance_with_room_are_no_evidence(self):
+        """Deployments whose instances lose answers must be served as before."""
+        for at_s in (0.0, 5.0, 10.0, 15.0):
+            send = self.overtaken_send(at_s, took_s=0.3)
+            self.assertFalse(self.silence.confirm('s', send, at_s + 4.0))
+            self.silence.end(send, False, at_s + 4.0)
+        self.assertFalse(self.silence.is_active('s', 20.0))
+
     def test_frozen_instance_is_no_evidence(self):
         """An instance that answers nobody for a while is not full."""
         sends = [self.silence.start('i', 0.2, n / 10) for n in range(4)]
         for send in sends:
             self.assertFalse(self.silence.confirm('s', send, 9.0))
-            self.silence.end(send, False)
+            self.silence.end(send, False, 9.0)
         self.assertFalse(self.silence.is_active('s', 9.0))
 
     def test_overtaken_sends_are_silent_before_lone_ones(self):
