--- a/libs/routing/src/oriolefold_routing/silence.py
+++ b/libs/routing/src/oriolefold_routing/silence.py
@@ -19,8 +19,8 @@
 # once, and twice if it has waited for so long that no long work explains it.
 MIN_EVIDENCE = 2
 # Times the time without queueing that an answer takes at an instance with a
-# long queue; a full one of 4 requests a slot takes 5. Instances that lose answers
-# for other reasons overtake them by quick ones.
+# long queue; a full one of 4 requests a slot takes 5. Instances that lose
+# answers for other reasons overtake them by quick ones.
 QUEUE_FACTOR = 2.5
 CONFIRMED_TTL_S = 300.0  # For how long a silent send counts.
 MAX_EVIDENCE = 64  # Pieces of evidence remembered for each service.
