--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -248,21 +248,21 @@
         if not queue or not self._scarcity(request.service_id).is_active(now_s):
             return
         ahead = queue.count_before(waiter)
-        error = self._hopeless_error(waiter, request, ahead, now_s)
+        error = self._early_rejection(waiter, request, ahead, now_s)
         if error is not None:
             raise error
 
-    def _hopeless_error(
+    def _early_rejection(
         self,
         waiter: waitqueue.Waiter,
         request: pending.PendingRequest,
         ahead: int,
         now_s: float,
     ) -> errors.OverloadedError | None:
-        """Returns the error for a request that would wait in vain, or None."""
+        """Returns the error for a request that would not be sent in time, or None."""
         admission = self._scarcity(request.service_id)
         left_s = waiter.give_up_at_s - now_s
-        if not admission.is_hopeless(waiter.owner_id, ahead, left_s, now_s):
+        if not admission.exceeds_limit(waiter.owner_id, ahead, left_s, now_s):
             return None
         self._record_overload(request.service_id)
         self._reporter.rejected_early(
@@ -479,7 +479,7 @@
     def wake_on_schedule(self, service_id: str) -> None:
         """Assigns instances when the time that was arranged has come."""
         self._wake_scheduled_ids.discard(service_id)
-        self._reject_hopeless(service_id)
+        self._reject_unservable(service_id)
         self.wake(service_id)
 
     def wake(self, service_id: str) -> None:
@@ -531,7 +531,7 @@
             assignment.set_exception(error)
             queue.discard(waiter)
 
-    def _reject_hopeless(self, service_id: str) -> None:
+    def _reject_unservable(self, service_id: str) -> None:
         """Rejects queued requests that more urgent ones have pushed back."""
         queue = self._queues_by_service_id.get(service_id)
         now_s = self._clock.now_s()
@@ -543,7 +543,7 @@
             if assignment.done():
                 continue
             ahead = ahead_by_owner_id.get(waiter.owner_id, 0)
-            error = self._hopeless_error(waiter, request, ahead, now_s)
+            error = self._early_rejection(waiter, request, ahead, now_s)
             if error is None:
                 ahead_by_owner_id[waiter.owner_id] = ahead + 1
                 continue
--- a/libs/routing/src/oriolefold_routing/scarcity.py
+++ b/libs/routing/src/oriolefold_routing/scarcity.py
@@ -85,7 +85,7 @@
         return now_s < self._active_until_s
 
     def record_overload(self, now_s: float) -> None:
-        """Records that ranks compete, or that a request waited in vain."""
+        """Records that ranks compete, or that a wait ended without a send."""
         self._active_until_s = now_s + ACTIVE_S
 
     def record_arrival(self, kind_id: str, left_s: float, now_s: float) -> None:
@@ -167,7 +167,7 @@
             return 0.0
         return (ahead + 1) * line.interval_s
 
-    def is_hopeless(
+    def exceeds_limit(
         self,
         line_id: str,
         ahead: int,
--- a/libs/routing/tests/test_scarcity.py
+++ b/libs/routing/tests/test_scarcity.py
@@ -16,17 +16,17 @@
             now_s = end_s - n * interval_s
             self.scarcity.record_start('', now_s - 9.0, now_s)
 
-    def test_wait_beyond_the_limit_is_hopeless_only_in_overload(self):
+    def test_wait_beyond_the_limit_exceeds_limit_only_in_overload(self):
         """A request must not be held until a limit that it will miss."""
         self.set_pace(0.1)
-        self.assertFalse(self.scarcity.is_hopeless('', 9, 0.5, 10.0))
+        self.assertFalse(self.scarcity.exceeds_limit('', 9, 0.5, 10.0))
         self.scarcity.record_overload(10.0)
-        self.assertTrue(self.scarcity.is_hopeless('', 9, 0.5, 10.0))
-        self.assertFalse(self.scarcity.is_hopeless('', 3, 0.5, 10.0))
-        self.assertFalse(self.scarcity.is_hopeless('', 0, 0.01, 10.0))
-        self.assertFalse(self.scarcity.is_hopeless('other', 9, 0.5, 10.0))
+        self.assertTrue(self.scarcity.exceeds_limit('', 9, 0.5, 10.0))
+        self.assertFalse(self.scarcity.exceeds_limit('', 3, 0.5, 10.0))
+        self.assertFalse(self.scarcity.exceeds_limit('', 0, 0.01, 10.0))
+        self.assertFalse(self.scarcity.exceeds_limit('other', 9, 0.5, 10.0))
         end_s = 10.0 + scarcity.ACTIVE_S
-        self.assertFalse(self.scarcity.is_hopeless('', 9, 0.5, end_s))
+        self.assertFalse(self.scarcity.exceeds_limit('', 9, 0.5, end_s))
 
     def test_rejected_callers_return_in_turn_and_within_a_third(self):
         """Callers that return together would be rejected together again."""
