--- a/libs/direct/src/oriolefold_direct/acquisition.py
+++ b/libs/direct/src/oriolefold_direct/acquisition.py
@@ -259,7 +259,7 @@
         ahead: int,
         now_s: float,
     ) -> errors.OverloadedError | None:
-        """Returns the error for a request that would not be sent in time, or None."""
+        """Returns the error if a request would not be sent in time."""
         admission = self._scarcity(request.service_id)
         left_s = waiter.give_up_at_s - now_s
         if not admission.exceeds_limit(waiter.owner_id, ahead, left_s, now_s):
--- a/libs/routing/src/oriolefold_routing/warmup.py
+++ b/libs/routing/src/oriolefold_routing/warmup.py
@@ -85,7 +85,7 @@
 
         Args:
             left_s: For how long the instance is still cold, in seconds.
-            started_at_s: When the check began. A failure since then still counts.
+            started_at_s: When the check began. Later failures still count.
             now_s: Current time.
         """
         if left_s > 0:
